--- /dev/null
+++ b/elmglade/interface.py
@@ -0,0 +1,222 @@
+"""What a sender and the decision module say to each other: settings, events and actions.
+
+Times are whole microseconds of the sender's own clock; durations are microseconds too.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Effect(Enum):
+    """What a repeat of a message does at its destination."""
+
+    SAFE = "safe"  # repeats do no harm
+    KEYED = "keyed"  # repeats are dropped for a while, see MessageClass.window
+    UNSAFE = "unsafe"  # must never run twice
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    CONNECT_FAILED = "connect_failed"
+    RESET = "reset"
+    CANCELLED = "cancelled"
+    NOT_SENT = "not_sent"
+
+
+#: Outcomes that prove the attempt never ran at the destination.
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
+
+
+class EndpointState(Enum):
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class Listing(Enum):
+    """What a list of endpoints holds."""
+
+    CHANGES = "changes"
+    FULL = "full"
+    CACHED = "cached"
+    FAILED = "failed"
+
+
+@dataclass(frozen=True, slots=True)
+class MessageClass:
+    name: str
+    aim: int
+    deadline: int
+    worth: float
+    late_worth: float
+    effect: Effect
+    window: int = 0  # KEYED: how long repeats are dropped, from the first sending that may have run
+    window_by_zone: bool = False  # KEYED: only endpoints of the same zone drop repeats
+    in_order: bool = False  # messages of one key go one at a time, as taken
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of destination."""
+
+    batch: int = 1  # messages that one call may carry
+    apart: bool = False  # endpoints are routes apart, each with its own limit and outages
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    classes: tuple[MessageClass, ...]
+    kinds: tuple[tuple[str, Kind], ...]
+    slots: int
+    max_open: int
+    max_attempts: int
+    zone: str
+    tick: int
+    fleet_size: int = 1
+    tenants: tuple[tuple[str, float], ...] = ()  # name, messages a second within its share (all senders)
+    over_share_worth: float = 1.0
+    halves: bool = False  # late worth falls by half with each further aim, else evenly
+    zone_fees: tuple[tuple[str, float], ...] = ()  # zone, worth lost per message on a route apart there
+    must_ask: bool = False  # the list of endpoints comes only when asked for
+    ask_within: int = 10_000_000
+    weights_told: bool = False  # Endpoint.scale is a rate in calls a second
+    may_cancel: bool = True
+    max_retry_after: int = 0  # 0: clients are not told when to come again
+    cold: int = 10_000_000  # a destination back from an outage is warm after this
+    cold_from: float = 0.2  # and starts at this share of its capacity
+    fall_multiple: float = 2.0
+    conn_idle: int = 10_000_000  # idle connections are closed after this
+    key_quiet: int = 0
+    drain_grace: int = 0
+
+    def __post_init__(self) -> None:
+        counts = ("slots", "max_open", "max_attempts", "fleet_size")
+        for name in (*counts, "tick", "ask_within", "cold", "conn_idle"):
+            if getattr(self, name) <= 0:
+                raise ValueError(f"{name} must be above 0, not {getattr(self, name)}")
+        for name in ("key_quiet", "drain_grace", "max_retry_after", "fall_multiple"):
+            if getattr(self, name) < 0:
+                raise ValueError(f"{name} must not be negative, not {getattr(self, name)}")
+        if not 0 < self.cold_from <= 1:
+            raise ValueError(f"cold_from must be a share above 0, not {self.cold_from}")
+        if not self.classes:
+            raise ValueError("classes must not be empty")
+        for each in self.classes:
+            if not 0 < each.aim <= each.deadline:
+                raise ValueError(f"classes: {each.name}: aim must be above 0 and no more than deadline")
+            if each.effect is Effect.KEYED and each.window <= 0:
+                raise ValueError(f"classes: {each.name}: window must be above 0 for a keyed class")
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    id: str
+    destination: int
+    state: EndpointState
+    kind: str
+    zone: str
+    scale: float = 1.0
+
+
+# Events: what happened to this sender.
+
+
+@dataclass(frozen=True, slots=True)
+class EndpointsListed:
+    listing: Listing
+    endpoints: tuple[Endpoint, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class MessageTaken:
+    message: str
+    message_class: str
+    destination: int
+    time_left: int
+    tenant: str = ""
+    key: str = ""  # empty: not kept in order
+    again: bool = False  # the client says it was handed in before
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptEnded:
+    message: str
+    attempt: int  # attempts of a message are numbered from 0
+    outcome: Outcome
+    finished: bool = False  # nothing more is owed for the message
+    wait: int = 0  # with FULL: how long the destination asked to be left alone
+
+
+@dataclass(frozen=True, slots=True)
+class MessageWithdrawn:
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class WakeUp:
+    pass
+
+
+Event = EndpointsListed | MessageTaken | AttemptEnded | MessageWithdrawn | WakeUp
+
+# Actions: what this sender should do, in this order.
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    message: str
+    endpoint: str
+    timeout: int
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """End a message; the client may safely hand it in again."""
+
+    message: str
+    retry_after: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """End a message for good, with no promise about its effect."""
+
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class CancelAttempt:
+    message: str
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class WakeAfter:
+    delay: int
+
+
+@dataclass(frozen=True, slots=True)
+class Subscribe:
+    """Ask for the list of endpoints and for its changes from now on."""
+
+
+@dataclass(frozen=True, slots=True)
+class CloseIdle:
+    """Close the idle connections to an endpoint."""
+
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A line for the operators, such as a change of a breaker's state."""
+
+    text: str
+
+
+Action = Send | Refuse | Fail | CancelAttempt | WakeAfter | Subscribe | CloseIdle | Note
--- /dev/null
+++ b/elmglade/rules.py
@@ -0,0 +1,454 @@
+"""Every decision of a sender. Its types, events and actions are in elmglade/interface.py.
+
+A circuit breaker per destination (per endpoint where routes are apart) decides the ordinary path: failures in
+a row open it, messages are held, one trial after the reset timeout closes it or restarts the timeout, a gap
+paces calls while closed. The rest guards the six rules or picks the held message that goes next.
+"""
+
+import heapq
+import itertools
+import math
+import random
+from collections import defaultdict
+from collections.abc import Iterable
+
+from elmglade import interface as face
+from elmglade.interface import Effect, EndpointState, Listing, Outcome
+
+FAILURE_THRESHOLD = 3  # failures in a row; a small destination would take too long to show the paper's five
+RESET_TIMEOUT = 2_000_000  # us from the last failure to the trial; the design page's figure
+GAP_STEP = 100_000  # us, the smallest gap: about one call's time at a destination of usual pace
+TOLD_STEP = 2e6  # us over the told rate: the step where that is smaller, the time of two calls there
+GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
+GAP_SHRINK = 0.15  # share of the gap that a served call takes off: five serve to undo most of a doubling
+SICK_SHARE = 0.4  # recent failures among calls from which a destination is doubtful: far above stray errors
+MEMORY = 0.125  # weight of the newest call in that share and in the usual time; as TCP smooths round trips
+OVERDUE_SPREADS = 4  # mean deviations above the usual time from which a call is overdue; TCP's time-out rule
+DESTINATION_SLOTS = 0.5  # share of the slots that calls to one destination may hold
+PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
+UNSETTLED = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})  # may still be running
+COLD_PUSH = 0.75  # of fall_multiple: a returning destination is paced at that times its warm share
+ERROR_WEIGHT = 1 / 3  # of a failure: an error is an answer; the paper allows a threshold for each kind
+SCARCE_TIMES = 3  # idle times for which a refused connect makes a crowd close its connections after use
+CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
+NEVER = math.inf
+
+
+class Endpoint:
+    def __init__(self, listed: face.Endpoint) -> None:
+        self.listed, self.out = listed, 0
+        self.bad_until, self.last_sent = 0.0, -NEVER
+
+
+class Message:
+    def __init__(self, taken: face.MessageTaken, kind: face.MessageClass, now: int, share: float) -> None:
+        self.id, self.kind, self.destination = taken.message, kind, taken.destination
+        self.key = taken.key if kind.in_order else ""
+        self.until, self.born = now + taken.time_left, now + taken.time_left - kind.deadline
+        self.share = share  # 1, or what is left of its worth over its tenant's share
+        self.attempts, self.out, self.ended = 0, False, False
+        self.risky_since: int | None = None  # sending of the first attempt that may have run
+        self.risky_zone = ""
+
+
+class Call:
+    """One call at a destination; several messages share it where they travel as a batch."""
+
+    def __init__(self, breaker: "Breaker", endpoint: Endpoint, now: int) -> None:
+        self.breaker, self.endpoint, self.sent = breaker, endpoint, now
+        self.messages: dict[str, Message] = {}
+        self.settled = self.overdue = self.called_off = False  # settled: its result has been counted
+
+    def risks(self) -> bool:
+        return any(each.kind.effect is not Effect.SAFE for each in self.messages.values())
+
+
+class Breaker:
+    """The paper's breaker, with the gap, told waits and the warm-up after an outage."""
+
+    def __init__(self, settings: face.Settings, chance: random.Random) -> None:
+        self.settings, self.chance = settings, chance
+        self.failures, self.trial_at, self.trial = 0, -NEVER, None
+        self.crowd = max(settings.fleet_size / GAP_SENDERS, 1)
+        self.most_gap = RESET_TIMEOUT * self.crowd
+        self.step, self.gap, self.gap_changed = GAP_STEP * self.crowd, 0.0, -NEVER
+        self.out, self.last_sent, self.wait_until = 0, -NEVER, 0
+        self.unserved, self.sick, self.cold_since = 0, 0.0, -NEVER  # unserved: calls since the last served
+        self.least_aim = min(each.aim for each in settings.classes)
+        self.took, self.spread, self.known = self.least_aim / 4, self.least_aim / 8, 1
+        self.calls, self.span, self.last_served = 0.1, RESET_TIMEOUT / 20 * self.crowd, NEVER
+
+    def ready_at(self, now: int) -> float:
+        """When the next call may go; NEVER while a trial's result decides it."""
+        if self.failures >= FAILURE_THRESHOLD:
+            return NEVER if self.trial else max(self.wait_until, self.trial_at)
+        return max(self.wait_until, self.last_sent + max(self.gap, self.cold_gap(now)))
+
+    def restart(self, now: int) -> None:
+        """Guards a destination that is down from a crowd: a failed trial waits out the gap of a cold one."""
+        timeout: float = RESET_TIMEOUT
+        if self.trial and self.crowd > 1:
+            self.cold_since = now
+            timeout = max(timeout, self.cold_gap(now) * self.chance.uniform(0.5, 1.5))
+        self.trial, self.trial_at = None, now + timeout
+
+    def cold_gap(self, now: int) -> float:
+        """Rule: a returning destination is not pushed over. Own usual rate times the share that is warm."""
+        if (warm := (now - self.cold_since) / self.settings.cold) >= 1:
+            return 0.0
+        share = self.settings.cold_from + (1 - self.settings.cold_from) * max(warm, 0.0)
+        push = self.settings.fall_multiple * COLD_PUSH * share
+        return min(self.span / self.calls / push, 2 * self.most_gap)
+
+    def overdue_at(self, call: Call) -> float:
+        return call.sent + max(self.took + OVERDUE_SPREADS * self.spread, self.least_aim / 4)
+
+    def failed(self, now: int, weight: float = 1, run: float = FAILURE_THRESHOLD) -> None:
+        self.failures += weight
+        self.restart(now)
+        self.sick += (1 - self.sick) * MEMORY
+        self.doubt(now, run)
+
+    def refused(self, now: int, call: Call) -> None:
+        if call is self.trial:
+            self.restart(now)
+        if call.sent >= self.gap_changed:  # calls sent before the gap last grew say nothing of it
+            if self.settings.weights_told and (rate := call.endpoint.listed.scale) > 0:
+                self.step = max(min(TOLD_STEP / rate, self.step), GAP_STEP)
+            self.gap, self.gap_changed = min(max(2 * self.gap, self.step), self.most_gap), now
+            self.doubt(now, max(FAILURE_THRESHOLD / self.crowd, 2))
+            late = self.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.crowd)  # told alike, back apart
+            self.wait_until = max(self.wait_until, now) + math.ceil(late)
+
+    def doubt(self, now: int, run: float) -> None:
+        """What may be an outage restarts the warm-up: a run of unserved calls, or many failures of late."""
+        self.unserved += 1
+        if self.unserved >= run or self.sick >= SICK_SHARE:
+            self.cold_since = now
+
+    def served(self, now: int, call: Call) -> None:
+        took = now - call.sent
+        self.known += 1
+        weight = max(MEMORY, 1 / self.known)  # the first guess counts as one call
+        self.spread += (abs(took - self.took) - self.spread) * weight
+        self.took += (took - self.took) * weight
+        passed = now - self.last_served
+        if self.unserved == 0 and self.cold_gap(now) == 0 and passed >= 0:
+            fade = math.exp(-passed / self.settings.cold)
+            self.calls, self.span = self.calls * fade + 1, self.span * fade + passed
+        self.last_served = now
+        self.gap = max(self.gap, self.step if self.failures >= FAILURE_THRESHOLD else 0) * (1 - GAP_SHRINK)
+        self.gap *= self.gap >= self.step / 2
+        self.failures, self.unserved, self.trial = 0, 0, None
+        self.sick *= 1 - MEMORY
+
+
+class KeyLine:
+    """Rule: messages of one key go one at a time, as taken, and rest after an attempt left unsettled."""
+
+    def __init__(self) -> None:
+        self.queue: list[Message] = []
+        self.quiet_until = 0
+
+
+class Dispatcher:
+    def __init__(self, settings: face.Settings, seed: int) -> None:
+        self.settings, self.random = settings, random.Random(seed)
+        self.classes = {each.name: each for each in settings.classes}
+        self.kinds = defaultdict(face.Kind, settings.kinds)
+        self.fees = dict(settings.zone_fees)
+        self.quotas = {name: rate / settings.fleet_size for name, rate in settings.tenants if rate > 0}
+        self.credit, self.credited = dict(self.quotas), 0  # one second's share may be saved up
+        self.endpoints: dict[str, Endpoint] = {}
+        self.by_destination: dict[int, list[Endpoint]] = {}
+        self.breakers: dict[tuple[int, str], Breaker] = {}
+        self.messages: dict[str, Message] = {}
+        self.waiting: dict[int, dict[str, Message]] = {}
+        self.keys: dict[str, KeyLine] = {}
+        self.calls: dict[tuple[str, int], Call] = {}
+        self.idle: dict[str, Endpoint] = {}  # with a call just ended
+        self.scarce_until = 0  # connects were refused of late
+        self.out: dict[Call, None] = {}  # distinct calls, oldest first
+        self.deadlines: list[tuple[int, int, Message]] = []  # a heap
+        self.now, self.wake_at, self.count = -NEVER, NEVER, itertools.count()
+        self.subscribe_at, self.subscribe_tries = (-NEVER if settings.must_ask else NEVER), 0
+        self.actions: list[face.Action] = []
+
+    def handle(self, now_us: int, events: Iterable[face.Event]) -> list[face.Action]:
+        if now_us < self.now:
+            raise ValueError(f"the clock went back from {self.now} to {now_us}")
+        self.now, self.actions = now_us, []
+        for event in events:
+            match event:
+                case face.MessageTaken():
+                    self.take(event)
+                case face.AttemptEnded():
+                    self.attempt_ended(event)
+                case face.EndpointsListed():
+                    self.list_endpoints(event)
+                case face.MessageWithdrawn(message) if message in self.messages:
+                    self.finish(self.messages[message])
+        self.find_overdue()
+        self.end_due()
+        self.send_next()
+        self.keep_room()
+        self.set_wake()
+        return self.actions
+
+    # What happened.
+
+    def take(self, taken: face.MessageTaken) -> None:
+        if taken.message_class not in self.classes:
+            raise ValueError(f"unknown class {taken.message_class}")
+        if taken.message in self.messages:
+            raise ValueError(f"message {taken.message} was taken before")
+        share = self.within_share(taken.tenant)
+        message = Message(taken, self.classes[taken.message_class], self.now, share)
+        self.messages[message.id] = message
+        self.waiting.setdefault(message.destination, {})[message.id] = message
+        heapq.heappush(self.deadlines, (message.until, next(self.count), message))
+        if message.key:
+            self.keys.setdefault(message.key, KeyLine()).queue.append(message)
+
+    def within_share(self, tenant: str) -> float:
+        passed = (self.now - self.credited) / 1e6
+        self.credited = self.now
+        for name, rate in self.quotas.items():
+            self.credit[name] = min(self.credit[name] + rate * passed, max(rate, 1.0))
+        within = self.credit.get(tenant, NEVER) >= 1
+        self.credit[tenant] = self.credit.get(tenant, NEVER) - within
+        return 1.0 if within else self.settings.over_share_worth
+
+    def attempt_ended(self, ended: face.AttemptEnded) -> None:
+        if (call := self.calls.pop((ended.message, ended.attempt), None)) is None:
+            return
+        message = call.messages.pop(ended.message)
+        message.out = False
+        self.settle(call, ended)
+        if (line := self.keys.get(message.key)) and ended.outcome in UNSETTLED:
+            line.quiet_until = max(line.quiet_until, self.now + self.settings.key_quiet)
+        if ended.outcome not in face.NEVER_RAN and message.risky_since is None:
+            message.risky_since, message.risky_zone = call.sent, call.endpoint.listed.zone
+        if message.ended or ended.finished:
+            self.finish(message)
+        elif self.now + self.settings.tick >= message.until or not self.may_send_again(message):
+            self.end(message)
+        else:
+            self.waiting[message.destination][message.id] = message
+
+    def settle(self, call: Call, ended: face.AttemptEnded) -> None:
+        """The first result of a call speaks for all its messages."""
+        breaker, endpoint = call.breaker, call.endpoint
+        if ended.wait:  # rule: told waits are heeded, from each answer that tells one
+            breaker.wait_until = max(breaker.wait_until, self.now + ended.wait)
+        if not call.messages:
+            breaker.out -= 1
+            endpoint.out -= 1
+            self.idle[endpoint.listed.id] = endpoint
+            if ended.outcome is Outcome.CONNECT_FAILED and not call.overdue:
+                self.scarce_until = self.now + SCARCE_TIMES * self.settings.conn_idle
+            del self.out[call]
+        if call.settled:
+            return  # a batch has one fate
+        call.settled = True
+        if ended.outcome is Outcome.OK:
+            breaker.served(self.now, call)
+            endpoint.bad_until = 0.0
+        elif ended.outcome is Outcome.FULL:
+            breaker.refused(self.now, call)
+        elif ended.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not call.overdue:
+            weight = ERROR_WEIGHT if ended.outcome is Outcome.ERROR else 1
+            breaker.failed(self.now, weight, max(FAILURE_THRESHOLD / breaker.crowd, 2))
+            endpoint.bad_until = self.now + RESET_TIMEOUT
+        elif call is breaker.trial:
+            breaker.trial = None
+
+    def list_endpoints(self, listed: face.EndpointsListed) -> None:
+        """Rule: drains are kept, from the moment they are told: only ready endpoints are known here."""
+        if listed.listing is Listing.FAILED:
+            self.subscribe_tries += 1
+            span = min(self.settings.ask_within, RESET_TIMEOUT * 2**self.subscribe_tries) / 4
+            self.subscribe_at = self.now + span * self.random.uniform(0.5, 1)
+            return
+        self.subscribe_tries, known = 0, self.endpoints
+        self.endpoints = dict(known) if listed.listing is Listing.CHANGES else {}
+        for each in listed.endpoints:
+            endpoint = self.endpoints[each.id] = known.get(each.id) or Endpoint(each)
+            endpoint.listed = each
+            if each.state is not EndpointState.READY:
+                del self.endpoints[each.id]
+        self.by_destination = {}
+        for endpoint in self.endpoints.values():
+            self.by_destination.setdefault(endpoint.listed.destination, []).append(endpoint)
+
+    def find_overdue(self) -> None:
+        """Guards against hangs, silence and slowness: a call far too slow counts as a failure at once; with
+        no slot free the oldest far overdue is called off, harmless first. May lose a heavy message."""
+        for call in [each for each in self.out if not (each.overdue or each.settled)]:
+            if self.now >= call.breaker.overdue_at(call):
+                call.overdue = True
+                call.breaker.failed(self.now)
+                call.endpoint.bad_until = self.now + RESET_TIMEOUT
+        short = len(self.out) >= self.settings.slots
+        stuck = [each for each in self.out if each.overdue and not each.called_off]
+        for call in sorted(stuck, key=Call.risks) if self.settings.may_cancel else ():
+            lost = self.now - call.sent > 1.5 * (call.breaker.overdue_at(call) - call.sent)
+            if (short and lost) or (not call.risks() and call.breaker.failures >= FAILURE_THRESHOLD):
+                call.called_off, short = True, False
+                self.actions += [face.CancelAttempt(x.id, x.attempts - 1) for x in call.messages.values()]
+
+    # The rules: what a message may still do, and its one final answer.
+
+    def may_send_again(self, message: Message) -> bool:
+        """Rule: no effect twice."""
+        if message.attempts >= self.settings.max_attempts:
+            return False
+        if message.risky_since is None or message.kind.effect is Effect.SAFE:
+            return True
+        arrives = self.now + 2 * self.settings.tick + message.kind.aim * CALL_SHARE
+        return message.kind.effect is Effect.KEYED and arrives < message.risky_since + message.kind.window
+
+    def may_refuse(self, message: Message) -> bool:
+        """Rule: no effect twice; a refusal tells the client that trying again is harmless."""
+        if message.risky_since is None or message.kind.effect is Effect.SAFE:
+            return True
+        return message.kind.effect is Effect.KEYED and not message.kind.window_by_zone
+
+    def end(self, message: Message) -> None:
+        refusal = face.Refuse(message.id, min(RESET_TIMEOUT, self.settings.max_retry_after))
+        self.actions.append(refusal if self.may_refuse(message) else face.Fail(message.id))
+        self.finish(message)
+
+    def finish(self, message: Message) -> None:
+        if not message.ended:
+            message.ended = True
+            del self.messages[message.id]
+            self.waiting[message.destination].pop(message.id, None)
+        if (line := self.keys.get(message.key)) and not message.out and message in line.queue:
+            line.queue.remove(message)
+            if not line.queue and line.quiet_until <= self.now:
+                del self.keys[message.key]
+
+    def end_due(self) -> None:
+        """Rule: no message is lost. Held ones are ended a tick ahead of their time."""
+        while self.deadlines and self.deadlines[0][0] <= self.now + self.settings.tick:
+            message = heapq.heappop(self.deadlines)[2]
+            if not message.ended and not message.out:
+                self.end(message)
+        for held in self.waiting.values():
+            for message in [each for each in held.values() if not self.may_send_again(each)]:
+                self.end(message)
+
+    def in_turn(self, message: Message) -> bool:
+        """Rule: order per key. A message's own further attempts need no rest."""
+        row = self.keys.get(message.key)
+        return not row or (row.queue[0] is message and (message.attempts > 0 or self.now >= row.quiet_until))
+
+    # Preferences: which message goes next, and where.
+
+    def worth(self, message: Message, at: float) -> float:
+        kind, late = message.kind, max(at - message.born - message.kind.aim, 0)
+        even = 1 - (1 - kind.late_worth) * late / max(kind.deadline - kind.aim, 1)
+        left = max(0.5 ** (late / kind.aim), kind.late_worth) if self.settings.halves else even
+        return kind.worth * message.share * left if at < message.until else 0.0
+
+    def urgency(self, message: Message) -> float:
+        """What is lost by passing the message over now."""
+        return self.worth(message, self.now) - PASSED_OVER * self.worth(message, self.now + message.kind.aim)
+
+    def prospect(self, message: Message) -> float:
+        """Worth when its turn comes; guards new messages against a room full of what cannot go soon."""
+        turns = self.keys[message.key].queue.index(message) if message.key else 0
+        at = max(self.ready_at(message.destination), self.now)
+        return self.worth(message, at + message.kind.aim * (0.5 + turns * CALL_SHARE))
+
+    def keep_room(self) -> None:
+        if (excess := len(self.messages) - self.settings.max_open + 1) <= 0:
+            return
+        held = [each for line in self.waiting.values() for each in line.values() if self.may_refuse(each)]
+        for message in sorted(held, key=self.prospect)[:excess]:
+            self.end(message)
+
+    def breaker_of(self, endpoint: Endpoint) -> Breaker:
+        listed = endpoint.listed
+        key = (listed.destination, listed.id if self.kinds[listed.kind].apart else "")
+        if key not in self.breakers:
+            self.breakers[key] = Breaker(self.settings, self.random)
+        return self.breakers[key]
+
+    def ready_at(self, destination: int) -> float:
+        breakers = map(self.breaker_of, self.by_destination.get(destination, ()))
+        return min((each.ready_at(self.now) for each in breakers), default=NEVER)
+
+    def send_next(self) -> None:
+        """The one ordered pass: what goes next, over all destinations."""
+        ready = []
+        for destination, held in self.waiting.items():
+            if held and self.ready_at(destination) <= self.now:
+                ready += [each for each in held.values() if self.in_turn(each)]
+        ready.sort(key=lambda each: (-self.urgency(each), each.born))
+        batches: dict[str, Call] = {}
+        for message in ready:
+            if not self.may_send_again(message):
+                self.end(message)
+            elif endpoint := self.choose(message, batches):
+                self.send(message, endpoint, batches)
+        # Guards against a crowd's idle connections that fill what endpoints accept.
+        if self.settings.fleet_size > GAP_SENDERS and self.now < self.scarce_until:
+            self.actions += [face.CloseIdle(name) for name, each in self.idle.items() if not each.out]
+        self.idle = {}
+
+    def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
+        options = []
+        for endpoint in self.by_destination.get(message.destination, ()):
+            if message.kind.window_by_zone and message.risky_zone not in ("", endpoint.listed.zone):
+                continue  # rule: no effect twice; only that zone drops the repeat
+            breaker, listed = self.breaker_of(endpoint), endpoint.listed
+            joins = self.may_join(batches.get(listed.id), listed)
+            if not (joins or self.may_call(breaker)):
+                continue
+            fee = self.fees.get(listed.zone, 0.0) if self.kinds[listed.kind].apart else 0.0
+            bad, away = max(endpoint.bad_until, self.now), listed.zone != self.settings.zone
+            rank = (bad, fee, not joins, endpoint.out, away, endpoint.last_sent)
+            options.append((rank, len(options), endpoint))
+        return min(options)[-1] if options else None
+
+    def may_join(self, call: Call | None, listed: face.Endpoint) -> bool:
+        open_for_more = call and call.breaker.trial is not call
+        return bool(open_for_more) and len(call.messages) < self.kinds[listed.kind].batch
+
+    def may_call(self, breaker: Breaker) -> bool:
+        if len(self.out) >= self.settings.slots or breaker.ready_at(self.now) > self.now:
+            return False
+        return breaker.out < max(2, self.settings.slots * DESTINATION_SLOTS)
+
+    def send(self, message: Message, endpoint: Endpoint, batches: dict[str, Call]) -> None:
+        call = batches.get(name := endpoint.listed.id)
+        breaker = self.breaker_of(endpoint)
+        if not self.may_join(call, endpoint.listed):
+            call = batches[name] = Call(breaker, endpoint, self.now)
+            self.out[call] = None
+            breaker.out += 1
+            endpoint.out += 1
+            breaker.last_sent = endpoint.last_sent = self.now
+            if breaker.failures >= FAILURE_THRESHOLD:
+                breaker.trial = call
+        call.messages[message.id] = message
+        self.calls[message.id, message.attempts] = call
+        message.attempts += 1
+        message.out = True
+        del self.waiting[message.destination][message.id]
+        self.actions.append(face.Send(message.id, name, message.until - self.now))
+
+    def set_wake(self) -> None:
+        if self.subscribe_at <= self.now:
+            self.subscribe_at = NEVER
+            self.actions.append(face.Subscribe())
+        due = [self.subscribe_at, *(each[0] - self.settings.tick for each in self.deadlines[:1])]
+        due += [call.breaker.overdue_at(call) for call in self.out if not call.overdue]
+        due += [self.ready_at(destination) for destination, held in self.waiting.items() if held]
+        due += [line.quiet_until for line in self.keys.values() if line.queue and line.quiet_until > self.now]
+        at = min((each for each in due if each > self.now), default=NEVER)
+        if at < self.wake_at or self.wake_at <= self.now < at < NEVER:
+            self.wake_at = at
+            self.actions.append(face.WakeAfter(max(math.ceil(at - self.now), self.settings.tick)))
--- /dev/null
+++ b/tests/helpers.py
@@ -0,0 +1,77 @@
+"""Small hand-written worlds for the module's tests."""
+
+from elmglade import Dispatcher
+from elmglade import interface as face
+
+MS = 1_000
+SECOND = 1_000_000
+SAFE = face.MessageClass("safe", 2 * SECOND, 20 * SECOND, 1.0, 0.3, face.Effect.SAFE)
+KEYED = face.MessageClass("keyed", 2 * SECOND, 20 * SECOND, 1.0, 0.3, face.Effect.KEYED, window=5 * SECOND)
+ZONED = face.MessageClass("zoned", 2 * SECOND, 20 * SECOND, 1.0, 0.3, face.Effect.KEYED, 5 * SECOND, True)
+ONCE = face.MessageClass("once", 2 * SECOND, 20 * SECOND, 3.0, 0.3, face.Effect.UNSAFE)
+ORDERED = face.MessageClass("ordered", 2 * SECOND, 20 * SECOND, 1.0, 0.3, face.Effect.SAFE, in_order=True)
+
+
+def settings(**changes: object) -> face.Settings:
+    values: dict[str, object] = {
+        "classes": (SAFE, KEYED, ZONED, ONCE, ORDERED),
+        "kinds": (("plain", face.Kind()), ("apart", face.Kind(batch=5, apart=True))),
+        "slots": 20,
+        "max_open": 100,
+        "max_attempts": 6,
+        "zone": "z1",
+        "tick": 5 * MS,
+        "key_quiet": 300 * MS,
+    }
+    return face.Settings(**(values | changes))  # type: ignore[arg-type]
+
+
+def endpoint(name: str, destination: int = 1, **changes: object) -> face.Endpoint:
+    values: dict[str, object] = {"state": face.EndpointState.READY, "kind": "plain", "zone": "z1"}
+    return face.Endpoint(name, destination, **(values | changes))  # type: ignore[arg-type]
+
+
+class World:
+    """A dispatcher, its clock, and what it has out."""
+
+    def __init__(self, *endpoints: face.Endpoint, **changes: object) -> None:
+        self.dispatcher = Dispatcher(settings(**changes), seed=7)
+        self.now = 0
+        self.attempts: dict[str, int] = {}
+        self.count = 0
+        self.step(face.EndpointsListed(face.Listing.FULL, endpoints or (endpoint("a"),)))
+
+    def step(self, *events: face.Event, after: int = 0) -> list[face.Action]:
+        self.now += after
+        actions = self.dispatcher.handle(self.now, events)
+        for action in actions:
+            if isinstance(action, face.Send):
+                self.attempts[action.message] = self.attempts.get(action.message, -1) + 1
+        return actions
+
+    def take(self, kind: str = "safe", after: int = 0, **changes: object) -> list[face.Action]:
+        self.count += 1
+        values: dict[str, object] = {"message": f"m{self.count}", "destination": 1, "time_left": 20 * SECOND}
+        return self.step(face.MessageTaken(message_class=kind, **(values | changes)), after=after)  # type: ignore[arg-type]
+
+    def answer(
+        self, message: str, outcome: face.Outcome, after: int = 10 * MS, wait: int = 0
+    ) -> list[face.Action]:
+        ok = outcome is face.Outcome.OK
+        return self.step(face.AttemptEnded(message, self.attempts[message], outcome, ok, wait), after=after)
+
+    def open_breaker(self) -> None:
+        """Fail enough once-only messages to open the breaker of destination 1; nothing is left held."""
+        for _ in range(5):
+            if not sent(self.take("once")):
+                return
+            self.answer(f"m{self.count}", face.Outcome.RESET)
+        raise AssertionError("the breaker did not open")
+
+
+def sent(actions: list[face.Action]) -> list[str]:
+    return [each.message for each in actions if isinstance(each, face.Send)]
+
+
+def ended(actions: list[face.Action]) -> list[face.Action]:
+    return [each for each in actions if isinstance(each, face.Refuse | face.Fail)]
--- /dev/null
+++ b/tests/test_adapter.py
@@ -0,0 +1,126 @@
+"""The wire: round trips, split batches and malformed input."""
+
+import io
+import json
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from elmglade.adapter import Adapter, WireError
+
+ROOT = Path(__file__).parent.parent
+ENV = {
+    "limits": {
+        "conn_idle": 10000000,
+        "attempts_cap": 6,
+        "cancelling": True,
+        "max_open": 50,
+        "max_retry_after": 2000000,
+        "retry_after": True,
+    },
+    "safety": {
+        "ask_within": 10000000,
+        "cold": 13000000,
+        "cold_from": 0.2,
+        "drain_grace": 1,
+        "fall_multiple": 2,
+    },
+    "specifics": {"batch_by_kind": [1], "own_limits": [False], "slots": 9, "loses_worth": "line", "new": 1},
+    "services": [
+        {
+            "name": "c",
+            "aim": 800000,
+            "deadline": 8000000,
+            "credit": 1.0,
+            "late_worth": 0.1,
+            "semantics": "repeatable",
+        }
+    ],
+    "models": ["k"],
+    "zones": ["z"],
+    "locality": "z",
+    "tick": 5000,
+    "fleet_size": 2,
+    "customers": [],
+    "membership_mode": "pushed",
+    "weight_kind": "none",
+}
+START = [
+    "sync wall=1000 seq=1",
+    f"power_on who=sender-0 nonce64=5 env={json.dumps(ENV)}",
+    "sheet table=0 elements=1",
+    "receiver receiver=10.0.0.1:1 destination=3 state=1 scale=1 generation_hw=k dc=z",
+    "view who=sender-0 how=1 seq_no=1 table=0",
+    "req who=sender-0 ref=rq_a service=c time_left=8000000 dest=3 bitmap=0",
+    "over_to_you",
+]
+
+
+def replies(lines: list[str]) -> list[str]:
+    sink = io.StringIO()
+    Adapter(io.StringIO("\n".join(lines) + "\n"), sink).run()
+    return sink.getvalue().splitlines()
+
+
+def test_message_goes_out_and_its_answer_comes_back() -> None:
+    answer = "answer who=sender-0 ref=rq_a go=0 receiver=10.0.0.1:1 outcome=OK lag=5 finished=1"
+    out = replies([*START, "sync wall=9000 seq=2", answer, "over_to_you"])
+    assert "place who=sender-0 ref=rq_a give_up_after=8000000 receiver=10.0.0.1:1" in out
+    assert [line for line in out if line.startswith("end")] == ["end seq=1", "end seq=2"]
+
+
+def test_sheet_number_is_resolved_in_the_order_of_events() -> None:
+    other = "receiver receiver=10.0.0.2:1 destination=3 state=1"
+    lines = [*START[:5], "sheet table=0 elements=1", other, *START[5:]]
+    assert any("receiver=10.0.0.1:1" in line for line in replies(lines))
+
+
+def test_nothing_happens_for_a_destroyed_instance() -> None:
+    lines = [*START[:-1], "destroy who=sender-0", "over_to_you"]
+    assert replies(lines) == ["end seq=1"]
+
+
+@pytest.mark.parametrize(
+    ("line", "words"),
+    [
+        ("req who=sender-0 ref=rq_b service=c dest=3", "time_left"),
+        ("req who=sender-0 ref=rq_b service=c time_left=soon dest=3", "time_left"),
+        ("surprise who=sender-0", "unknown event"),
+        ("lapsed ref", "name=value"),
+        ("lapsed who=sender-9 ref=rq_a", "not running"),
+        ("answer who=sender-0 ref=rq_a go=0 outcome=MAYBE", "outcome"),
+    ],
+)
+def test_malformed_input_names_line_and_field(line: str, words: str) -> None:
+    with pytest.raises(WireError, match=words) as caught:
+        replies([*START[:-1], line, "over_to_you"])
+    assert "line 7" in str(caught.value)
+
+
+def test_decision_error_is_told_by_panic() -> None:
+    lines = [*START[:-1], START[5], "over_to_you"]
+    assert any(line.startswith("panic who=sender-0 message=ValueError") for line in replies(lines))
+
+
+def test_same_replies_whatever_the_hash_seed_and_the_process_ends_well() -> None:
+    runs = [
+        subprocess.run(
+            [sys.executable, "-m", "elmglade.adapter"],
+            input="\n".join(START) + "\n",
+            capture_output=True,
+            text=True,
+            cwd=ROOT,
+            env={"PYTHONHASHSEED": seed},
+            check=True,
+        ).stdout
+        for seed in ("1", "2")
+    ]
+    assert runs[0] == runs[1] != ""
+
+
+def test_malformed_input_ends_the_process_with_one_plain_line() -> None:
+    command = [sys.executable, "-m", "elmglade.adapter"]
+    done = subprocess.run(command, input="hello\n", capture_output=True, text=True, cwd=ROOT)
+    assert done.returncode != 0 and done.stdout == "" and len(done.stderr.splitlines()) == 1
--- /dev/null
+++ b/tests/test_breaker.py
@@ -0,0 +1,132 @@
+"""The breaker of the ordinary path."""
+
+from helpers import MS, SECOND, World, ended, endpoint, sent
+
+from elmglade import interface as face
+from elmglade.interface import Outcome
+from elmglade.rules import FAILURE_THRESHOLD, RESET_TIMEOUT
+
+
+def test_opens_at_the_threshold_and_holds() -> None:
+    world = World()
+    for number in range(FAILURE_THRESHOLD):
+        assert sent(world.take("once")) == [f"m{number + 1}"]
+        world.answer(f"m{number + 1}", Outcome.RESET)
+    actions = world.take()
+    assert sent(actions) == [] and ended(actions) == []
+
+
+def test_a_served_call_zeroes_the_count() -> None:
+    world = World()
+    for _ in range(FAILURE_THRESHOLD - 1):
+        world.take("once")
+        world.answer(f"m{world.count}", Outcome.RESET)
+    (breaker,) = world.dispatcher.breakers.values()
+    assert breaker.failures == FAILURE_THRESHOLD - 1
+    world.take()
+    world.answer(f"m{world.count}", Outcome.OK)
+    assert breaker.failures == 0
+
+
+def test_one_trial_at_a_time_and_success_closes() -> None:
+    world = World()
+    world.open_breaker()
+    world.take()
+    world.take()
+    (trial,) = sent(world.step(face.WakeUp(), after=RESET_TIMEOUT))
+    assert sent(world.take(after=100 * MS)) == []
+    actions = world.answer(trial, Outcome.OK)
+    later = sent(world.step(face.WakeUp(), after=4 * SECOND))
+    assert len(sent(actions)) + len(later) >= 1
+
+
+def test_failed_trial_restarts_the_timeout() -> None:
+    world = World()
+    world.open_breaker()
+    world.take()
+    (trial,) = sent(world.step(face.WakeUp(), after=RESET_TIMEOUT))
+    assert sent(world.answer(trial, Outcome.CONNECT_FAILED)) == []
+    assert sent(world.step(face.WakeUp(), after=RESET_TIMEOUT - 10 * MS)) == []
+    assert len(sent(world.step(face.WakeUp(), after=10 * MS))) == 1
+
+
+def test_gap_grows_with_refusals_and_shrinks_with_served_calls() -> None:
+    world = World()
+    world.take()
+    world.answer("m1", Outcome.FULL)
+    (breaker,) = world.dispatcher.breakers.values()
+    first = breaker.gap
+    world.step(face.WakeUp(), after=SECOND)
+    world.answer("m1", Outcome.FULL)
+    assert breaker.gap == 2 * first > 0
+    world.step(face.WakeUp(), after=4 * SECOND)
+    world.answer("m1", Outcome.OK)
+    assert breaker.gap < 2 * first
+
+
+def test_refusals_do_not_count_as_failures() -> None:
+    world = World()
+    world.take()
+    for _ in range(FAILURE_THRESHOLD):
+        world.answer("m1", Outcome.FULL)
+        assert sent(world.step(face.WakeUp(), after=9 * SECOND // 2)) == ["m1"]
+
+
+def test_overdue_calls_open_the_breaker_before_any_time_out() -> None:
+    world = World()
+    for _ in range(FAILURE_THRESHOLD):
+        world.take("once")
+    world.step(face.WakeUp(), after=3 * SECOND)
+    assert sent(world.take()) == []
+
+
+def test_sends_of_one_round_share_a_call_where_batches_are_taken() -> None:
+    world = World(endpoint("a", kind="apart"), slots=1)
+    events = [face.MessageTaken(f"x{each}", "safe", 1, 20 * SECOND) for each in range(7)]
+    assert len(sent(world.step(*events))) == 5
+
+
+def test_same_events_give_the_same_actions() -> None:
+    def run() -> list[list[face.Action]]:
+        world = World(endpoint("a"), endpoint("b"), must_ask=True)
+        out = [world.step(face.EndpointsListed(face.Listing.FAILED))]
+        for number in range(30):
+            actions = world.take(("safe", "once", "keyed")[number % 3], after=50 * MS)
+            out.append(actions)
+            for name in sent(actions):
+                out.append(world.answer(name, (Outcome.OK, Outcome.FULL, Outcome.ERROR)[number % 3]))
+        return out
+
+    assert run() == run()
+
+
+def test_errors_weigh_less_than_other_failures() -> None:
+    world = World()
+    for _ in range(FAILURE_THRESHOLD):
+        world.take("once")
+        world.answer(f"m{world.count}", Outcome.ERROR)
+    (breaker,) = world.dispatcher.breakers.values()
+    assert 0 < breaker.failures < FAILURE_THRESHOLD
+
+
+def test_stuck_calls_do_not_hold_every_slot() -> None:
+    world = World(endpoint("a"), endpoint("b", destination=2), slots=4)
+    for destination in (1, 1, 2, 2):
+        world.take("once", destination=destination)
+    actions = world.step(face.WakeUp(), after=3 * SECOND) + world.step(face.WakeUp(), after=3 * SECOND)
+    assert [each for each in actions if isinstance(each, face.CancelAttempt)] != []
+
+
+def test_gap_may_grow_further_where_more_senders_share_a_limit() -> None:
+    def gap_after_refusals(fleet: int) -> float:
+        world = World(fleet_size=fleet, max_attempts=99)
+        world.take(time_left=20 * SECOND)
+        (breaker,) = world.dispatcher.breakers.values()
+        for _ in range(30):
+            world.answer("m1", Outcome.FULL, after=MS)
+            world.step(face.WakeUp(), after=round(breaker.gap))
+            if "m1" not in world.dispatcher.messages:
+                break
+        return breaker.gap
+
+    assert gap_after_refusals(12) > gap_after_refusals(2)
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,140 @@
+"""Each of the six rules has its guard here; removing the guard makes its test fail."""
+
+import pytest
+from helpers import MS, SECOND, World, ended, endpoint, sent
+
+from elmglade import interface as face
+from elmglade.interface import Outcome
+
+
+def test_held_message_is_ended_before_its_time() -> None:
+    world = World(endpoint("other", destination=2))
+    assert sent(world.take(time_left=SECOND)) == []
+    assert ended(world.step(face.WakeUp(), after=SECOND - 5 * MS)) == [face.Refuse("m1")]
+
+
+def test_message_turned_away_at_the_last_moment_is_still_ended() -> None:
+    world = World()
+    world.take(time_left=SECOND)
+    world.step(face.WakeUp(), after=SECOND - 4 * MS)
+    assert ended(world.answer("m1", Outcome.FULL, after=0)) == [face.Refuse("m1")]
+
+
+def test_last_time_out_is_answered_at_once() -> None:
+    world = World()
+    world.take(time_left=SECOND)
+    assert len(ended(world.answer("m1", Outcome.TIMEOUT, after=SECOND))) == 1
+
+
+@pytest.mark.parametrize("outcome", [Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED])
+def test_once_only_message_that_may_have_run_fails(outcome: Outcome) -> None:
+    world = World()
+    world.take("once")
+    actions = world.answer("m1", outcome)
+    assert ended(actions) == [face.Fail("m1")] and sent(actions) == []
+
+
+@pytest.mark.parametrize("outcome", [Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT])
+def test_once_only_message_that_never_ran_goes_again(outcome: Outcome) -> None:
+    world = World()
+    world.take("once")
+    actions = world.answer("m1", outcome)
+    assert sent(actions + world.step(face.WakeUp(), after=3 * SECOND)) == ["m1"]
+
+
+def test_keyed_message_goes_again_only_inside_its_window() -> None:
+    world = World()
+    world.take("keyed")
+    actions = world.answer("m1", Outcome.ERROR, after=5 * SECOND)
+    assert ended(actions) == [face.Refuse("m1")] and sent(actions) == []
+    world.take("keyed")
+    assert sent(world.answer("m2", Outcome.ERROR)) == ["m2"]
+
+
+def test_keyed_message_goes_again_only_in_the_zone_that_drops_repeats() -> None:
+    world = World(endpoint("a"), endpoint("b", zone="z2"))
+    world.take("zoned")
+    again = [each for each in world.answer("m1", Outcome.ERROR) if isinstance(each, face.Send)]
+    assert [each.endpoint for each in again] == ["a"]
+
+
+def test_zoned_message_past_its_window_fails_and_is_not_refused() -> None:
+    world = World()
+    world.take("zoned")
+    assert ended(world.answer("m1", Outcome.ERROR, after=5 * SECOND)) == [face.Fail("m1")]
+
+
+@pytest.mark.parametrize("state", [face.EndpointState.DRAINING, face.EndpointState.GONE])
+def test_nothing_goes_to_a_drained_endpoint(state: face.EndpointState) -> None:
+    world = World()
+    world.step(face.EndpointsListed(face.Listing.CHANGES, (endpoint("a", state=state),)))
+    assert sent(world.take()) == []
+
+
+def test_full_list_replaces_the_old_one() -> None:
+    world = World()
+    world.step(face.EndpointsListed(face.Listing.FULL, (endpoint("b"),)))
+    (action,) = [each for each in world.take() if isinstance(each, face.Send)]
+    assert action.endpoint == "b"
+
+
+def test_told_wait_binds_every_message_of_the_destination() -> None:
+    world = World()
+    world.take()
+    world.answer("m1", Outcome.FULL, wait=4 * SECOND)
+    assert sent(world.take("once", after=4 * SECOND - 10 * MS)) == []
+    assert sent(world.step(face.WakeUp(), after=10 * MS)) != []
+
+
+def test_told_wait_binds_one_route_where_routes_are_apart() -> None:
+    world = World(endpoint("a", kind="apart"), endpoint("b", kind="apart"))
+    (first,) = [each for each in world.take() if isinstance(each, face.Send)]
+    (again,) = [each for each in world.answer("m1", Outcome.FULL, wait=SECOND) if isinstance(each, face.Send)]
+    assert {first.endpoint, again.endpoint} == {"a", "b"}
+
+
+def test_messages_of_a_key_go_one_at_a_time_as_taken() -> None:
+    world = World()
+    assert sent(world.take("ordered", key="k")) == ["m1"]
+    assert sent(world.take("ordered", key="k")) == []
+    assert sent(world.take("ordered", key="other")) == ["m3"]
+    assert sent(world.answer("m1", Outcome.OK)) == ["m2"]
+
+
+def test_key_rests_after_an_unsettled_attempt() -> None:
+    world = World()
+    world.take("ordered", key="k", time_left=SECOND)
+    world.take("ordered", key="k")
+    assert sent(world.answer("m1", Outcome.TIMEOUT, after=SECOND)) == []
+    assert sent(world.step(face.WakeUp(), after=299 * MS)) == []
+    assert sent(world.step(face.WakeUp(), after=2 * MS)) == ["m2"]
+
+
+def test_key_waits_for_the_answer_of_a_withdrawn_message() -> None:
+    world = World()
+    world.take("ordered", key="k")
+    world.step(face.MessageWithdrawn("m1"))
+    assert sent(world.take("ordered", key="k")) == []
+    assert sent(world.answer("m1", Outcome.OK)) == ["m2"]
+
+
+def test_returning_destination_gets_a_part_of_its_usual_rate() -> None:
+    world = World()
+    for _ in range(40):
+        world.take(after=90 * MS)
+        world.answer(f"m{world.count}", Outcome.OK)
+    world.open_breaker()
+    calls = 0
+    for _ in range(20):
+        actions = world.take(after=100 * MS)
+        while went := sent(actions):
+            calls += len(went)
+            actions = [act for name in went for act in world.answer(name, Outcome.OK)]
+    assert 1 <= calls
+    before = calls
+    for _ in range(20):
+        actions = world.take(after=100 * MS)
+        while went := sent(actions):
+            calls += len(went)
+            actions = [act for name in went for act in world.answer(name, Outcome.OK)]
+    assert calls - before <= 10, "about twenty usual calls would fit here; a cold destination takes a part"
