Build the real sender: one program on sockets round the decision module

Cause: the module ran only on the simulator's wire. The module gains what sockets need and the wire lacks: restored messages, an end that is over only when its notice is answered, a process that stops, and a second look as a call's first byte goes.

--- /dev/null
+++ b/elmglade/__main__.py
@@ -0,0 +1,62 @@
+"""The real sender's start: reads the configuration that the platform names and runs the sender with it."""
+
+import asyncio
+import json
+import logging
+import os
+import sys
+from pathlib import Path
+from typing import Any
+
+from elmglade.net.discovery import Listed
+from elmglade.net.http import address_from
+from elmglade.net.sender import Config, Sender
+from elmglade.settings import settings_from
+
+MEGABYTE = 1_000_000
+
+
+class BadConfig(Exception):  # noqa: N818
+    """The configuration cannot be used; the text says why, in one line."""
+
+
+def read_config() -> Config:
+    try:
+        told: dict[str, Any] = json.loads(Path(os.environ["BALANCER_CONFIG"]).read_text())
+        limits = told["limits"]
+        return Config(
+            name=told["name"],
+            listen=address_from(told["listen"]),
+            discovery=address_from(told["discovery"]),
+            state=Path(os.environ["BALANCER_STATE"]),
+            seed=int(told["seed"], 16),
+            disk_bytes=int(limits["disk_mb"] * MEGABYTE),
+            sockets=int(limits["sockets"]),
+            known=Listed(told["known"]),
+            settings=settings_from(told["settings"], ends_answered=True),
+        )
+    except KeyError as error:
+        raise BadConfig(f"{error.args[0]} is missing or unknown") from None
+    except (OSError, ValueError, TypeError, AttributeError) as error:
+        raise BadConfig(" ".join(str(error).split())) from None
+
+
+async def serve(config: Config) -> int:
+    return await Sender(config).run()
+
+
+def main() -> int:
+    logging.basicConfig(
+        level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
+    try:
+        return asyncio.run(serve(read_config()))
+    except BadConfig as error:
+        print(f"elmglade: configuration: {error}", file=sys.stderr)
+    except OSError as error:
+        print(f"elmglade: {error}", file=sys.stderr)  # the state folder or the address to listen on
+    return 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/elmglade/adapter.py
+++ b/elmglade/adapter.py
@@ -7,6 +7,7 @@
 
 from elmglade import interface as face
 from elmglade.rules import Dispatcher
+from elmglade.settings import settings_from
 
 OUTCOMES = {
     "OK": face.Outcome.OK,
@@ -25,7 +26,6 @@
     "2": face.Listing.FULL,
     "3": face.Listing.FAILED,
 }
-EFFECTS = {"repeatable": face.Effect.SAFE, "by_key": face.Effect.KEYED, "once": face.Effect.UNSAFE}
 BITS = {"0": False, "1": True}
 TEXT_FIELDS = {"power_on": " env="}
 AGAIN_BIT = 2
@@ -90,56 +90,6 @@
         raise line.error("env", str(error)) from None
 
 
-def settings_from(info: dict[str, Any]) -> face.Settings:
-    limits, safety, special = info["limits"], info["safety"], info["specifics"]
-    zones = info["zones"]
-    classes = tuple(
-        face.MessageClass(
-            name=each["name"],
-            aim=each["aim"],
-            deadline=each["deadline"],
-            worth=each["credit"],
-            late_worth=each["late_worth"],
-            effect=EFFECTS[each["semantics"]],
-            window=each.get("dedup_window", 0),
-            window_by_zone=each.get("key_scope", "all") != "all",
-            in_order=each.get("serial_by_key", False),
-        )
-        for each in info["services"]
-    )
-    kinds = tuple(
-        (name, face.Kind(batch=batch, apart=apart))
-        for name, batch, apart in zip(
-            info["models"], special["batch_by_kind"], special["own_limits"], strict=False
-        )
-    )
-    return face.Settings(
-        classes=classes,
-        kinds=kinds,
-        slots=special["slots"],
-        max_open=limits["max_open"],
-        max_attempts=limits["attempts_cap"],
-        zone=info["locality"],
-        tick=info["tick"],
-        fleet_size=info["fleet_size"],
-        tenants=tuple((each["name"], each["quota_per_s"]) for each in info["customers"]),
-        over_share_worth=info.get("over_share_worth", 1.0),
-        halves=special.get("loses_worth") == "halves",
-        zone_fees=tuple(zip(zones, special.get("zone_fee") or (), strict=False)),
-        must_ask=info["membership_mode"] == "on_request",
-        ask_within=safety["ask_within"],
-        weights_told=info["weight_kind"] in ("nominal", "rough"),
-        may_cancel=limits["cancelling"],
-        max_retry_after=limits["max_retry_after"] if limits["retry_after"] else 0,
-        cold=safety["cold"],
-        cold_from=safety["cold_from"],
-        fall_multiple=safety["fall_multiple"],
-        conn_idle=limits["conn_idle"],
-        key_quiet=safety.get("key_quiet", 0),
-        drain_grace=safety["drain_grace"],
-    )
-
-
 def write_action(who: str, action: face.Action) -> str:
     match action:
         case face.Send(message, endpoint, timeout):
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -86,17 +86,19 @@
     ask_within: int = 10_000_000
     weights_told: bool = False  # Endpoint.scale is a rate in calls a second
     may_cancel: bool = True
-    max_retry_after: int = 0  # 0: clients are not told when to come again
+    max_retry_after: int = 0  # the longest wait a client honours; 0: it is told none
     cold: int = 10_000_000  # a destination back from an outage is warm after this
     cold_from: float = 0.2  # and starts at this share of its capacity
     fall_multiple: float = 2.0
     conn_idle: int = 10_000_000  # idle connections are closed after this
+    connect_timeout: int = 1_500_000  # a connection not made by then has failed
     key_quiet: int = 0
     drain_grace: int = 0
+    ends_answered: bool = False  # a message ended here is over only with its EndAnswered
 
     def __post_init__(self) -> None:
         counts = ("slots", "max_open", "max_attempts", "fleet_size")
-        for name in (*counts, "tick", "ask_within", "cold", "conn_idle"):
+        for name in (*counts, "tick", "ask_within", "cold", "conn_idle", "connect_timeout"):
             if getattr(self, name) <= 0:
                 raise ValueError(f"{name} must be above 0, not {getattr(self, name)}")
         for name in ("key_quiet", "drain_grace", "max_retry_after", "fall_multiple"):
@@ -143,6 +145,16 @@
     again: bool = False  # the client says it was handed in before
 
 
+@dataclass(frozen=True, slots=True)
+class MessageRestored:
+    """A message that an earlier process of this sender took on."""
+
+    taken: MessageTaken
+    attempts: int  # so far; one that was out when the process ended has ended as a reset
+    risky_since: int | None  # sending of the first attempt that may have run
+    risky_zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     message: str
@@ -157,12 +169,35 @@
     message: str
 
 
+@dataclass(frozen=True, slots=True)
+class EndAnswered:
+    """The refusal or failure of a message has been heard; see Settings.ends_answered."""
+
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class Stopping:
+    """The process ends after `left`; a call that is out then ends as a reset."""
+
+    left: int
+
+
 @dataclass(frozen=True, slots=True)
 class WakeUp:
     pass
 
 
-Event = EndpointsListed | MessageTaken | AttemptEnded | MessageWithdrawn | WakeUp
+Event = (
+    EndpointsListed
+    | MessageTaken
+    | MessageRestored
+    | AttemptEnded
+    | MessageWithdrawn
+    | EndAnswered
+    | Stopping
+    | WakeUp
+)
 
 # Actions: what this sender should do, in this order.
 
@@ -172,6 +207,7 @@
     message: str
     endpoint: str
     timeout: int
+    attempt: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/elmglade/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real sender: the decision module on sockets."""
--- /dev/null
+++ b/elmglade/net/journal.py
@@ -0,0 +1,203 @@
+"""What the sender has taken on, in a file that outlasts its process: append, replay, compact.
+
+One JSON object a line. `os.write` hands each record to the system at once; that outlasts SIGKILL without
+a sync, and what a sync would add, surviving the machine, is not owed.
+"""
+
+import base64
+import json
+import logging
+import os
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import Any
+
+from elmglade.interface import NEVER_RAN, Outcome
+from elmglade.net.message import HandedIn
+
+FILE, COMPACTED = "journal", "journal.new"
+BLOCK = 512  # a file counts in whole blocks
+SPARE = 64 * 1024  # bytes kept free of new messages, for the attempts and ends of those held
+WASTE = 256 * 1024  # bytes of ended messages from which compacting pays
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Attempt:
+    at: int  # us, wall clock
+    endpoint: str
+    zone: str
+    outcome: Outcome | None = None  # none yet; after a restart: it was out when the process ended
+
+    def may_have_run(self) -> bool:
+        return self.outcome not in NEVER_RAN
+
+
+@dataclass(slots=True)
+class Entry:
+    message: HandedIn
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    size: int = 0  # bytes of its records
+
+    def first_risk(self) -> Attempt | None:
+        return next((each for each in self.attempts.values() if each.may_have_run()), None)
+
+
+def line(record: dict[str, Any]) -> bytes:
+    return json.dumps(record, separators=(",", ":")).encode() + b"\n"
+
+
+def taken_line(message: HandedIn) -> bytes:
+    return line({"taken": asdict(message) | {"body": base64.b64encode(message.body).decode()}})
+
+
+def attempt_line(message: str, number: int, attempt: Attempt) -> bytes:
+    told = {"at": attempt.at, "endpoint": attempt.endpoint, "zone": attempt.zone}
+    return line({"sent": message, "number": number} | told)
+
+
+def outcome_line(message: str, number: int, outcome: Outcome) -> bytes:
+    return line({"outcome": outcome.value, "of": message, "number": number})
+
+
+def lines_of(entry: Entry) -> Iterator[bytes]:
+    yield taken_line(entry.message)
+    for number, attempt in entry.attempts.items():
+        yield attempt_line(entry.message.id, number, attempt)
+        if attempt.outcome:
+            yield outcome_line(entry.message.id, number, attempt.outcome)
+
+
+class Journal:
+    def __init__(self, folder: Path, limit: int) -> None:
+        """Opens the file and replays it. `entries` then holds what is still owed, in the order taken."""
+        self.folder, self.limit = folder, limit
+        self.entries: dict[str, Entry] = {}
+        self.size = self.live = 0  # bytes of the file, and of the records of what is still owed
+        (folder / COMPACTED).unlink(missing_ok=True)  # left by a process that ended while compacting
+        self.file = os.open(folder / FILE, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        self.replay()
+        if self.size > self.live:
+            self.compact()
+
+    def close(self) -> None:
+        os.close(self.file)
+
+    # Replay.
+
+    def replay(self) -> None:
+        """A record that SIGKILL tore is the last one: nothing was done on its strength, so it is cut off."""
+        with open(self.folder / FILE, "rb") as file:
+            for text in file:
+                try:
+                    if not text.endswith(b"\n"):
+                        raise ValueError("no end of line")
+                    self.apply(json.loads(text), len(text))
+                except (ValueError, KeyError, TypeError, IndexError) as error:
+                    log.warning("journal: a record at byte %d is dropped: %s", self.size, error)
+                    if not text.endswith(b"\n"):
+                        break
+                self.size += len(text)
+        os.ftruncate(self.file, self.size)
+
+    def apply(self, record: dict[str, Any], size: int) -> None:
+        if told := record.get("taken"):
+            message = HandedIn(**told | {"body": base64.b64decode(told["body"])})
+            self.entries[message.id] = Entry(message)
+            self.grow(message.id, size)
+        elif name := record.get("sent"):
+            attempt = Attempt(record["at"], record["endpoint"], record["zone"])
+            self.entries[name].attempts[record["number"]] = attempt
+            self.grow(name, size)
+        elif "outcome" in record:
+            # An outcome may come after the end, from an attempt at a message that was over.
+            if entry := self.entries.get(record["of"]):
+                entry.attempts[record["number"]].outcome = Outcome(record["outcome"])
+                self.grow(record["of"], size)
+        elif entry := self.entries.pop(record["end"], None):
+            self.live -= entry.size
+
+    def grow(self, name: str, size: int) -> None:
+        self.entries[name].size += size
+        self.live += size
+
+    # Append. Each answers whether the record is written; if not, what it stands for must not happen.
+
+    def taken(self, message: HandedIn) -> bool:
+        record = taken_line(message)
+        if not self.fits(len(record)) or not self.append(record):
+            return False
+        self.entries[message.id] = Entry(message)
+        self.grow(message.id, len(record))
+        return True
+
+    def sent(self, name: str, number: int, attempt: Attempt) -> bool:
+        record = attempt_line(name, number, attempt)
+        if not self.append(record):
+            return False
+        self.entries[name].attempts[number] = attempt
+        self.grow(name, len(record))
+        return True
+
+    def outcome(self, name: str, number: int, outcome: Outcome) -> None:
+        """Lost, it reads as a reset after a restart: more careful than needed, never less."""
+        record = outcome_line(name, number, outcome)
+        if attempt := self.entries[name].attempts.get(number):
+            attempt.outcome = outcome
+        if attempt and self.append(record):
+            self.grow(name, len(record))
+
+    def ended(self, name: str) -> None:
+        """Lost, the message is tried or told once more after a restart, which does no harm."""
+        self.live -= self.entries.pop(name).size
+        self.append(line({"end": name}))
+        if self.size > 2 * self.live + WASTE:
+            self.compact()
+
+    def append(self, record: bytes) -> bool:
+        if self.over(self.size + len(record)) and not self.compact():
+            log.error("journal: no room for %d bytes", len(record))
+            return False
+        try:
+            written = os.write(self.file, record)
+            if written < len(record):
+                os.ftruncate(self.file, self.size)
+                raise OSError("a short write")
+        except OSError as error:
+            log.error("journal: not written: %s", error)
+            return False
+        self.size += len(record)
+        return True
+
+    # Room.
+
+    def over(self, size: int, other: int = 0) -> bool:
+        return sum(-(-each // BLOCK) * BLOCK for each in (size, other)) > self.limit
+
+    def fits(self, size: int) -> bool:
+        """Room for a new message such that the file can still be copied to compact it."""
+        if not self.over(self.size + size, self.live + size + SPARE):
+            return True
+        return self.compact() and not self.over(self.size + size, self.live + size + SPARE)
+
+    def compact(self) -> bool:
+        """Writes what is still owed to a second file and puts that in the first one's place in one step."""
+        if self.over(self.size, self.live):
+            return False
+        path = self.folder / COMPACTED
+        try:
+            with open(path, "wb") as file:
+                for entry in self.entries.values():
+                    for each in lines_of(entry):
+                        file.write(each)
+            os.replace(path, self.folder / FILE)
+            fresh = os.open(self.folder / FILE, os.O_RDWR | os.O_APPEND)
+        except OSError as error:
+            log.error("journal: not compacted: %s", error)
+            path.unlink(missing_ok=True)
+            return False
+        os.close(self.file)
+        self.file, self.size = fresh, os.fstat(fresh).st_size
+        return True
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -101,7 +101,11 @@
         return min(self.span / self.calls / push, 2 * self.most_gap)
 
     def overdue_at(self, call: Call) -> float:
-        return call.sent + max(self.took + OVERDUE_SPREADS * self.spread, self.least_aim / 4)
+        return call.sent + self.patience()
+
+    def patience(self) -> float:
+        """How long a call may take before it is overdue."""
+        return max(self.took + OVERDUE_SPREADS * self.spread, self.least_aim / 4)
 
     def failed(self, now: int, weight: float = 1, run: float = FAILURE_THRESHOLD) -> None:
         self.failures += weight
@@ -164,6 +168,7 @@
         self.breakers: dict[tuple[int, str], Breaker] = {}
         self.messages: dict[str, Message] = {}
         self.waiting: dict[int, dict[str, Message]] = {}
+        self.unanswered: dict[str, Message] = {}  # ended, but not over yet
         self.keys: dict[str, KeyLine] = {}
         self.calls: dict[tuple[str, int], Call] = {}
         self.idle: dict[str, Endpoint] = {}  # with a call just ended
@@ -171,6 +176,7 @@
         self.out: dict[Call, None] = {}  # distinct calls, oldest first
         self.deadlines: list[tuple[int, int, Message]] = []  # a heap
         self.now, self.wake_at, self.count = -NEVER, NEVER, itertools.count()
+        self.stops_at = NEVER
         self.subscribe_at, self.subscribe_tries = (-NEVER if settings.must_ask else NEVER), 0
         self.actions: list[face.Action] = []
 
@@ -182,12 +188,18 @@
             match event:
                 case face.MessageTaken():
                     self.take(event)
+                case face.MessageRestored():
+                    self.restore(event)
                 case face.AttemptEnded():
                     self.attempt_ended(event)
                 case face.EndpointsListed():
                     self.list_endpoints(event)
                 case face.MessageWithdrawn(message) if message in self.messages:
                     self.finish(self.messages[message])
+                case face.EndAnswered(message) if message in self.unanswered:
+                    self.finish(self.unanswered.pop(message))
+                case face.Stopping(left):
+                    self.stops_at = now_us + left
         self.find_overdue()
         self.end_due()
         self.send_next()
@@ -210,6 +222,15 @@
         if message.key:
             self.keys.setdefault(message.key, KeyLine()).queue.append(message)
 
+    def restore(self, kept: face.MessageRestored) -> None:
+        """Rules: a call that was out at the end may have run, and may still; its key rests."""
+        self.take(kept.taken)
+        message = self.messages[kept.taken.message]
+        message.attempts, message.risky_since = kept.attempts, kept.risky_since
+        message.risky_zone = kept.risky_zone
+        if line := self.keys.get(message.key):
+            line.quiet_until = self.now + self.settings.key_quiet
+
     def within_share(self, tenant: str) -> float:
         passed = (self.now - self.credited) / 1e6
         self.credited = self.now
@@ -315,15 +336,22 @@
         return message.kind.effect is Effect.KEYED and not message.kind.window_by_zone
 
     def end(self, message: Message) -> None:
-        refusal = face.Refuse(message.id, min(RESET_TIMEOUT, self.settings.max_retry_after))
+        refusal = face.Refuse(message.id, self.come_again())
         self.actions.append(refusal if self.may_refuse(message) else face.Fail(message.id))
+        if self.settings.ends_answered:
+            self.unanswered[message.id] = message
         self.finish(message)
 
+    def come_again(self) -> int:
+        return min(RESET_TIMEOUT, self.settings.max_retry_after)
+
     def finish(self, message: Message) -> None:
         if not message.ended:
             message.ended = True
             del self.messages[message.id]
             self.waiting[message.destination].pop(message.id, None)
+        if message.id in self.unanswered:
+            return  # rule: order; nothing for its key goes before its notice is answered
         if (line := self.keys.get(message.key)) and not message.out and message in line.queue:
             line.queue.remove(message)
             if not line.queue and line.quiet_until <= self.now:
@@ -398,6 +426,11 @@
             self.actions += [face.CloseIdle(name) for name, each in self.idle.items() if not each.out]
         self.idle = {}
 
+    def may_still_go(self, endpoint: str, now: int) -> bool:
+        """Rules: drains and waits, asked again as a call's first byte goes: its connection took a while."""
+        known = self.endpoints.get(endpoint)
+        return known is not None and self.breaker_of(known).wait_until <= now
+
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
         options = []
         for endpoint in self.by_destination.get(message.destination, ()):
@@ -420,6 +453,8 @@
     def may_call(self, breaker: Breaker) -> bool:
         if len(self.out) >= self.settings.slots or breaker.ready_at(self.now) > self.now:
             return False
+        if self.now + breaker.patience() > self.stops_at:
+            return False  # it might be out when the process ends, and then may have run
         return breaker.out < max(2, self.settings.slots * DESTINATION_SLOTS)
 
     def send(self, message: Message, endpoint: Endpoint, batches: dict[str, Call]) -> None:
@@ -435,10 +470,10 @@
                 breaker.trial = call
         call.messages[message.id] = message
         self.calls[message.id, message.attempts] = call
+        self.actions.append(face.Send(message.id, name, message.until - self.now, message.attempts))
         message.attempts += 1
         message.out = True
         del self.waiting[message.destination][message.id]
-        self.actions.append(face.Send(message.id, name, message.until - self.now))
 
     def set_wake(self) -> None:
         if self.subscribe_at <= self.now:
