--- a/elmglade/net/journal.py
+++ b/elmglade/net/journal.py
@@ -94,7 +94,7 @@
                     if not text.endswith(b"\n"):
                         raise ValueError("no end of line")
                     self.apply(json.loads(text), len(text))
-                except (ValueError, KeyError, TypeError, IndexError) as error:
+                except (ValueError, KeyError, TypeError, AttributeError) as error:
                     log.warning("journal: a record at byte %d is dropped: %s", self.size, error)
                     if not text.endswith(b"\n"):
                         break
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -85,7 +85,7 @@
 
     async def start(self) -> None:
         """Takes over what the journal holds; only then do clients hear that the sender is ready."""
-        self.loop.set_exception_handler(lambda _, context: self.fail(context))
+        self.loop.set_exception_handler(lambda _, context: self.loop_failed(context))
         self.loop.add_signal_handler(signal.SIGTERM, self.terminate)
         self.loop.add_signal_handler(signal.SIGINT, self.terminate)
         known = self.config.known
@@ -97,7 +97,7 @@
         self.spawn(self.discovery.tell())
         self.spawn(self.sweep())
         await self.server.listen(*self.config.listen)
-        self.server.ready = True
+        self.server.ready = not self.server.stopping
         host, port = self.server.address()
         log.info("%s: ready on %s:%d", self.config.name, host, port)
 
@@ -144,6 +144,13 @@
         if not self.stopped.done():
             self.stopped.set_result(code)
 
+    def loop_failed(self, context: dict[str, Any]) -> None:
+        """The loop's own trouble with a socket (no descriptor left for one more client, say) passes."""
+        if isinstance(error := context.get("exception"), OSError):
+            log.error("%s: %s", context.get("message"), error)
+        else:
+            self.fail(context)
+
     def fail(self, context: dict[str, Any]) -> None:
         """What nobody foresaw is seen and ends the process; the next one starts from the journal."""
         log.critical("%s", context.get("message"), exc_info=context.get("exception"))
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -15,6 +15,7 @@
 READY = "/health/ready"
 READ_LIMIT = 10.0  # s for a request to come in whole, and for the other side to read a last answer
 IDLE_LIMIT = 75.0  # s that a connection may stand unused
+LINGERING = 64  # connections above the most that may wait to read that they are turned away
 
 
 class BadRequest(Exception):  # noqa: N818
@@ -84,7 +85,9 @@
         self.transport = transport
         self.since = self.server.loop.time()
         self.server.connections.add(self)
-        if len(self.server.connections) > self.server.most:
+        if len(self.server.connections) > self.server.most + LINGERING:
+            transport.abort()  # a flood: even those that wait to read their refusal hold descriptors
+        elif len(self.server.connections) > self.server.most:
             self.refuse(503)
 
     def connection_lost(self, error: Exception | None) -> None:
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -30,6 +30,7 @@
 COLD_PUSH = 0.75  # of fall_multiple: a returning destination is paced at that times its warm share
 ERROR_WEIGHT = 1 / 3  # of a failure: an error is an answer; the paper allows a threshold for each kind
 SCARCE_TIMES = 3  # idle times for which a refused connect makes a crowd close its connections after use
+IDLE_AGE = 600_000_000  # us after which what stands unused is forgotten: far above any outage's length
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
 NEVER = math.inf
 
@@ -176,7 +177,7 @@
         self.out: dict[Call, None] = {}  # distinct calls, oldest first
         self.deadlines: list[tuple[int, int, Message]] = []  # a heap
         self.now, self.wake_at, self.count = -NEVER, NEVER, itertools.count()
-        self.stops_at = NEVER
+        self.stops_at, self.aged = NEVER, -NEVER
         self.subscribe_at, self.subscribe_tries = (-NEVER if settings.must_ask else NEVER), 0
         self.actions: list[face.Action] = []
 
@@ -204,6 +205,7 @@
         self.end_due()
         self.send_next()
         self.keep_room()
+        self.age_out()
         self.set_wake()
         return self.actions
 
@@ -475,6 +477,19 @@
         message.out = True
         del self.waiting[message.destination][message.id]
 
+    def age_out(self) -> None:
+        """Guards a process that lasts from what past keys, routes and destinations leave behind."""
+        if self.now < self.aged + IDLE_AGE:
+            return
+        self.aged = self.now
+        self.keys = {name: x for name, x in self.keys.items() if x.queue or x.quiet_until > self.now}
+        self.waiting = {
+            name: held for name, held in self.waiting.items() if held or name in self.by_destination
+        }
+        for key, each in list(self.breakers.items()):
+            if not each.out and max(each.last_sent, each.wait_until) + IDLE_AGE <= self.now:
+                del self.breakers[key]
+
     def set_wake(self) -> None:
         if self.subscribe_at <= self.now:
             self.subscribe_at = NEVER
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -49,6 +49,18 @@
     assert list(Journal(tmp_path, LIMIT).entries) == ["a", "c"]
 
 
+@pytest.mark.parametrize(
+    "text", [b"[]\n", b"{}\n", b'{"sent":"nobody","at":1,"endpoint":"r","zone":"z","number":0}\n']
+)
+def test_a_record_that_cannot_be_read_does_not_take_the_others_with_it(tmp_path: Path, text: bytes) -> None:
+    first = Journal(tmp_path, LIMIT)
+    first.taken(handed_in("a"))
+    with open(tmp_path / module.FILE, "ab") as file:
+        file.write(text)
+    first.taken(handed_in("b"))
+    assert list(Journal(tmp_path, LIMIT).entries) == ["a", "b"]
+
+
 def test_compacting_leaves_out_what_is_over(tmp_path: Path) -> None:
     journal = Journal(tmp_path, 400_000)
     journal.taken(handed_in("kept", body=b"k" * 100))
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -138,3 +138,84 @@
             calls += len(went)
             actions = [act for name in went for act in world.answer(name, Outcome.OK)]
     assert calls - before <= 10, "about twenty usual calls would fit here; a cold destination takes a part"
+
+
+def restored(
+    message: str, attempts: int = 1, risky_since: int | None = 0, **changes: object
+) -> face.MessageRestored:
+    values: dict[str, object] = {"message_class": "zoned", "destination": 1, "time_left": 20 * SECOND}
+    taken = face.MessageTaken(message=message, **(values | changes))  # type: ignore[arg-type]
+    return face.MessageRestored(taken, attempts, risky_since, "z2" if risky_since is not None else "")
+
+
+def test_restored_message_keeps_to_the_zone_and_the_window_of_its_first_risky_attempt() -> None:
+    world = World(endpoint("a"), endpoint("b", zone="z2"))
+    actions = world.step(restored("m1"))
+    assert [each.endpoint for each in actions if isinstance(each, face.Send)] == ["b"]
+    late = World(endpoint("a"), endpoint("b", zone="z2"))
+    late.now = 6 * SECOND
+    assert late.step(restored("m1"), face.WakeUp())[0] == face.Fail("m1")
+
+
+def test_restored_once_only_message_that_may_have_run_fails_and_another_goes() -> None:
+    world = World()
+    actions = world.step(restored("m1", message_class="once"), restored("m2", 1, None, message_class="once"))
+    assert ended(actions) == [face.Fail("m1")] and sent(actions) == ["m2"]
+
+
+def test_attempts_count_on_after_a_restart() -> None:
+    world = World()
+    world.step(restored("m1", 5, None))
+    world.attempts["m1"] = 5
+    assert len(ended(world.answer("m1", Outcome.FULL))) == 1
+
+
+def test_key_rests_after_a_restart() -> None:
+    world = World()
+    world.step(restored("m1", 6, message_class="ordered", key="k"))
+    assert sent(world.take("ordered", key="k")) == []
+    assert sent(world.step(face.WakeUp(), after=299 * MS)) == []
+    assert sent(world.step(face.WakeUp(), after=2 * MS)) == ["m1"]
+
+
+def test_key_waits_for_the_answered_end_where_ends_are_answered() -> None:
+    world = World(ends_answered=True)
+    world.take("ordered", key="k", destination=9, time_left=SECOND)
+    world.take("ordered", key="k")
+    assert ended(world.step(face.WakeUp(), after=SECOND)) == [face.Refuse("m1")]
+    assert sent(world.step(face.WakeUp(), after=5 * SECOND)) == []
+    assert sent(world.step(face.EndAnswered("m1"))) == ["m2"]
+
+
+def test_no_call_starts_that_may_be_out_when_the_process_ends() -> None:
+    world = World()
+    assert sent(world.step(face.Stopping(3 * SECOND))) == []
+    assert sent(world.take()) == ["m1"]
+    assert sent(world.take(after=2800 * MS)) == []
+
+
+def test_what_is_told_while_a_call_connects_stops_it() -> None:
+    world = World(endpoint("a"), endpoint("b", destination=2))
+    world.take()
+    world.take()
+    assert world.dispatcher.may_still_go("a", world.now)
+    world.answer("m1", Outcome.FULL, wait=SECOND)
+    assert not world.dispatcher.may_still_go("a", world.now + SECOND - 1)
+    assert world.dispatcher.may_still_go("a", world.now + SECOND)
+    world.step(face.EndpointsListed(face.Listing.CHANGES, (endpoint("b", state=face.EndpointState.GONE),)))
+    assert not world.dispatcher.may_still_go("b", world.now)
+
+
+def test_idle_entries_age_out_but_not_a_wait_that_lasts() -> None:
+    world = World(endpoint("a"), endpoint("b", destination=2))
+    world.take("ordered", key="k", time_left=SECOND)
+    world.answer("m1", Outcome.TIMEOUT, after=SECOND)
+    world.take(destination=2, time_left=SECOND)
+    world.answer("m2", Outcome.FULL, wait=7200 * SECOND)
+    world.take(destination=77, time_left=SECOND)
+    world.step(face.WakeUp(), after=SECOND)
+    assert len(world.dispatcher.breakers) == 2 and len(world.dispatcher.keys) == 1
+    assert list(world.dispatcher.waiting) == [1, 2, 77]
+    world.step(face.WakeUp(), after=3600 * SECOND)
+    assert [key[0] for key in world.dispatcher.breakers] == [2]
+    assert world.dispatcher.keys == {} and list(world.dispatcher.waiting) == [1, 2]
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -10,7 +10,7 @@
 
 from elmglade import interface as face
 from elmglade.net.message import HandedIn
-from elmglade.net.server import Connection, Server
+from elmglade.net.server import LINGERING, Connection, Server
 
 KEYED = face.MessageClass("c", 800_000, 8_000_000, 1.0, 0.1, face.Effect.KEYED, window=5_000_000)
 NOW = 1_000_000_000
@@ -41,9 +41,7 @@
         body = bytes(range(256)) * 256
         data = message("é1", body, X_Account="acme", X_Session_Key="k", X_Repeat="1", X_Time_Left="0.480")
         assert (await raw(server, data)).status == 202
-        assert taken == [
-            HandedIn("é1", "c", 3, NOW + 480_000, "acme", "k", "key of é1", True, body)
-        ]
+        assert taken == [HandedIn("é1", "c", 3, NOW + 480_000, "acme", "k", "key of é1", True, body)]
 
 
 BAD = [
@@ -130,6 +128,10 @@
         writer.write(message("a"))
         assert (await read_reply(reader)).status == 202
         assert (await raw(server, b"")).status == 503
+        server.most = -LINGERING
+        flood, flood_writer = await asyncio.open_connection(*server.address())
+        assert await soon(flood.read()) == b""
+        flood_writer.close()
         writer.close()
 
 
