Count what failed before a restart: no backlog falls on a destination that came back cold

Seen by reading: restored messages met breakers that knew nothing, so all that was held for a destination in an outage went out at once after a restart (rules.py, restore). The fail-back rule could break and the destination fall over. Now the journalled outcomes of restored messages are counted: at the threshold the breaker is open to one trial, then the warm-up paces what is held.

--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -28,6 +28,9 @@
     NOT_SENT = "not_sent"
 
 
+#: Outcomes that speak against the destination's health.
+FAILURES = frozenset({Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET})
+
 #: Outcomes that prove the attempt never ran at the destination.
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
 
@@ -153,6 +156,7 @@
     attempts: int  # so far; one that was out when the process ended has ended as a reset
     risky_since: int | None  # sending of the first attempt that may have run
     risky_zone: str
+    outcomes: tuple[tuple[str, Outcome], ...] = ()  # endpoint and outcome of each attempt that has one
 
 
 @dataclass(frozen=True, slots=True)
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -119,6 +119,7 @@
             attempts=max(entry.attempts, default=-1) + 1,
             risky_since=min(risk.at, self.now()) if risk else None,
             risky_zone=risk.zone if risk else "",
+            outcomes=tuple((each.endpoint, each.outcome) for each in entry.attempts.values() if each.outcome),
         )
 
     def terminate(self) -> None:
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -232,6 +232,17 @@
         message.risky_zone = kept.risky_zone
         if line := self.keys.get(message.key):
             line.quiet_until = self.now + self.settings.key_quiet
+        for name, outcome in kept.outcomes:
+            endpoint = self.endpoints.get(name)
+            # Guards a destination that came back meanwhile, cold. What is called off was far overdue.
+            if endpoint and (outcome in face.FAILURES or outcome is Outcome.CANCELLED):
+                breaker = self.breaker_of(endpoint)
+                self.count_failure(breaker, outcome)
+                breaker.trial_at = self.now
+
+    def count_failure(self, breaker: Breaker, outcome: Outcome) -> None:
+        weight = ERROR_WEIGHT if outcome is Outcome.ERROR else 1
+        breaker.failed(self.now, weight, max(FAILURE_THRESHOLD / breaker.crowd, 2))
 
     def within_share(self, tenant: str) -> float:
         passed = (self.now - self.credited) / 1e6
@@ -279,9 +290,8 @@
             endpoint.bad_until = 0.0
         elif ended.outcome is Outcome.FULL:
             breaker.refused(self.now, call)
-        elif ended.outcome not in (Outcome.CANCELLED, Outcome.NOT_SENT) and not call.overdue:
-            weight = ERROR_WEIGHT if ended.outcome is Outcome.ERROR else 1
-            breaker.failed(self.now, weight, max(FAILURE_THRESHOLD / breaker.crowd, 2))
+        elif ended.outcome in face.FAILURES and not call.overdue:
+            self.count_failure(breaker, ended.outcome)
             endpoint.bad_until = self.now + RESET_TIMEOUT
         elif call is breaker.trial:
             breaker.trial = None
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -130,3 +130,24 @@
         return breaker.gap
 
     assert gap_after_refusals(12) > gap_after_refusals(2)
+
+
+def test_failures_before_a_restart_open_the_breaker_to_a_trial_and_warm_it_up() -> None:
+    world = World()
+    taken = [face.MessageTaken(f"m{each}", "safe", 1, 20 * SECOND) for each in range(FAILURE_THRESHOLD)]
+    failed = (("a", Outcome.CONNECT_FAILED),)
+    actions = world.step(*[face.MessageRestored(each, 1, None, "", failed) for each in taken])
+    assert sent(actions) == ["m0"]
+    world.attempts["m0"] = 1
+    assert sent(world.answer("m0", Outcome.OK)) == []
+    assert sent(world.step(face.WakeUp(), after=5 * SECOND)) == ["m1"]
+
+
+def test_a_stray_failure_before_a_restart_holds_nothing_up() -> None:
+    world = World()
+    taken = [face.MessageTaken(f"m{each}", "safe", 1, 20 * SECOND) for each in range(2)]
+    actions = world.step(
+        face.MessageRestored(taken[0], 1, 0, "z1", (("a", Outcome.ERROR),)),
+        face.MessageRestored(taken[1], 0, None, ""),
+    )
+    assert sent(actions) == ["m0", "m1"]
