--- a/elmglade/net/http.py
+++ b/elmglade/net/http.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections.abc import Iterable
 
 import h11
 
@@ -21,7 +22,7 @@
     return host, int(port)
 
 
-def header(headers: h11._headers.Headers, name: bytes) -> str | None:
+def header(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str | None:
     """The value of the first header with this (lower-case) name."""
     return next((value.decode("latin-1") for key, value in headers if key == name), None)
 
--- a/elmglade/net/journal.py
+++ b/elmglade/net/journal.py
@@ -183,7 +183,7 @@
 
     def compact(self) -> bool:
         """Writes what is still owed to a second file and puts that in the first one's place in one step."""
-        if self.over(self.size, self.live):
+        if self.size <= self.live or self.over(self.size, self.live):
             return False
         path = self.folder / COMPACTED
         try:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -93,6 +93,7 @@
     for each in taken:
         for number in range(6):
             assert journal.sent(f"m{each}", number, Attempt(1, "r", "z"))
+    assert not journal.compact()  # nothing of it is over: no work for each message that is refused
     for each in taken[:-1]:
         journal.ended(f"m{each}")
     assert journal.taken(handed_in("later", body=b"x" * 5000))
