Give a notice time for a second try within its 300 ms

Seen: against a platform that did not answer, tries ran 0.2, 0.4, 0.8 and then 1.6 s (a small probe over loopback). A kept connection gone silent would have left 50 ms for the next try, and a notice behind a late one up to 1.6 s too late (discovery.py, tell). Time-outs are named in the log, where the line ended blank.

--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -14,7 +15,8 @@
 SILENCE = 4.0  # s with no line, empty ones come every 2 s: the watch is dead, though TCP says nothing
 CONNECT_TIMEOUT = 1.0
 LINE_LIMIT = 4 * 1024 * 1024
-NOTICE_TIMEOUT = 0.2  # s for a first try; later ones may take longer
+NOTICE_TIMEOUT = 0.1  # s for a first try, answers took 4 ms at most: a hung kept connection must leave time
+NOTICE_DOUBLINGS = 2  # for another within the 300 ms that a notice has; and for new ones behind a late one
 NOTICE_PAUSE = 0.05  # s between tries
 NOTICES_AT_ONCE = 100
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
@@ -67,7 +69,7 @@
                 raise ConnectionError(f"discovery answered {status}")
             await self.read_lines(connection)
         except BROKEN as error:
-            log.warning("the watch ended: %s", error or type(error).__name__)
+            log.warning("the watch ended: %s", str(error) or type(error).__name__)
         except UNREADABLE as error:
             log.warning("the watch told what cannot be read: %r", error)
         finally:
@@ -112,9 +114,9 @@
         connection, tries, most = None, 0, NOTICES_AT_ONCE
         while True:
             await self.has_notices.wait()
-            sent = dict(list(self.notices.items())[:most])
+            sent, began = dict(list(self.notices.items())[:most]), time.monotonic()
             try:
-                async with asyncio.timeout(NOTICE_TIMEOUT * 2 ** min(tries, 3)):
+                async with asyncio.timeout(NOTICE_TIMEOUT * 2 ** min(tries, NOTICE_DOUBLINGS)):
                     if connection and connection.ended():
                         connection.close()
                         connection = None
@@ -124,7 +126,7 @@
                     connection.close()
                     connection = None
             except BROKEN as error:
-                log.warning("notices not answered: %s", error or type(error).__name__)
+                log.warning("notices not answered: %s", str(error) or type(error).__name__)
                 status = 0
                 if connection:
                     connection.close()
@@ -136,6 +138,7 @@
                 if status == 400:
                     log.error("a notice was not understood: %s", *sent.values())
                 tries = 0
+                log.info("%d notices answered in %.0f ms", len(sent), (time.monotonic() - began) * 1e3)
                 for message in sent:
                     del self.notices[message]
                     self.answered(message)
