Put the types of the HTTP client right

Seen: a type check of the package found two lines in http.py (header names as text beside values as bytes, a return type wider than told); what it finds in rules.py came with it and is left. No behaviour changes.

--- a/elmglade/net/http.py
+++ b/elmglade/net/http.py
@@ -51,7 +51,7 @@
         """Returns once the last byte is written; if it raises, that byte was not."""
         named = {"Host": f"{self.address[0]}:{self.address[1]}"} | headers
         # Latin-1, as they were read: a client's id may hold more than ASCII and goes on unchanged.
-        lines = [(name, value.encode("latin-1")) for name, value in named.items() if value]
+        lines = [(name.encode(), value.encode("latin-1")) for name, value in named.items() if value]
         request = h11.Request(method=method, target=target, headers=lines)
         data = self.codec.send(request) or b""
         if body:
@@ -63,7 +63,7 @@
         while (event := self.codec.next_event()) is h11.NEED_DATA:
             data = await asyncio.get_running_loop().sock_recv(self.sock, READ_SIZE)
             self.codec.receive_data(data)
-        if isinstance(event, h11.ConnectionClosed) or event is h11.PAUSED:
+        if isinstance(event, h11.ConnectionClosed) or not isinstance(event, h11.Event):
             raise ConnectionResetError("the connection ended")
         return event
 
