--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -4,6 +4,7 @@
 import json
 import logging
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import Any
@@ -15,6 +16,8 @@
 
 MEGABYTE = 1_000_000
 
+log = logging.getLogger(__name__)
+
 
 class BadConfig(Exception):  # noqa: N818
     """The configuration cannot be used; the text says why, in one line."""
@@ -36,7 +39,7 @@
         )
     except KeyError as error:
         raise BadConfig(f"{error.args[0]} is missing or unknown") from None
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, ArithmeticError) as error:
         raise BadConfig(" ".join(str(error).split())) from None
 
 
@@ -46,12 +49,21 @@
         return config_from(json.loads(text), Path(os.environ["BALANCER_STATE"]))
     except KeyError as error:
         raise BadConfig(f"${error.args[0]} is not set") from None
-    except (OSError, ValueError) as error:
+    except (OSError, ValueError, RecursionError) as error:
         raise BadConfig(" ".join(str(error).split())) from None
 
 
+def reread(sender: Sender) -> None:
+    """SIGHUP: the configuration has been replaced. A bad one changes nothing."""
+    try:
+        sender.reconfigure(read_config())
+    except BadConfig as error:
+        log.error("the new configuration is not used: %s", error)
+
+
 async def serve(config: Config) -> int:
     sender = Sender(config)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, sender)
     await sender.start()
     return await sender.run()
 
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -24,12 +24,13 @@
     TIMEOUT = "timeout"
     CONNECT_FAILED = "connect_failed"
     RESET = "reset"
+    SPOILT = "spoilt"  # answered, but the answer cannot be read
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
 
 
 #: Outcomes that speak against the destination's health.
-FAILURES = frozenset({Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET})
+FAILURES = frozenset({Outcome.ERROR, Outcome.TIMEOUT, Outcome.CONNECT_FAILED, Outcome.RESET, Outcome.SPOILT})
 
 #: Outcomes that prove the attempt never ran at the destination.
 NEVER_RAN = frozenset({Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT})
--- a/elmglade/net/client.py
+++ b/elmglade/net/client.py
@@ -2,17 +2,18 @@
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 import h11
 
-from elmglade.interface import Outcome
-from elmglade.net.http import BROKEN, Address, Connection, header
+from elmglade.interface import NEVER_RAN, Outcome
+from elmglade.net.http import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
 from elmglade.net.message import HandedIn
 
 IDLE_SHARE = 0.8  # of the receiver's idle limit: a kept connection is dropped that much earlier
-BODY_PATIENCE = 1.0  # s for the rest of an answer whose first line has come; the body means nothing
+BODY_PATIENCE = 0.5  # s for the rest of an answer whose head has come; the body means nothing
+LONGEST_WAIT = 3600.0  # s: no message lives so long; a longer told wait would only keep its breaker for ever
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,23 +23,14 @@
     wait: int = 0  # us
 
 
-def seconds(text: str | None) -> float:
-    """A told wait; 0 where it is missing or cannot be read."""
-    try:
-        value = float(text or 0)
-    except ValueError:
-        return 0.0
-    return value if math.isfinite(value) and value > 0 else 0.0
-
-
 def answer_from(response: h11.Response) -> Answer:
     """The protocol's table. A status that it does not name may have run."""
     match response.status_code:
         case 200:
             return Answer(Outcome.OK, finished=True)
         case 429:
-            told = seconds(header(response.headers, b"retry-after"))
-            return Answer(Outcome.FULL, wait=math.ceil(told * 1e6))
+            told = decimal(header(response.headers, b"retry-after") or "") or 0.0
+            return Answer(Outcome.FULL, wait=math.ceil(min(told, LONGEST_WAIT) * 1e6))
         case 503 if header(response.headers, b"x-egress-full") == "1":
             return Answer(Outcome.NOT_SENT)
         case 503:
@@ -52,24 +44,37 @@
 
 
 class Client:
-    def __init__(self, conn_idle: float, connect_timeout: float, most_idle: int) -> None:
+    """`dials` is discovery's: an endpoint that is no longer in it, or at another address, keeps nothing.
+    `most` bounds the connections open at once; to open one more, the one idle for longest is closed."""
+
+    def __init__(
+        self, conn_idle: float, connect_timeout: float, most: int, dials: Callable[[], Mapping[str, Address]]
+    ) -> None:
         self.idle_limit = conn_idle * IDLE_SHARE
-        self.connect_timeout, self.most_idle = connect_timeout, most_idle
-        self.pool: dict[Address, list[Connection]] = {}
+        self.connect_timeout, self.most, self.dials = connect_timeout, most, dials
+        # By endpoint, not by address: a new receiver may stand where another one has gone.
+        self.pool: dict[str, list[Connection]] = {}
+        self.idle: dict[Connection, str] = {}  # the same, the one idle for longest first
+        self.open: set[Connection] = set()
+        self.connecting = 0
+        self.draining: set[asyncio.Task[None]] = set()
 
     async def call(
-        self, address: Address, message: HandedIn, timeout: float, may_go: Callable[[], bool]
+        self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
     ) -> Answer:
         """One call, with a fate known for sure: broken before its last byte is written it never ran."""
         loop = asyncio.get_running_loop()
         deadline = loop.time() + timeout
         connection: Connection | None = None
         written = kept = False
+        wait = 0  # a told one binds, whatever becomes of the rest of its answer
         try:
             async with asyncio.timeout_at(deadline):
-                connection = self.take_idle(address) or await self.connect(address)
+                if (address := self.dials().get(endpoint)) is None:
+                    return Answer(Outcome.NOT_SENT)  # gone since the module chose it
+                connection = self.take_idle(endpoint) or await self.connect(address)
                 if not may_go():
-                    kept = self.keep(connection)
+                    kept = self.keep(endpoint, connection)
                     return Answer(Outcome.NOT_SENT)
                 headers = {
                     "X-Correlation-Id": message.id,
@@ -79,46 +84,97 @@
                 }
                 await connection.send("POST", "/hook", headers, message.body)
                 written = True
-                answer = answer_from(await connection.response())
-            kept = await self.finish(connection)
+                response = await connection.response()
+                answer = answer_from(response)
+                wait = answer.wait
+                if int(header(response.headers, b"content-length") or 0) > BODY_LIMIT:
+                    raise Spoilt(response.status_code, "the answer is too long")
+                if answer.outcome in NEVER_RAN:
+                    # A spoilt answer has run, whatever it says: only a whole one proves that it has not.
+                    async with asyncio.timeout(BODY_PATIENCE):
+                        await connection.skip_body()
+                    kept = connection.next_cycle() and self.keep(endpoint, connection)
+                else:
+                    kept = self.finish(endpoint, connection)
             return answer
         except TimeoutError:
-            return Answer(Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED)
+            return Answer(Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED, wait=wait)
+        except Spoilt as error:
+            # It may have run; a first line of 200 is true all the same.
+            if error.status == 200:
+                return Answer(Outcome.OK, finished=True)
+            return Answer(Outcome.SPOILT, wait=wait)
         except BROKEN:
-            return Answer(Outcome.RESET if written else Outcome.CONNECT_FAILED)
+            return Answer(Outcome.RESET if written else Outcome.CONNECT_FAILED, wait=wait)
         finally:
             # A time-out or a cancel gives the call up: only closing the connection tells the receiver.
             if connection and not kept:
-                connection.close()
+                self.drop(connection)
 
     async def connect(self, address: Address) -> Connection:
-        async with asyncio.timeout(self.connect_timeout):
-            return await Connection.open(address)
+        if len(self.open) + self.connecting >= self.most and self.idle:
+            self.close_one(next(iter(self.idle)))
+        self.connecting += 1
+        try:
+            async with asyncio.timeout(self.connect_timeout):
+                connection = await Connection.open(address)
+        finally:
+            self.connecting -= 1
+        self.open.add(connection)
+        return connection
 
-    async def finish(self, connection: Connection) -> bool:
-        """Reads the rest of an answer; whatever becomes of it, the outcome stands."""
+    def drop(self, connection: Connection) -> None:
+        self.open.discard(connection)
+        connection.close()
+
+    def finish(self, endpoint: str, connection: Connection) -> bool:
+        """Keeps the connection once the answer is here to its end; the outcome need not wait for that."""
+        try:
+            if connection.whole():
+                return connection.next_cycle() and self.keep(endpoint, connection)
+        except BROKEN:
+            return False
+        task = asyncio.get_running_loop().create_task(self.drain(endpoint, connection))
+        self.draining.add(task)
+        task.add_done_callback(self.draining.discard)
+        return True
+
+    async def drain(self, endpoint: str, connection: Connection) -> None:
+        kept = False
         try:
             async with asyncio.timeout(BODY_PATIENCE):
                 await connection.skip_body()
-        except (*BROKEN, asyncio.CancelledError):
-            return False  # a cancel that comes now is too late: the message has its answer
-        return connection.next_cycle() and self.keep(connection)
+            kept = connection.next_cycle() and self.keep(endpoint, connection)
+        except BROKEN:
+            pass  # TimeoutError too; whatever becomes of the rest, the outcome stands
+        finally:
+            if not kept:
+                self.drop(connection)
+
+    # The pool.
 
-    def take_idle(self, address: Address) -> Connection | None:
+    def take_idle(self, endpoint: str) -> Connection | None:
         """The connection used last. Guards against one that the receiver closes as the request goes."""
-        kept = self.pool.get(address, [])
-        while kept:
-            connection = kept.pop()
+        while kept := self.pool.get(endpoint):
+            connection = kept[-1]
+            self.leave_pool(connection)
             if not connection.ended() and not self.too_old(connection):
                 return connection
-            connection.close()
+            self.drop(connection)
         return None
 
-    def keep(self, connection: Connection) -> bool:
-        if sum(map(len, self.pool.values())) >= self.most_idle:
+    def leave_pool(self, connection: Connection) -> None:
+        endpoint = self.idle.pop(connection)
+        self.pool[endpoint].remove(connection)
+        if not self.pool[endpoint]:
+            del self.pool[endpoint]
+
+    def keep(self, endpoint: str, connection: Connection) -> bool:
+        if self.dials().get(endpoint) != connection.address:
             return False
         connection.idle_since = asyncio.get_running_loop().time()
-        self.pool.setdefault(connection.address, []).append(connection)
+        self.pool.setdefault(endpoint, []).append(connection)
+        self.idle[connection] = endpoint
         return True
 
     def too_old(self, connection: Connection) -> bool:
@@ -126,17 +182,25 @@
 
     def drop_old(self) -> None:
         """Called now and then, so that what nobody uses holds no descriptor."""
-        for address, kept in list(self.pool.items()):
-            for connection in [each for each in kept if self.too_old(each) or each.ended()]:
-                kept.remove(connection)
-                connection.close()
-            if not kept:
-                del self.pool[address]
+        for connection in [each for each in self.idle if self.too_old(each) or each.ended()]:
+            self.close_one(connection)
+
+    def drop_gone(self) -> None:
+        """After each line of discovery: what is kept for an endpoint closes with it."""
+        for connection, endpoint in list(self.idle.items()):
+            if self.dials().get(endpoint) != connection.address:
+                self.close_one(connection)
+
+    def close_one(self, connection: Connection) -> None:
+        self.leave_pool(connection)
+        self.drop(connection)
 
-    def close_idle(self, address: Address) -> None:
-        for connection in self.pool.pop(address, []):
-            connection.close()
+    def close_idle(self, endpoint: str) -> None:
+        for connection in list(self.pool.get(endpoint, ())):
+            self.close_one(connection)
 
     def close(self) -> None:
-        for address in list(self.pool):
-            self.close_idle(address)
+        for task in self.draining:
+            task.cancel()
+        for connection in list(self.idle):
+            self.close_one(connection)
--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -19,11 +19,19 @@
 NOTICE_DOUBLINGS = 2  # for another within the 300 ms that a notice has; and for new ones behind a late one
 NOTICE_PAUSE = 0.05  # s between tries
 NOTICES_AT_ONCE = 100
-UNREADABLE = (ValueError, KeyError, TypeError, AttributeError)
+MOVE_PAUSE = (
+    0.2  # s between tries to hear a new address's list: what it tells counts as told 4 s after SIGHUP
+)
+UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError)
 
 log = logging.getLogger(__name__)
 
 
+async def expect_ok(connection: Connection) -> None:
+    if (status := (await connection.response()).status_code) != 200:
+        raise ConnectionError(f"discovery answered {status}")
+
+
 class Listed:
     """One line of discovery: a version and the endpoints in it."""
 
@@ -52,32 +60,70 @@
         answered: Callable[[str], None],
     ) -> None:
         self.address, self.listed, self.answered = address, listed, answered
-        self.seq, self.dials = known.seq, dict(known.dials)
+        #: The version held; none when it is another service's, whose versions mean nothing to this one.
+        self.seq: int | None = known.seq
+        self.dials = dict(known.dials)
+        self.destinations = {each.destination for each in known.endpoints}  # all that a list ever named
+        self.heard = False  # whether a line has come in this process
         self.notices: dict[str, str] = {}
         self.has_notices = asyncio.Event()
 
+    def move(self, address: Address) -> None:
+        """From now on discovery is there. The caller starts a watch; the one before goes on until that one
+        has its first list, and notices under way are answered where they are or told again over there."""
+        self.address, self.seq = address, None
+
     async def watch(self) -> None:
-        """One watch, to its end. However it ends, the module is told and decides when to ask again."""
-        connection = None
+        """One watch, to its end. However it ends, the module is told and decides when to ask again; but the
+        first list of a new address is asked for until it comes: nobody else tells of a drain meanwhile."""
+        address = self.address
+        while True:
+            try:
+                await self.watch_once(address)
+            except BROKEN as error:
+                log.warning("the watch ended: %s", str(error) or type(error).__name__)
+            except UNREADABLE as error:
+                log.warning("the watch told what cannot be read: %r", error)
+            if address != self.address:
+                return
+            if self.seq is not None:
+                break
+            await asyncio.sleep(MOVE_PAUSE)
+        self.listed(face.EndpointsListed(face.Listing.FAILED))
+
+    async def watch_once(self, address: Address) -> None:
+        """Returns once another address has told its list; any other end raises."""
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            connection = await Connection.open(address)
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT):
-                connection = await Connection.open(self.address)
+            if self.seq is None:
+                whole = await self.ask(connection, "/registry/instances")
+                if address != self.address:
+                    return
+                self.read(Listed(json.loads(whole)))
+                if not connection.next_cycle():
+                    connection.close()
+                    async with asyncio.timeout(CONNECT_TIMEOUT):
+                        connection = await Connection.open(address)
             await connection.send("GET", f"/registry/instances?watch=1&after={self.seq}", {})
             async with asyncio.timeout(SILENCE):
-                status = (await connection.response()).status_code
-            if status != 200:
-                raise ConnectionError(f"discovery answered {status}")
-            await self.read_lines(connection)
-        except BROKEN as error:
-            log.warning("the watch ended: %s", str(error) or type(error).__name__)
-        except UNREADABLE as error:
-            log.warning("the watch told what cannot be read: %r", error)
+                await expect_ok(connection)
+            await self.read_lines(connection, address)
         finally:
-            if connection:
-                connection.close()
-        self.listed(face.EndpointsListed(face.Listing.FAILED))
-
-    async def read_lines(self, connection: Connection) -> None:
+            connection.close()
+
+    async def ask(self, connection: Connection, target: str) -> bytes:
+        await connection.send("GET", target, {})
+        body = bytearray()
+        async with asyncio.timeout(SILENCE):
+            await expect_ok(connection)
+            while not isinstance(event := await connection.next_event(), h11.EndOfMessage):
+                body += event.data if isinstance(event, h11.Data) else b""
+                if len(body) > LINE_LIMIT:
+                    raise ValueError("the list is too long")
+        return bytes(body)
+
+    async def read_lines(self, connection: Connection, address: Address) -> None:
         rest = b""
         while True:
             async with asyncio.timeout(SILENCE):
@@ -90,14 +136,20 @@
             if len(rest) > LINE_LIMIT:
                 raise ValueError("a line is too long")
             for line in lines:
+                if address != self.address and self.seq is not None:
+                    return
                 if line.strip():
-                    self.read(Listed(json.loads(line)))
-
-    def read(self, told: Listed) -> None:
-        self.seq = told.seq
-        self.dials = told.dials if told.whole else self.dials | told.dials
-        for gone in [each.id for each in told.endpoints if each.state is face.EndpointState.GONE]:
-            del self.dials[gone]
+                    self.read(Listed(json.loads(line)), address)
+
+    def read(self, told: Listed, address: Address | None = None) -> None:
+        """One line, whole or not at all: what cannot be read has raised before anything is changed."""
+        dials = told.dials if told.whole else self.dials | told.dials
+        gone = {each.id for each in told.endpoints if each.state is face.EndpointState.GONE}
+        self.dials = {name: dial for name, dial in dials.items() if name not in gone}
+        self.destinations |= {each.destination for each in told.endpoints}
+        if address in (None, self.address):  # else it is a line of the address before
+            self.seq = told.seq
+        self.heard = True
         listing = face.Listing.FULL if told.whole else face.Listing.CHANGES
         self.listed(face.EndpointsListed(listing, told.endpoints))
 
@@ -117,7 +169,7 @@
             sent, began = dict(list(self.notices.items())[:most]), time.monotonic()
             try:
                 async with asyncio.timeout(NOTICE_TIMEOUT * 2 ** min(tries, NOTICE_DOUBLINGS)):
-                    if connection and connection.ended():
+                    if connection and (connection.address != self.address or connection.ended()):
                         connection.close()
                         connection = None
                     connection = connection or await Connection.open(self.address)
--- a/elmglade/net/http.py
+++ b/elmglade/net/http.py
@@ -1,6 +1,7 @@
 """The calling side of HTTP/1.1 on a plain socket, for receivers and for the platform."""
 
 import asyncio
+import re
 import socket
 from collections.abc import Iterable
 
@@ -9,15 +10,30 @@
 HEADER_LIMIT = 16 * 1024
 BODY_LIMIT = 64 * 1024
 READ_SIZE = 64 * 1024
+HEAD_PATIENCE = 1.0  # s from an answer's first bytes to the end of its head
+MOST_INTERIM = 16  # 1xx answers that may come ahead of one answer
+FIRST_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
+BEGINNING = b"HTTP/1."
+DECIMAL = re.compile(r"[0-9]{1,12}(?:\.[0-9]{0,12})?", re.ASCII)
 
 Address = tuple[str, int]
+
+
+class Spoilt(Exception):  # noqa: N818
+    """An answer that cannot be read. `status` is what its first line still says, 0 if it says nothing."""
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
 #: What a broken connection or an unreadable answer raises.
-BROKEN = (OSError, h11.RemoteProtocolError)
+BROKEN = (OSError, Spoilt)
 
 
 def address_from(text: str) -> Address:
     host, found, port = text.rpartition(":")
-    if not found or not host or not port.isdecimal() or int(port) > 65535:
+    if not found or not host or not (port.isascii() and port.isdecimal()) or int(port[:6]) > 65535:
         raise ValueError(f"{text!r} is not host:port")
     return host, int(port)
 
@@ -27,6 +43,12 @@
     return next((value.decode("latin-1") for key, value in headers if key == name), None)
 
 
+def decimal(text: str) -> float | None:
+    """A number as the protocol writes it. Guards against what only float() takes for one ('1e308', '1_0',
+    'inf', digits of other scripts) and against more digits than any clock needs."""
+    return float(text) if DECIMAL.fullmatch(text) else None
+
+
 class Connection:
     """One connection to a server. It never sends anything twice by itself."""
 
@@ -34,6 +56,7 @@
         self.sock, self.address = sock, address
         self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT)
         self.idle_since = 0.0
+        self.size = 0  # bytes of the answer's body so far
 
     @classmethod
     async def open(cls, address: Address) -> "Connection":
@@ -59,34 +82,79 @@
         data += self.codec.send(h11.EndOfMessage()) or b""
         await asyncio.get_running_loop().sock_sendall(self.sock, data)
 
-    async def next_event(self) -> h11.Event:
-        while (event := self.codec.next_event()) is h11.NEED_DATA:
-            data = await asyncio.get_running_loop().sock_recv(self.sock, READ_SIZE)
-            self.codec.receive_data(data)
+    async def receive(self) -> None:
+        self.codec.receive_data(await asyncio.get_running_loop().sock_recv(self.sock, READ_SIZE))
+
+    def read_event(self) -> h11.Event | None:
+        """The next event of what has come; none if more has to come first."""
+        unread, ended = self.codec.trailing_data
+        if ended and not unread:
+            raise ConnectionResetError("the connection ended")
+        first = FIRST_LINE.match(unread)
+        try:
+            event = self.codec.next_event()
+        except h11.ProtocolError as error:
+            raise Spoilt(int(first[1]) if first else 0, str(error)) from None
+        if event is h11.NEED_DATA and not ended:
+            return None
         if isinstance(event, h11.ConnectionClosed) or not isinstance(event, h11.Event):
             raise ConnectionResetError("the connection ended")
         return event
 
+    async def next_event(self) -> h11.Event:
+        while (event := self.read_event()) is None:
+            await self.receive()
+        return event
+
     async def response(self) -> h11.Response:
-        while True:
-            event = await self.next_event()
-            if isinstance(event, h11.Response):
-                return event
+        """The head of the answer. Guards against heads that cannot be read, don't end or are noise."""
+        if not self.codec.trailing_data[0]:
+            await self.receive()
+        try:
+            async with asyncio.timeout(HEAD_PATIENCE):
+                for _ in range(MOST_INTERIM):
+                    while (event := self.read_event()) is None:
+                        self.check_unread()
+                        await self.receive()
+                    if isinstance(event, h11.Response):
+                        self.size = 0
+                        return event
+        except TimeoutError:
+            raise Spoilt(0, "the head does not end") from None
+        raise Spoilt(0, "too many interim answers")
+
+    def check_unread(self) -> None:
+        """A head that is not here to its end: a first line of 200 is true even so, and noise never ends."""
+        unread = self.codec.trailing_data[0]
+        if not (unread.startswith(BEGINNING) or BEGINNING.startswith(unread)):
+            raise Spoilt(0, "not an answer")
+        if (first := FIRST_LINE.match(unread)) and int(first[1]) == 200:
+            raise Spoilt(200, "the head came in parts")
+
+    def whole(self) -> bool:
+        """Whether the answer, whose head has been read, is here to its end."""
+        while (event := self.read_event()) is not None:
+            if isinstance(event, h11.EndOfMessage):
+                return True
+            self.size += len(event.data) if isinstance(event, h11.Data) else 0
+            if self.size > BODY_LIMIT:
+                raise Spoilt(0, "the answer is too long")
+        return False
 
     async def skip_body(self) -> None:
         """Reads the answer to its end, so that the connection can be used again."""
-        size = 0
-        while not isinstance(event := await self.next_event(), h11.EndOfMessage):
-            size += len(event.data) if isinstance(event, h11.Data) else 0
-            if size > BODY_LIMIT:
-                raise ConnectionResetError("the answer is too long")
+        while not self.whole():
+            await self.receive()
 
     def next_cycle(self) -> bool:
-        """Whether another request may follow on this connection."""
+        """Whether another request may follow on this connection. What came behind the answer belongs to no
+        request: read as the next one's answer, it would end that one while it is still out."""
         if self.codec.our_state is not h11.DONE or self.codec.their_state is not h11.DONE:
             return False
+        if self.codec.trailing_data != (b"", False):
+            return False
         self.codec.start_next_cycle()
-        return not self.ended()
+        return True
 
     def ended(self) -> bool:
         """Guards a reused connection: the other side may have closed it, or said what nobody asked."""
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
-from typing import Any
+from typing import Any, ClassVar
 
 from elmglade import interface as face
 from elmglade.interface import Outcome
@@ -20,7 +20,7 @@
 from elmglade.net.http import Address
 from elmglade.net.journal import Attempt, Entry, Journal
 from elmglade.net.message import HandedIn
-from elmglade.net.server import Connection, Server
+from elmglade.net.server import ACCEPTS, Connection, Server
 from elmglade.rules import Dispatcher
 
 STOP_LISTENING = 0.6  # s after SIGTERM; the front deals out new connections for up to 0.4 s more
@@ -30,6 +30,8 @@
     0.0005  # s: a timer must not run before its time on the module's clock, which then sets no other
 )
 
+OVER = 4096  # ids of messages that are over and still known: more than come in the longest deadline
+
 log = logging.getLogger(__name__)
 
 
@@ -46,6 +48,27 @@
     settings: face.Settings
 
 
+@dataclass(frozen=True, slots=True)
+class Descriptors:
+    """How the descriptors that the configuration allows are shared out: all that opens one counts here."""
+
+    # The standard streams, the loop's three, the listener, the journal and its copy, the configuration, the
+    # watch and the notices with their successors at a new address: 14; and a turn's accepted connections,
+    # which push out others that close only after it.
+    OWN: ClassVar[int] = 20 + ACCEPTS
+
+    clients: int
+    lingering: int  # clients above these that only hear that they are turned away
+    calls: int  # with the connections that are kept for the next ones
+
+    @classmethod
+    def of(cls, sockets: int, slots: int) -> "Descriptors":
+        """Clients get half; they may need a third. Calls get the rest, all slots in any case."""
+        lingering = sockets // 16
+        calls = max(sockets - cls.OWN - sockets // 2, slots + 4)
+        return cls(max(sockets - cls.OWN - lingering - calls, 1), lingering, calls)
+
+
 class Clock:
     """The module's clock: wall time as it was at the start, and from there on one that never goes back."""
 
@@ -68,15 +91,21 @@
         self.dispatcher = Dispatcher(config.settings, config.seed)
         self.journal = Journal(config.state, config.disk_bytes)
         classes = {each.name: each for each in config.settings.classes}
-        self.server = Server(classes, self.take, self.now, most=config.sockets // 2)
+        share = Descriptors.of(config.sockets, config.settings.slots)
+        self.server = Server(classes, self.take, self.now, share.clients, share.lingering, self.is_named)
+        self.discovery = Discovery(config.discovery, config.known, self.list_told, self.end_answered)
         self.client = Client(
-            config.settings.conn_idle / 1e6, config.settings.connect_timeout / 1e6, config.sockets // 4
+            config.settings.conn_idle / 1e6,
+            config.settings.connect_timeout / 1e6,
+            share.calls,
+            lambda: self.discovery.dials,
         )
-        self.discovery = Discovery(config.discovery, config.known, self.post, self.end_answered)
         self.inbox: list[face.Event] = []
         self.arrived: dict[str, tuple[HandedIn, Connection]] = {}  # in the inbox, not answered yet
         self.calls: dict[tuple[str, int], asyncio.Task[Answer]] = {}
+        self.ended: dict[str, None] = {}  # ids of messages that are over, oldest first, OVER at most
         self.watching: asyncio.Task[None] | None = None
+        self.wake: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.turning = self.over = False
         self.stopped: asyncio.Future[int] = self.loop.create_future()
@@ -91,12 +120,13 @@
         known = self.config.known
         self.post(face.EndpointsListed(face.Listing.CACHED, known.endpoints))
         for entry in self.journal.entries.values():
+            self.discovery.destinations.add(entry.message.destination)
             self.post(self.restored(entry))
         log.info("%s: %d messages taken over from the journal", self.config.name, len(self.journal.entries))
         self.turn()
         self.spawn(self.discovery.tell())
         self.spawn(self.sweep())
-        await self.server.listen(*self.config.listen)
+        self.server.listen(*self.config.listen)
         self.server.ready = not self.server.stopping
         host, port = self.server.address()
         log.info("%s: ready on %s:%d", self.config.name, host, port)
@@ -122,6 +152,14 @@
             outcomes=tuple((each.endpoint, each.outcome) for each in entry.attempts.values() if each.outcome),
         )
 
+    def reconfigure(self, config: Config) -> None:
+        """SIGHUP. Discovery may have moved; anything else that has changed waits for the next start."""
+        if config.discovery != self.discovery.address:
+            log.info("%s: discovery is at %s:%d from now on", self.config.name, *config.discovery)
+            self.discovery.move(config.discovery)
+            if self.watching:  # the watch at the old address goes on until this one has a list
+                self.watching = self.spawn(self.discovery.watch())
+
     def terminate(self) -> None:
         """SIGTERM. Clients are still answered, and what they hand in is taken on: the journal keeps it."""
         if self.server.stopping:
@@ -137,8 +175,7 @@
         self.stop_if_done()
 
     def stop_if_done(self) -> None:
-        listening = self.server.listener and self.server.listener.is_serving()
-        if self.server.stopping and not (listening or self.calls or self.journal.entries):
+        if self.server.stopping and not (self.server.listener or self.calls or self.journal.entries):
             self.stop(0)
 
     def stop(self, code: int) -> None:
@@ -194,8 +231,8 @@
         )
 
     def take(self, message: HandedIn, connection: Connection) -> None:
-        if message.id in self.journal.entries:
-            connection.answer(202)  # the same hand-in once more: it is already ours
+        if message.id in self.journal.entries or message.id in self.ended:
+            connection.answer(202)  # the same hand-in once more: it is already ours, or was
         elif message.id in self.arrived:
             connection.answer(400, text="this id is being handed in")
         elif len(self.dispatcher.messages) + len(self.arrived) >= self.settings.max_open:
@@ -204,8 +241,22 @@
             self.arrived[message.id] = message, connection
             self.post(self.taken(message))
 
-    def end_answered(self, name: str) -> None:
+    def is_named(self, destination: int) -> bool:
+        """Whether there ever was such a destination; one whose endpoints are all gone may come back."""
+        return destination in self.discovery.destinations
+
+    def list_told(self, event: face.EndpointsListed) -> None:
+        self.client.drop_gone()
+        self.post(event)
+
+    def message_over(self, name: str) -> None:
         self.journal.ended(name)
+        self.ended[name] = None
+        if len(self.ended) > OVER:
+            del self.ended[next(iter(self.ended))]
+
+    def end_answered(self, name: str) -> None:
+        self.message_over(name)
         self.post(face.EndAnswered(name))
         self.stop_if_done()
 
@@ -223,7 +274,7 @@
         if name in self.journal.entries:
             self.journal.outcome(name, number, answer.outcome)
             if answer.finished:
-                self.journal.ended(name)
+                self.message_over(name)
         self.post(face.AttemptEnded(name, number, answer.outcome, answer.finished, answer.wait))
         self.stop_if_done()
 
@@ -276,14 +327,15 @@
                 if task := self.calls.get((name, number)):
                     task.cancel()
             case face.WakeAfter(delay):
-                self.loop.call_later(delay / 1e6 + TIMER_SLACK, self.post, face.WakeUp())
+                if self.wake:
+                    self.wake.cancel()  # the module asks anew only for an earlier time, or after this one
+                self.wake = self.loop.call_later(delay / 1e6 + TIMER_SLACK, self.post, face.WakeUp())
             case face.Subscribe():
                 if self.watching:
                     self.watching.cancel()
                 self.watching = self.spawn(self.discovery.watch())
             case face.CloseIdle(endpoint):
-                if address := self.discovery.dials.get(endpoint):  # none once the endpoint is gone
-                    self.client.close_idle(address)
+                self.client.close_idle(endpoint)
             case face.Note(text):
                 log.info("%s", text)
 
@@ -295,7 +347,7 @@
             self.post(face.AttemptEnded(name, number, Outcome.NOT_SENT, finished=untaken))
             return
         call = self.client.call(
-            self.discovery.dials[endpoint],
+            endpoint,
             self.journal.entries[name].message,
             action.timeout / 1e6,
             lambda: self.dispatcher.may_still_go(endpoint, self.now()),
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -1,21 +1,31 @@
 """Clients in: reads requests, answers them, and turns bad ones away."""
 
 import asyncio
+import errno
 import json
-import math
+import logging
 import select
+import socket
 from collections.abc import Callable
 
 import h11
 
 from elmglade.interface import Effect, MessageClass
-from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, Address, header
+from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, Address, decimal, header
 from elmglade.net.message import HandedIn
 
 READY = "/health/ready"
-READ_LIMIT = 10.0  # s for a request to come in whole, and for the other side to read a last answer
-IDLE_LIMIT = 75.0  # s that a connection may stand unused
-LINGERING = 64  # connections above the most that may wait to read that they are turned away
+# A client that cannot be served is owed an error or a close within 3 s of connecting.
+READ_LIMIT = 2.0  # s for a request to come in whole; the first one's run from connecting
+IDLE_LIMIT = 3.0  # s that a connection may stand with no request open, after its first
+LINGER = 0.5  # s for the other side to read a last answer
+LINGER_BYTES = 1024 * 1024  # that are still read and dropped meanwhile; then the other side has to wait
+UNREAD_LIMIT = 64 * 1024  # bytes of answers that a client leaves unread before it is cut off
+ACCEPTS = 16  # connections taken in one turn of the loop: those at hand have their turn too
+ACCEPT_PAUSE = 0.05  # s until the next try where no descriptor was left
+NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
+log = logging.getLogger(__name__)
 
 
 class BadRequest(Exception):  # noqa: N818
@@ -35,15 +45,6 @@
             raise BadRequest(400, f"{name} is missing")
         return value
 
-    def number(name: str, text: str) -> float:
-        try:
-            value = float(text)
-        except ValueError:
-            value = math.nan
-        if not math.isfinite(value) or value < 0:
-            raise BadRequest(400, f"{name} cannot be {text!r}")
-        return value
-
     name = needed("X-Service-Class")
     first = request.target.decode("latin-1").lstrip("/").partition("?")[0].partition("/")[0]
     if name not in classes or first != name:
@@ -53,7 +54,9 @@
     dest = route.get("dest", "")
     if not (dest.isascii() and dest.isdecimal() and len(dest) < 19):
         raise BadRequest(400, f"X-Route-To holds no dest: {route}")
-    left = min(int(number("X-Time-Left", needed("X-Time-Left")) * 1e6), kind.deadline)
+    if (told := decimal(needed("X-Time-Left"))) is None:
+        raise BadRequest(400, f"X-Time-Left cannot be {field('X-Time-Left')!r}")
+    left = min(int(told * 1e6), kind.deadline)
     return HandedIn(
         id=needed("X-Correlation-Id"),
         message_class=name,
@@ -72,52 +75,61 @@
 class Connection(asyncio.Protocol):
     """One client's connection: one request at a time."""
 
-    def __init__(self, server: "Server") -> None:
-        self.server = server
+    transport: asyncio.Transport = None  # type: ignore[assignment]  # until it is up
+
+    def __init__(self, server: "Server", sock: socket.socket) -> None:
+        self.server, self.sock = server, sock
         self.codec = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT)
         self.began: int | None = None  # us, wall clock: when the request at hand began to come
-        self.since = 0.0  # s, loop time: when it, or the idle time, began
+        self.since = server.loop.time()  # s: when the wait at hand began: for its request, or for it to leave
         self.request: h11.Request | None = None
         self.body = bytearray()
+        self.dropped = 0  # bytes, after a refusal
         self.answering = self.discarding = False
 
-    def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        assert isinstance(transport, asyncio.Transport)
         self.transport = transport
-        self.since = self.server.loop.time()
-        self.server.connections.add(self)
-        if len(self.server.connections) > self.server.most + LINGERING:
-            transport.abort()  # a flood: even those that wait to read their refusal hold descriptors
+        if self not in self.server.connections:
+            transport.abort()  # closed to make room before it was up
         elif len(self.server.connections) > self.server.most:
             self.refuse(503)
 
     def connection_lost(self, error: Exception | None) -> None:
-        self.server.connections.discard(self)
+        self.server.forget(self)
 
     def data_received(self, data: bytes) -> None:
         if self.discarding:
+            self.dropped += len(data)
+            if self.dropped > LINGER_BYTES:
+                self.transport.pause_reading()
             return
         if self.began is None:
-            self.began, self.since = self.server.now(), self.server.loop.time()
+            self.began = self.server.now()
+            if self in self.server.silent:
+                del self.server.silent[self]
+            else:
+                self.since = self.server.loop.time()
+            self.server.idle.pop(self, None)
         self.codec.receive_data(data)
-        self.advance()
+        if self.answering:
+            self.transport.pause_reading()  # guards against requests by the hundred that nobody has answered
+        else:
+            self.advance()
 
     def advance(self) -> None:
         """Reads on; whatever a client sends ends in an answer, never in an exception through the loop."""
         try:
             while not (self.answering or self.discarding):
                 event = self.codec.next_event()
-                if self.codec.they_are_waiting_for_100_continue:
-                    self.write(h11.InformationalResponse(status_code=100, headers=[]))
                 if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                    if self.codec.they_are_waiting_for_100_continue:
+                        self.write(h11.InformationalResponse(status_code=100, headers=[]))
+                    self.transport.resume_reading()
                     return
                 if isinstance(event, h11.Request):
                     self.request, self.body = event, bytearray()
-                    # The codec bounds only a head that is still coming, not one that came at once.
-                    if len(event.target) + sum(len(k) + len(v) for k, v in event.headers) > HEADER_LIMIT:
-                        raise BadRequest(431, "the head is too long")
-                    length = header(event.headers, b"content-length")
-                    if length and int(length) > BODY_LIMIT:
-                        raise BadRequest(413, "the body is too long")
+                    self.check_head(event)
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > BODY_LIMIT:
@@ -129,6 +141,20 @@
             self.refuse(error.status, str(error))
         except h11.RemoteProtocolError as error:
             self.refuse(error.error_status_hint, str(error))
+        except Exception:
+            log.exception("a client's request could not be handled")
+            self.transport.abort()  # its connection alone, not the process with all that it holds
+
+    def check_head(self, request: h11.Request) -> None:
+        # The codec bounds only a head that is still coming, not one that came at once.
+        if len(request.target) + sum(len(k) + len(v) for k, v in request.headers) > HEADER_LIMIT:
+            raise BadRequest(431, "the head is too long")
+        length = header(request.headers, b"content-length")
+        # Two lengths may hide a second request in the body: nothing behind such a head is believed.
+        if length and header(request.headers, b"transfer-encoding"):
+            raise BadRequest(400, "both Content-Length and Transfer-Encoding")
+        if length and int(length) > BODY_LIMIT:
+            raise BadRequest(413, "the body is too long")
 
     def act(self) -> None:
         assert self.request is not None and self.began is not None
@@ -138,6 +164,8 @@
         elif method == b"POST" and target != READY:
             try:
                 message = read_message(self.request, bytes(self.body), self.began, self.server.classes)
+                if not self.server.named(message.destination):
+                    raise BadRequest(404, f"no destination {message.destination}")
             except BadRequest as error:
                 self.answer(error.status, text=str(error))
             else:
@@ -155,16 +183,22 @@
             headers.append(("Retry-After", f"{retry_after / 1e6:.3f}"))
         if close:
             headers.append(("Connection", "close"))
-        self.write(h11.Response(status_code=status, headers=headers))
+        data = self.codec.send(h11.Response(status_code=status, headers=headers)) or b""
         if body and not (self.request and self.request.method == b"HEAD"):
-            self.write(h11.Data(data=body))
-        self.write(h11.EndOfMessage())
+            data += self.codec.send(h11.Data(data=body)) or b""
+        data += self.codec.send(h11.EndOfMessage()) or b""
+        self.transport.write(data)
 
     def answer(self, status: int, retry_after: int | None = None, text: str = "") -> None:
         """Answers the request that has been read whole; then the next one may come."""
+        if self.transport.is_closing():
+            return
         self.respond(status, retry_after, text, close=self.server.stopping)
         if self.codec.our_state is h11.MUST_CLOSE or self.codec.their_state is not h11.DONE:
-            self.transport.close()
+            self.leave()
+            return
+        if self.transport.get_write_buffer_size() > UNREAD_LIMIT:
+            self.transport.abort()
             return
         self.codec.start_next_cycle()
         self.request, self.began, self.answering = None, None, False
@@ -172,56 +206,147 @@
         if self.codec.trailing_data[0]:
             self.began = self.server.now()
             self.server.loop.call_soon(self.advance)
+        else:
+            self.server.idle[self] = None
+            self.transport.resume_reading()
 
     def refuse(self, status: int, text: str = "") -> None:
-        """Answers what is not read to its end. What still comes is read and dropped for a while: closing
-        over unread bytes would reset the connection, and the client might never see its answer."""
-        self.discarding = True
-        self.since = self.server.loop.time()
+        """Answers what is not read to its end."""
         if self.codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.respond(status, None, text, close=True)
-        self.transport.write_eof()
+        self.leave()
 
-    def gone(self) -> bool:
-        """Whether the client has closed already, though the loop has not come to read that."""
-        if self.transport.is_closing():
-            return True
+    def leave(self) -> None:
+        """After the last answer. What still comes is read and dropped for a while: closing over unread bytes
+        would reset the connection, and the client might never see its answer."""
+        self.discarding = True
+        self.since = self.server.loop.time()
+        self.server.silent.pop(self, None)
+        self.server.idle.pop(self, None)
+        if not self.transport.is_closing():
+            self.server.leaving[self] = None
+            self.transport.write_eof()
+            self.transport.resume_reading()
+
+    def has_unread(self, events: int = select.POLLIN) -> bool:
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLRDHUP)
+        poll.register(self.sock.fileno(), events)
         return bool(poll.poll(0))
 
+    def gone(self) -> bool:
+        """Whether the client has closed already, though the loop has not come to read that."""
+        return self.transport.is_closing() or self.has_unread(select.POLLRDHUP)
+
+    def close(self) -> None:
+        """At once: its descriptor is wanted."""
+        self.server.forget(self)
+        if self.transport:
+            self.transport.abort()
+
     def expire(self) -> None:
         """Guards the descriptors from clients that never finish, or never come back."""
         passed = self.server.loop.time() - self.since
-        if self.began is None and not self.discarding:
+        if self.discarding:
+            if passed > LINGER:
+                self.close()
+        elif self in self.server.silent:
+            if passed > READ_LIMIT:
+                self.close()
+        elif self.began is None:
             if passed > IDLE_LIMIT:
                 self.transport.close()
-        elif self.discarding and passed > READ_LIMIT:
-            self.transport.abort()
         elif not self.answering and passed > READ_LIMIT:
             self.refuse(408, "the request did not come in time")
 
 
 class Server:
+    """`most` connections are held at once, and up to `lingering` more that only hear that they are turned
+    away. One more makes room by closing what serves nobody."""
+
     def __init__(
         self,
         classes: dict[str, MessageClass],
         take: Callable[[HandedIn, Connection], None],
         now: Callable[[], int],
         most: int,
+        lingering: int = 16,
+        named: Callable[[int], bool] = lambda destination: True,
     ) -> None:
-        self.classes, self.take, self.now, self.most = classes, take, now, most
+        self.classes, self.take, self.now, self.named = classes, take, now, named
+        self.most, self.lingering = most, lingering
         self.loop = asyncio.get_running_loop()
         self.connections: set[Connection] = set()
+        # Of these, each in the order in which it came to be so:
+        self.silent: dict[Connection, None] = {}  # never spoke
+        self.idle: dict[Connection, None] = {}  # between requests
+        self.leaving: dict[Connection, None] = {}  # have had their last answer
         self.ready = self.stopping = False
-        self.listener: asyncio.Server | None = None
+        self.accepted = 0  # ever
+        self.listener: socket.socket | None = None
 
-    async def listen(self, host: str, port: int) -> None:
-        self.listener = await self.loop.create_server(lambda: Connection(self), host, port, backlog=512)
+    def listen(self, host: str, port: int) -> None:
+        self.listener = socket.create_server((host, port), backlog=512)
+        self.listener.setblocking(False)
+        self.loop.add_reader(self.listener, self.accept)
 
     def address(self) -> Address:
         assert self.listener is not None
-        return self.listener.sockets[0].getsockname()
+        return self.listener.getsockname()
+
+    def accept(self) -> None:
+        for _ in range(ACCEPTS):
+            if self.listener is None:
+                return
+            try:
+                sock = self.listener.accept()[0]
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as error:
+                if error.errno not in NO_DESCRIPTOR:
+                    continue  # it broke before it was taken
+                log.error("no connection could be taken: %s", error)
+                self.make_room()
+                self.loop.remove_reader(self.listener)
+                self.loop.call_later(ACCEPT_PAUSE, self.accept_again)
+                return
+            self.accepted += 1
+            if len(self.connections) >= self.most:
+                self.make_room()
+            if len(self.connections) >= self.most + self.lingering:
+                sock.close()
+                continue
+            sock.setblocking(False)
+            connection = Connection(self, sock)
+            self.connections.add(connection)
+            self.silent[connection] = None
+            task = self.loop.create_task(
+                self.loop.connect_accepted_socket(lambda connection=connection: connection, sock)
+            )
+            task.add_done_callback(lambda task, connection=connection: self.taken_in(task, connection))
+
+    def accept_again(self) -> None:
+        if self.listener:
+            self.loop.add_reader(self.listener, self.accept)
+
+    def taken_in(self, task: asyncio.Task, connection: Connection) -> None:
+        if task.cancelled() or task.exception():
+            self.forget(connection)
+            connection.sock.close()
+
+    def make_room(self) -> None:
+        """Guards usual clients from those that only connect: the oldest that never spoke goes first, then the
+        one that has had its last answer, then the one unused for longest. One whose request has come but is
+        not read yet is none of these."""
+        for kind in (self.silent, self.leaving, self.idle):
+            for connection in list(kind):
+                if kind is self.leaving or not connection.has_unread():
+                    connection.close()
+                    return
+
+    def forget(self, connection: Connection) -> None:
+        self.connections.discard(connection)
+        for kind in (self.silent, self.leaving, self.idle):
+            kind.pop(connection, None)
 
     def expire(self) -> None:
         for connection in list(self.connections):
@@ -234,7 +359,8 @@
     def close(self) -> None:
         """No new connections; those between requests end. A client whose request crosses that sends again."""
         if self.listener:
+            self.loop.remove_reader(self.listener)
             self.listener.close()
-        for connection in list(self.connections):
-            if connection.began is None:
-                connection.transport.close()
+            self.listener = None
+        for connection in [*self.idle, *self.silent]:
+            connection.close()
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -26,9 +26,12 @@
 OVERDUE_SPREADS = 4  # mean deviations above the usual time from which a call is overdue; TCP's time-out rule
 DESTINATION_SLOTS = 0.5  # share of the slots that calls to one destination may hold
 PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
-UNSETTLED = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED})  # may still be running
+UNSETTLED = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.SPOILT, Outcome.CANCELLED})  # may still run
 COLD_PUSH = 0.75  # of fall_multiple: a returning destination is paced at that times its warm share
-ERROR_WEIGHT = 1 / 3  # of a failure: an error is an answer; the paper allows a threshold for each kind
+ANSWERED = frozenset({Outcome.ERROR, Outcome.SPOILT})
+ERROR_WEIGHT = (
+    1 / 3
+)  # of a failure: an error is an answer, also a spoilt one; the paper allows a threshold for each kind
 SCARCE_TIMES = 3  # idle times for which a refused connect makes a crowd close its connections after use
 IDLE_AGE = 600_000_000  # us after which what stands unused is forgotten: far above any outage's length
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
@@ -241,7 +244,7 @@
                 breaker.trial_at = self.now
 
     def count_failure(self, breaker: Breaker, outcome: Outcome) -> None:
-        weight = ERROR_WEIGHT if outcome is Outcome.ERROR else 1
+        weight = ERROR_WEIGHT if outcome in ANSWERED else 1
         breaker.failed(self.now, weight, max(FAILURE_THRESHOLD / breaker.crowd, 2))
 
     def within_share(self, tenant: str) -> float:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -103,22 +103,26 @@
 
 
 class Platform(Peer):
-    """Discovery, whose watch the test feeds, and the notices in `requests`."""
+    """Discovery, whose watch the test feeds, and the notices and calls for the list in `requests`."""
 
     def __init__(self) -> None:
         super().__init__()
         self.watches: asyncio.Queue[Request] = asyncio.Queue()
 
     def came(self, request: Request) -> None:
-        if request.method == "POST":
+        if "watch" not in request.target:
             self.requests.put_nowait(request)
             return
         request.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
         self.watches.put_nowait(request)
 
 
+def list_line(seq: int, *hosts: dict[str, Any], whole: bool = False) -> str:
+    return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}) + "\n"
+
+
 def tell(watch: Request, seq: int, *hosts: dict[str, Any], whole: bool = False) -> None:
-    text = json.dumps({"seq": seq, "whole": whole, "hosts": hosts}) + "\n"
+    text = list_line(seq, *hosts, whole=whole)
     watch.write(f"{len(text):x}\r\n{text}\r\n")
 
 
@@ -172,7 +176,8 @@
         await super().__aenter__()
         self.receiver = await self.enter_async_context(Peer())
         self.platform = await self.enter_async_context(Platform())
-        self.told = config_json(self.platform, host(self.receiver.dial), **self.kind)
+        empty = host("127.0.0.1:9", "d", block=9, health="draining")  # destination 9 has no endpoint now
+        self.told = config_json(self.platform, host(self.receiver.dial), empty, **self.kind)
         self.running = await self.enter_async_context(Running(self.told, self.state))
         self.sender, self.hand_in = self.running.sender, self.running.hand_in
         return self
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -7,12 +7,14 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 
+import h11
 import pytest
 from peers import Peer, handed_in, play, soon
 
 from elmglade.interface import Outcome
 from elmglade.net import client as module
-from elmglade.net.client import Answer, Client
+from elmglade.net import http
+from elmglade.net.client import Answer, Client, answer_from
 from elmglade.net.http import Address, Connection
 
 ANSWERS = [
@@ -31,13 +33,19 @@
 def call(
     client: Client, address: Address, timeout: float = 10, body: bytes = b"x", may_go: bool = True
 ) -> asyncio.Task[Answer]:
-    work = client.call(address, handed_in(body=body), timeout, lambda: may_go)
+    """A call to the endpoint "r", which stands at `address`."""
+    client.dials = lambda: {"r": address}
+    work = client.call("r", handed_in(body=body), timeout, lambda: may_go)
     return asyncio.create_task(work)
 
 
+def client_with(conn_idle: float = 10, connect_timeout: float = 10, most: int = 4) -> Client:
+    return Client(conn_idle, connect_timeout, most, dict)
+
+
 @asynccontextmanager
 async def client_and_receiver(connect_timeout: float = 10) -> AsyncIterator[tuple[Client, Peer]]:
-    client = Client(10, connect_timeout, most_idle=4)
+    client = client_with(connect_timeout=connect_timeout)
     async with Peer() as receiver:
         yield client, receiver
         client.close()
@@ -71,7 +79,7 @@
 async def test_refused_connection_never_ran(_: Path) -> None:
     async with Peer() as receiver:
         address = receiver.address
-    assert (await soon(call(Client(10, 10, 4), address))).outcome is Outcome.CONNECT_FAILED
+    assert (await soon(call(client_with(), address))).outcome is Outcome.CONNECT_FAILED
 
 
 def test_connection_that_never_comes_up_never_ran(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -80,7 +88,7 @@
         raise AssertionError
 
     async def test(_: Path) -> None:
-        for client, timeout in ((Client(10, 0.01, 4), 10), (Client(10, 10, 4), 0.01)):
+        for client, timeout in ((client_with(connect_timeout=0.01), 10), (client_with(), 0.01)):
             answer = await soon(call(client, ("127.0.0.1", 1), timeout=timeout))
             assert answer.outcome is Outcome.CONNECT_FAILED
 
@@ -98,7 +106,7 @@
             listener.bind(("127.0.0.1", 0))
             listener.listen()
             listener.setblocking(False)
-            going = call(Client(10, 10, 4), listener.getsockname(), body=b"x" * 65536)
+            going = call(client_with(), listener.getsockname(), body=b"x" * 65536)
             other, _peer = await soon(loop.sock_accept(listener))
             assert await soon(loop.sock_recv(other, 10))
             other.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
@@ -125,19 +133,157 @@
         assert receiver.requests.empty() and receiver.accepted == 1
 
 
-@pytest.mark.parametrize("text", ["HTTP/1.1 2", "nonsense\r\n\r\n"])
-def test_an_answer_cut_short_or_unreadable_is_a_reset(text: str) -> None:
+def head(status: str, *lines: str) -> str:
+    return "\r\n".join([f"HTTP/1.1 {status}", *lines, "", ""])
+
+
+DELIVERED, MAY_HAVE_RUN = Answer(Outcome.OK, finished=True), Answer(Outcome.SPOILT)
+SPOILT = [
+    ("\x16\x03\x01 noise", MAY_HAVE_RUN),
+    ("nonsense\r\n\r\n", MAY_HAVE_RUN),
+    (head("OK"), MAY_HAVE_RUN),
+    (head("503 Full", "Content-Length: minus"), MAY_HAVE_RUN),
+    (head("500 Oh", "no colon here"), MAY_HAVE_RUN),
+    (head("100 Continue") * 20, MAY_HAVE_RUN),
+    (head("503 Full", "Content-Length: 3000000000") + "x", MAY_HAVE_RUN),
+    (head("100 Continue") + head("200 OK", "no colon here"), DELIVERED),
+    (head("200 OK", "Content-Length: minus"), DELIVERED),
+    (head("200 OK", "Content-Length: 1", "Content-Length: 2"), DELIVERED),
+    (head("200 OK", "Content-Length: 3000000000") + "x", DELIVERED),
+    (head("200 OK", "Transfer-Encoding: chunked") + "zz\r\n", DELIVERED),
+    ("HTTP/1.1 200 OK\r\nand no end", DELIVERED),
+    (head("200 OK", "X-Pad: " + "x" * 20_000), DELIVERED),
+]
+
+
+@pytest.mark.parametrize(("text", "answer"), SPOILT)
+def test_a_spoilt_answer_has_its_outcome_at_once_and_its_connection_ends(text: str, answer: Answer) -> None:
+    """The receiver leaves the connection open: nothing but what has come can decide. Guards against waiting
+    for the deadline, and against taking a message that has run for one that has not."""
+
     async def test(_: Path) -> None:
         async with client_and_receiver() as (client, receiver):
             going = call(client, receiver.address)
-            request = await receiver.next()
-            request.write(text)
-            request.writer.close()
-            assert (await soon(going)).outcome is Outcome.RESET
+            (await receiver.next()).write(text)
+            assert await soon(going) == answer
+            if "x" * 20_000 not in text:
+                await soon(receiver.ends.get())
+                assert not client.pool and not client.open
+
+    play(test)(Path())
+
+
+def test_what_does_not_end_is_given_up_long_before_the_deadline(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def test(_: Path) -> None:
+        async with client_and_receiver() as (client, receiver):
+            for text, answer in (
+                ("HTTP/1.1 503 Fu", MAY_HAVE_RUN),
+                (head("429 Wait", "Retry-After: 2", "Content-Length: 9") + "half", Outcome.TIMEOUT),
+            ):
+                going = call(client, receiver.address, timeout=3600)
+                (await receiver.next()).write(text)
+                told = await soon(going)
+                assert told == answer or (told.outcome is answer and told.wait == 2_000_000)
+                await soon(receiver.ends.get())
 
+    monkeypatch.setattr(http, "HEAD_PATIENCE", 0.05)
+    monkeypatch.setattr(module, "BODY_PATIENCE", 0.05)
     play(test)(Path())
 
 
+@pytest.mark.parametrize("behind", [head("200 OK", "Content-Length: 0"), "noise"])
+def test_what_comes_behind_an_answer_is_not_the_next_calls_answer(behind: str) -> None:
+    """Guards against a second copy that ends the next message while its call is still out: seen as second
+    copies, broken order and lost messages at once."""
+
+    async def test(_: Path) -> None:
+        async with client_and_receiver() as (client, receiver):
+            going = call(client, receiver.address)
+            (await receiver.next()).write(head("200 OK", "Content-Length: 2") + "ok" + behind)
+            assert await soon(going) == DELIVERED
+            again = call(client, receiver.address)
+            (await receiver.next()).answer(503)
+            assert await soon(again) == Answer(Outcome.FULL) and receiver.accepted == 2
+
+    play(test)(Path())
+
+
+@play
+async def test_interim_answers_and_unreadable_load_reports_do_no_harm(_: Path) -> None:
+    async with client_and_receiver() as (client, receiver):
+        for _n in range(2):
+            going = call(client, receiver.address)
+            request = await receiver.next()
+            request.write(head("102 Wait") + head("103 Soon", "Link: x"))
+            request.answer(200, "X-Backend-Load: x0=,,=%\xff", body="fine")
+            assert await soon(going) == DELIVERED
+        assert receiver.accepted == 1
+
+
+@play
+async def test_the_outcome_does_not_wait_for_the_body_and_the_connection_is_kept_after_it(_: Path) -> None:
+    async with client_and_receiver() as (client, receiver):
+        going = call(client, receiver.address)
+        request = await receiver.next()
+        request.write(head("200 OK", "Content-Length: 4") + "ha")
+        assert await soon(going) == DELIVERED and not client.pool
+        request.write("lf")
+        await soon(asyncio.gather(*client.draining))
+        assert list(client.pool) == ["r"]
+
+
+@play
+async def test_a_connection_cut_short_is_a_reset(_: Path) -> None:
+    async with client_and_receiver() as (client, receiver):
+        going = call(client, receiver.address)
+        (await receiver.next()).writer.close()
+        assert (await soon(going)).outcome is Outcome.RESET
+
+
+@pytest.mark.parametrize("told", ["1e308", "1_0", "inf", "nan", "-1", "٣", "9" * 400])
+def test_a_wait_that_is_no_plain_number_is_none(told: str) -> None:
+    response = h11.Response(status_code=429, headers=[("Retry-After", told.encode())])
+    assert answer_from(response) == Answer(Outcome.FULL)
+
+
+def test_a_wait_longer_than_any_message_lives_is_cut() -> None:
+    response = h11.Response(status_code=429, headers=[("Retry-After", "999999999999")])
+    assert answer_from(response) == Answer(Outcome.FULL, wait=3_600_000_000)
+
+
+@play
+async def test_an_address_used_again_gets_none_of_the_connections_of_the_one_before(_: Path) -> None:
+    async with client_and_receiver() as (client, receiver):
+        going = call(client, receiver.address)
+        (await receiver.next()).answer(200)
+        await soon(going)
+        assert list(client.pool) == ["r"]
+        client.dials = lambda: {"new": receiver.address}
+        client.drop_gone()
+        await soon(receiver.ends.get())
+        going = asyncio.create_task(client.call("new", handed_in(), 10, lambda: True))
+        request = await receiver.next()
+        client.dials = dict  # it goes while its call is out: what the call used is not kept either
+        request.answer(200)
+        assert await soon(going) == DELIVERED and receiver.accepted == 2
+        await soon(receiver.ends.get())
+        assert not client.pool and not client.open
+
+
+@play
+async def test_a_full_pool_closes_the_connection_idle_for_longest(_: Path) -> None:
+    async with Peer() as receiver:
+        client = client_with(most=2)
+        client.dials = lambda: dict.fromkeys("abc", receiver.address)
+        for endpoint in "abc":
+            going = asyncio.create_task(client.call(endpoint, handed_in(), 10, lambda: True))
+            (await receiver.next()).answer(200)
+            await soon(going)
+        await soon(receiver.ends.get())
+        assert list(client.pool) == ["b", "c"] and len(client.open) == 2
+        client.close()
+
+
 @play
 async def test_an_answer_whose_body_breaks_off_stands(_: Path) -> None:
     async with client_and_receiver() as (client, receiver):
@@ -187,7 +333,7 @@
             assert receiver.accepted == accepted
             request.answer(200, *(["Connection: close"] if spoil == "close" else []))
             assert (await soon(going)).outcome is Outcome.OK
-            kept = client.pool.get(receiver.address, [])
+            kept = client.pool.get("r", [])
             assert len(kept) == (spoil != "close")
             if spoil == "ended":
                 request.writer.close()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 import pytest
-from peers import Platform, host, play, soon, tell
+from peers import Platform, host, list_line, play, soon, tell
 
 from elmglade import interface as face
 from elmglade.interface import EndpointState, Listing
@@ -116,3 +116,92 @@
         (await platform.next()).answer(400)
         (await platform.next()).answer(204)
         assert [await soon(answered.get()) for _ in "abc"] == ["a", "b", "c"]
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        {"health": "unwell"},
+        {"dial": "127.0.0.1:port"},
+        {"dial": "127.0.0.1:²"},
+        {"block": "x"},
+        {"block": float("inf")},
+        {"host": []},
+    ],
+)
+def test_a_line_is_applied_whole_or_not_at_all_and_asked_for_again(bad: dict[str, Any]) -> None:
+    """Guards against a change half believed, or lost as its version was taken before it was read."""
+
+    async def test(_: Path) -> None:
+        async with watching() as (discovery, platform, heard, _answered):
+            watch = await soon(platform.watches.get())
+            tell(watch, 42, host(NEW, "new"), host(OLD) | bad)
+            assert (await soon(heard.get())).listing is Listing.FAILED
+            assert (discovery.seq, discovery.dials) == (41, {"r": ("127.0.0.1", 1)})
+
+    play(test)(Path())
+
+
+@play
+async def test_an_unknown_host_that_is_gone_costs_nothing_of_its_line(_: Path) -> None:
+    async with watching() as (discovery, platform, heard, _answered):
+        watch = await soon(platform.watches.get())
+        tell(watch, 42, host(OLD, "never seen", health="gone"), host(NEW, "new"))
+        assert (await soon(heard.get())).listing is Listing.CHANGES
+        assert discovery.seq == 42 and list(discovery.dials) == ["r", "new"]
+
+
+@play
+async def test_destinations_once_named_stay_named(_: Path) -> None:
+    async with watching() as (discovery, platform, heard, _answered):
+        tell(await soon(platform.watches.get()), 42, host(NEW, "new", block=8), whole=True)
+        await soon(heard.get())
+        assert discovery.destinations == {3, 8}
+
+
+@play
+async def test_a_watch_moves_to_a_new_address_without_a_gap(_: Path) -> None:
+    """The versions of another service mean nothing to this one: its whole list is asked for. Until that has
+    come, the old address is heard; then it is not."""
+    async with watching() as (discovery, old, heard, _answered), Platform() as new:
+        watch = await soon(old.watches.get())
+        discovery.move(new.address)
+        moved = asyncio.create_task(discovery.watch())
+        (await new.next()).answer(503)
+        asked = await new.next()
+        assert (asked.method, asked.target) == ("GET", "/registry/instances")
+        tell(watch, 99, host(OLD, health="draining"))
+        assert (await soon(heard.get())).endpoints[0].state is EndpointState.DRAINING
+        asked.answer(200, body=list_line(7, host(NEW, "new"), whole=True))
+        told = await soon(heard.get())
+        assert (told.listing, [each.id for each in told.endpoints]) == (Listing.FULL, ["new"])
+        assert (await soon(new.watches.get())).target.endswith("after=7")
+        tell(watch, 100, host(OLD))
+        await soon(old.ends.get())  # the old watch ends without a word, and what it told last is not heard
+        assert heard.empty() and discovery.seq == 7 and list(discovery.dials) == ["new"]
+        moved.cancel()
+
+
+@play
+async def test_a_notice_under_way_is_told_again_at_the_new_address(_: Path) -> None:
+    async with watching() as (discovery, old, _heard, answered), Platform() as new:
+        discovery.notify("a", "failed")
+        first = await old.next()
+        discovery.move(new.address)
+        first.break_off()
+        again = await new.next()
+        assert again.body == first.body
+        again.answer(204)
+        assert await soon(answered.get()) == "a"
+
+
+@play
+async def test_a_kept_connection_for_notices_moves_too(_: Path) -> None:
+    async with watching() as (discovery, old, _heard, answered), Platform() as new:
+        discovery.notify("a", "failed")
+        (await old.next()).answer(204)
+        await soon(answered.get())
+        discovery.move(new.address)
+        discovery.notify("b", "failed")
+        (await new.next()).answer(204)
+        assert await soon(answered.get()) == "b" and old.requests.empty()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -106,3 +106,22 @@
         process = await start(config_json(platform), tmp_path / "nowhere")
         _, text = await soon(process.communicate())
         assert process.returncode == 1 and len(text.splitlines()) == 1 and b"nowhere" in text
+
+
+@play
+async def test_sighup_moves_discovery_and_a_bad_file_changes_nothing(tmp_path: Path) -> None:
+    state = tmp_path / "state"
+    state.mkdir()
+    async with Peer() as receiver, Platform() as old, Platform() as new:
+        told = config_json(old, host(receiver.dial))
+        async with running(told, state) as (process, address):
+            await soon(old.watches.get())
+            (tmp_path / "config.json").write_text("{")
+            process.send_signal(signal.SIGHUP)
+            while b"is not used" not in await soon(process.stderr.readline()):
+                assert process.returncode is None
+            (tmp_path / "config.json").write_text(json.dumps(config_json(new, host(receiver.dial))))
+            process.send_signal(signal.SIGHUP)
+            assert (await new.next()).target == "/registry/instances"
+            assert (await ask(address, message("m1"))).status == 202
+            assert (await receiver.next()).id == "m1"
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -12,7 +12,7 @@
 from elmglade.interface import Outcome
 from elmglade.net import sender as module
 from elmglade.net.journal import Attempt, Journal
-from elmglade.net.sender import Sender
+from elmglade.net.sender import Descriptors, Sender
 
 GONE = {"X_Route_To": "dest=9"}  # no endpoint: held until its time is up
 SHORT = {"X_Time_Left": "0.05"}
@@ -310,3 +310,42 @@
             assert (restored.attempts, restored.risky_since, restored.risky_zone) == (3, 1001, "z1")
 
     play(test)(tmp_path)
+
+
+@play
+async def test_an_id_that_is_over_is_not_a_new_message(state: Path) -> None:
+    """Guards against a second effect by the same hand-in once more, as by one whose answer was lost."""
+    async with World(state) as world:
+        await world.hand_in("m1")
+        (await world.receiver.next()).answer(200)
+        while world.sender.journal.entries:
+            await asyncio.sleep(0.001)
+        assert (await world.hand_in("m1")).status == 202
+        await world.hand_in("m2")
+        assert (await world.receiver.next()).id == "m2" and world.receiver.requests.empty()
+
+
+@play
+async def test_a_destination_that_is_only_empty_now_is_not_unknown(state: Path) -> None:
+    async with World(state) as world:
+        assert (await world.hand_in("m1", X_Route_To="dest=8")).status == 404
+        assert (await world.hand_in("m2", **GONE)).status == 202
+
+
+@play
+async def test_no_timer_outlives_an_earlier_one(state: Path) -> None:
+    """Guards a process that lasts: the module asks for ever earlier times and unsets none."""
+    async with World(state) as world:
+        asked = [module.face.WakeAfter(each * 1_000_000) for each in (50, 40, 30)]
+        timers = []
+        for each in asked:
+            world.sender.act(each, set())
+            timers.append(world.sender.wake)
+        assert [each.cancelled() for each in timers] == [True, True, False]
+
+
+@pytest.mark.parametrize("sockets", [64, 256, 384, 1024])
+def test_the_shares_of_the_descriptors_add_up(sockets: int) -> None:
+    share = Descriptors.of(sockets, slots=12)
+    assert share.clients + share.lingering + share.calls + Descriptors.OWN <= max(sockets, 64)
+    assert share.calls >= 16 and (sockets < 256 or share.clients > sockets / 3)
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -1,6 +1,7 @@
 """Clients in: what is read, and what is turned away without harm."""
 
 import asyncio
+import errno
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -10,7 +11,7 @@
 
 from elmglade import interface as face
 from elmglade.net.message import HandedIn
-from elmglade.net.server import LINGERING, Connection, Server
+from elmglade.net.server import IDLE_LIMIT, LINGER, LINGER_BYTES, READ_LIMIT, Connection, Server
 
 KEYED = face.MessageClass("c", 800_000, 8_000_000, 1.0, 0.1, face.Effect.KEYED, window=5_000_000)
 NOW = 1_000_000_000
@@ -25,7 +26,7 @@
         connection.answer(202)
 
     server = Server({"c": KEYED}, take, lambda: NOW, most)
-    await server.listen("127.0.0.1", 0)
+    server.listen("127.0.0.1", 0)
     server.ready = True
     yield server, taken
     server.close()
@@ -52,6 +53,9 @@
     (message("m", X_Time_Left="nan"), 400),
     (message("m", X_Time_Left="-1"), 400),
     (message("m", X_Time_Left="1e400"), 400),
+    (message("m", X_Time_Left="1e308"), 400),
+    (message("m", X_Time_Left="1_0"), 400),
+    (message("m", X_Time_Left="9" * 400), 400),
     (message("m", X_Route_To="dest=x"), 400),
     (message("m", X_Route_To="dest=²"), 400),
     (message("m", X_Route_To="elsewhere"), 400),
@@ -121,37 +125,172 @@
         writer.close()
 
 
+class Held:
+    """A connection that a test keeps."""
+
+    @classmethod
+    async def open(cls, server: Server, data: bytes = b"") -> "Held":
+        held, seen = cls(), server.accepted
+        held.reader, held.writer = await asyncio.open_connection(*server.address())
+        held.writer.write(data)
+        while server.accepted == seen:
+            await asyncio.sleep(0)
+        return held
+
+    async def ended(self) -> bytes:
+        try:
+            return await soon(self.reader.read())
+        except ConnectionResetError:
+            return b""
+
+
 @play
-async def test_more_connections_than_allowed_are_turned_away(_: Path) -> None:
+async def test_silent_and_idle_connections_make_room_for_those_that_ask(_: Path) -> None:
+    """Guards usual clients against some that connect by hundreds and say nothing."""
+    async with serving(most=3) as (server, taken):
+        usual = await Held.open(server, message("a"))
+        assert (await read_reply(usual.reader)).status == 202
+        silent = [await Held.open(server) for _ in range(2)]
+        assert (await raw(server, message("b"))).status == 202
+        assert await silent[0].ended() == b""
+        late = [await Held.open(server) for _ in range(20)]
+        usual.writer.write(message("c"))
+        assert (await read_reply(usual.reader)).status == 202
+        assert [each.id for each in taken] == ["a", "b", "c"]
+        assert len(server.connections) <= 3 + server.lingering
+        for each in (usual, *silent, *late):
+            each.writer.close()
+
+
+@play
+async def test_with_every_connection_at_work_one_more_is_turned_away(_: Path) -> None:
     async with serving(most=1) as (server, _taken):
-        reader, writer = await asyncio.open_connection(*server.address())
-        writer.write(message("a"))
-        assert (await read_reply(reader)).status == 202
+        half = await Held.open(server, message("a")[:30])
+        while server.silent or not server.connections:
+            await asyncio.sleep(0)
         assert (await raw(server, b"")).status == 503
-        server.most = -LINGERING
-        flood, flood_writer = await asyncio.open_connection(*server.address())
-        assert await soon(flood.read()) == b""
-        flood_writer.close()
-        writer.close()
+        server.lingering = -1
+        assert await (await Held.open(server, b"x")).ended() == b""
+        half.writer.close()
+
+
+@play
+async def test_no_descriptor_left_stops_accepting_for_a_moment_only(_: Path) -> None:
+    async with serving() as (server, _taken):
+        idle = await Held.open(server, message("a"))
+        assert (await read_reply(idle.reader)).status == 202
+        assert server.listener is not None
+        listener, tries = server.listener, iter([OSError(errno.EMFILE, "none left")])
+
+        class Short:
+            def __getattr__(self, name: str) -> object:
+                return getattr(listener, name)
+
+            def accept(self) -> object:
+                for error in tries:
+                    raise error
+                return listener.accept()
+
+        server.loop.remove_reader(listener)
+        server.listener = Short()  # type: ignore[assignment]
+        server.loop.add_reader(listener, server.accept)
+        assert (await raw(server, message("b"))).status == 202
+        assert await idle.ended() == b""  # what served nobody made room
 
 
 @play
 async def test_connections_that_never_finish_or_never_come_back_are_closed(_: Path) -> None:
+    """A request that drips in has its time from connecting: each drop does not give it more."""
     async with serving() as (server, _taken):
-        half, half_writer = await asyncio.open_connection(*server.address())
-        half_writer.write(message("m")[:30])
-        idle, idle_writer = await asyncio.open_connection(*server.address())
-        while len(server.connections) < 2 or not any(each.began for each in server.connections):
+        half = await Held.open(server, message("m")[:30])
+        silent = await Held.open(server)
+        idle = await Held.open(server, message("i"))
+        assert (await read_reply(idle.reader)).status == 202
+        while len(server.silent) != 1 or len(server.connections) != 3:
+            await asyncio.sleep(0)
+        server.expire()
+        assert len(server.connections) == 3
+        for connection in server.connections:
+            connection.since -= READ_LIMIT + 0.1
+        (dripping,) = [each for each in server.connections if each.began]
+        half.writer.write(message("m")[30:40])
+        while len(dripping.codec.trailing_data[0]) < 40:
             await asyncio.sleep(0)
         server.expire()
-        assert len(server.connections) == 2
+        assert (await read_reply(half.reader)).status == 408
+        assert await silent.ended() == b""
         for connection in server.connections:
-            connection.since -= 100
+            connection.since -= IDLE_LIMIT
         server.expire()
-        assert (await read_reply(half)).status == 408
-        assert await soon(idle.read()) == b""
-        half_writer.close()
-        idle_writer.close()
+        assert await idle.ended() == b"" and await half.ended() == b""
+        for each in (half, silent, idle):
+            each.writer.close()
+
+
+@play
+async def test_what_follows_a_refused_head_is_dropped_and_the_answer_still_read(_: Path) -> None:
+    async with serving() as (server, taken):
+        held = await Held.open(server, message("m", b"x" * 65537) + b"x" * 8_000_000)
+        assert (await read_reply(held.reader)).status == 413
+        (connection,) = server.connections
+        while connection.transport.is_reading():
+            await asyncio.sleep(0)
+        assert connection.dropped < 2 * LINGER_BYTES and taken == []
+        connection.since -= LINGER + 0.1
+        server.expire()
+        await held.ended()
+        assert not server.connections
+        held.writer.close()
+
+
+@play
+async def test_two_lengths_hide_no_second_request(_: Path) -> None:
+    hidden = message("hidden")
+    head = message("m", hidden).replace(b"Host", b"Transfer-Encoding: chunked\r\nHost")
+    chunked = head.partition(b"\r\n\r\n")[0] + b"\r\n\r\n0\r\n\r\n" + hidden
+    async with serving() as (server, taken):
+        for data in (head, chunked):
+            held = await Held.open(server, data)
+            assert (await read_reply(held.reader)).status == 400
+            assert await held.ended() == b"" and taken == []
+            held.writer.close()
+
+
+@play
+async def test_requests_by_the_hundred_are_not_read_before_their_turn(_: Path) -> None:
+    async with serving() as (server, _taken):
+        server.take = lambda *_: None  # the answer is still pending
+        held = await Held.open(server, message("m"))
+        while not any(each.answering for each in server.connections):
+            await asyncio.sleep(0)
+        (connection,) = server.connections
+        held.writer.write(message("n", b"x" * 60_000) * 200)
+        while connection.transport.is_reading():
+            await asyncio.sleep(0)
+        assert len(connection.codec.trailing_data[0]) <= 1024 * 1024
+        server.take = lambda _, connection: connection.answer(202)
+        connection.answer(202)
+        for _n in range(201):
+            assert (await read_reply(held.reader)).status == 202
+        held.writer.close()
+
+
+@play
+async def test_a_destination_that_no_list_ever_named_is_turned_away(_: Path) -> None:
+    async with serving() as (server, taken):
+        server.named = lambda destination: destination == 3
+        assert (await raw(server, message("m", X_Route_To="dest=4"))).status == 404
+        assert (await raw(server, message("m"))).status == 202
+        assert [each.destination for each in taken] == [3]
+
+
+@play
+async def test_what_nobody_foresaw_ends_one_connection_only(_: Path) -> None:
+    async with serving() as (server, _taken):
+        take, server.take = server.take, None  # type: ignore[assignment]
+        assert await (await Held.open(server, message("m"))).ended() == b""
+        server.take = take
+        assert (await raw(server, message("m"))).status == 202
 
 
 @play
