--- a/elmglade/net/discovery.py
+++ b/elmglade/net/discovery.py
@@ -190,7 +190,8 @@
                 if status == 400:
                     log.error("a notice was not understood: %s", *sent.values())
                 tries = 0
-                log.info("%d notices answered in %.0f ms", len(sent), (time.monotonic() - began) * 1e3)
+                if (took := time.monotonic() - began) > NOTICE_TIMEOUT / 2:
+                    log.info("%d notices answered in %.0f ms", len(sent), took * 1e3)
                 for message in sent:
                     del self.notices[message]
                     self.answered(message)
--- a/elmglade/net/journal.py
+++ b/elmglade/net/journal.py
@@ -9,7 +9,7 @@
 import logging
 import os
 from collections.abc import Iterator
-from dataclasses import asdict, dataclass, field
+from dataclasses import dataclass, field, fields
 from pathlib import Path
 from typing import Any
 
@@ -18,6 +18,7 @@
 
 FILE, COMPACTED = "journal", "journal.new"
 BLOCK = 512  # a file counts in whole blocks
+HANDED_IN = tuple(each.name for each in fields(HandedIn))
 SPARE = 8  # one part in so many is kept free of new messages, for the attempts and ends of those held
 
 log = logging.getLogger(__name__)
@@ -49,7 +50,8 @@
 
 
 def taken_line(message: HandedIn) -> bytes:
-    return line({"taken": asdict(message) | {"body": base64.b64encode(message.body).decode()}})
+    told = {name: getattr(message, name) for name in HANDED_IN}
+    return line({"taken": told | {"body": base64.b64encode(message.body).decode()}})
 
 
 def attempt_line(message: str, number: int, attempt: Attempt) -> bytes:
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -11,7 +11,7 @@
 import h11
 
 from elmglade.interface import Effect, MessageClass
-from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, Address, decimal, header
+from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, decimal, header
 from elmglade.net.message import HandedIn
 
 READY = "/health/ready"
@@ -72,7 +72,7 @@
     )
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One client's connection: one request at a time."""
 
     transport: asyncio.Transport = None  # type: ignore[assignment]  # until it is up
@@ -98,9 +98,12 @@
     def connection_lost(self, error: Exception | None) -> None:
         self.server.forget(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> bytearray:
+        return self.server.buffer
+
+    def buffer_updated(self, size: int) -> None:
         if self.discarding:
-            self.dropped += len(data)
+            self.dropped += size
             if self.dropped > LINGER_BYTES:
                 self.transport.pause_reading()
             return
@@ -111,7 +114,7 @@
             else:
                 self.since = self.server.loop.time()
             self.server.idle.pop(self, None)
-        self.codec.receive_data(data)
+        self.codec.receive_data(bytes(memoryview(self.server.buffer)[:size]))
         if self.answering:
             self.transport.pause_reading()  # guards against requests by the hundred that nobody has answered
         else:
@@ -275,6 +278,7 @@
         self.classes, self.take, self.now, self.named = classes, take, now, named
         self.most, self.lingering = most, lingering
         self.loop = asyncio.get_running_loop()
+        self.buffer = bytearray(READ_SIZE)  # one for all: what came is copied before another one reads
         self.connections: set[Connection] = set()
         # Of these, each in the order in which it came to be so:
         self.silent: dict[Connection, None] = {}  # never spoke
