Refuse an id that another message has, where 202 took nothing of it on

A log line on such hand-ins showed clients that use the id of another one's open request, with other content: whichever came first was held, and the other, 202 in hand, stood in no key's line. `Sender.take` compared the id alone. Ruled out: cancelled calls and the rest of their keys.

--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -8,7 +8,7 @@
 import signal
 import time
 from collections.abc import Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from functools import partial
 from pathlib import Path
 from typing import Any, ClassVar
@@ -79,6 +79,11 @@
         return (self.base + time.monotonic_ns()) // 1000
 
 
+def content(message: HandedIn) -> int:
+    """Tells whether two hand-ins under one id are the same one. Its time left runs from each anew."""
+    return hash(replace(message, until=0, again=False))
+
+
 def is_taking(event: face.Event, name: str) -> bool:
     return isinstance(event, face.MessageTaken) and event.message == name
 
@@ -103,7 +108,7 @@
         self.inbox: list[face.Event] = []
         self.arrived: dict[str, tuple[HandedIn, Connection]] = {}  # in the inbox, not answered yet
         self.calls: dict[tuple[str, int], asyncio.Task[Answer]] = {}
-        self.ended: dict[str, None] = {}  # ids of messages that are over, oldest first, OVER at most
+        self.ended: dict[str, int] = {}  # messages that are over: id and content, oldest first, OVER at most
         self.watching: asyncio.Task[None] | None = None
         self.wake: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -231,16 +236,25 @@
         )
 
     def take(self, message: HandedIn, connection: Connection) -> None:
-        if message.id in self.journal.entries or message.id in self.ended:
+        known = self.known_as(message.id)
+        if known == content(message):
             connection.answer(202)  # the same hand-in once more: it is already ours, or was
-        elif message.id in self.arrived:
-            connection.answer(400, text="this id is being handed in")
+        elif known is not None or message.id in self.arrived:
+            # Guards a client whose id another one has used: 202 would take nothing of it on, and the order
+            # of its key would not wait for it. It may come again, under a new id.
+            log.warning("the id %s is another message's", message.id)
+            connection.answer(503, self.dispatcher.come_again(), "this id is another message's")
         elif len(self.dispatcher.messages) + len(self.arrived) >= self.settings.max_open:
             connection.answer(503, self.dispatcher.come_again())
         else:
             self.arrived[message.id] = message, connection
             self.post(self.taken(message))
 
+    def known_as(self, name: str) -> int | None:
+        if entry := self.journal.entries.get(name):
+            return content(entry.message)
+        return self.ended.get(name)
+
     def is_named(self, destination: int) -> bool:
         """Whether there ever was such a destination; one whose endpoints are all gone may come back."""
         return destination in self.discovery.destinations
@@ -250,8 +264,9 @@
         self.post(event)
 
     def message_over(self, name: str) -> None:
+        if entry := self.journal.entries.get(name):
+            self.ended[name] = content(entry.message)
         self.journal.ended(name)
-        self.ended[name] = None
         if len(self.ended) > OVER:
             del self.ended[next(iter(self.ended))]
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -161,8 +161,8 @@
         self.sender.stop(0)
         assert await soon(self.task) == 0
 
-    async def hand_in(self, name: str, **headers: str) -> "Reply":
-        return await ask(self.address, message(name, **headers))
+    async def hand_in(self, name: str, body: bytes = b"x", **headers: str) -> "Reply":
+        return await ask(self.address, message(name, body, **headers))
 
 
 class World(AsyncExitStack):
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -349,3 +349,30 @@
     share = Descriptors.of(sockets, slots=12)
     assert share.clients + share.lingering + share.calls + Descriptors.OWN <= max(sockets, 64)
     assert share.calls >= 16 and (sockets < 256 or share.clients > sockets / 3)
+
+
+@pytest.mark.parametrize("over", [False, True])
+def test_an_id_that_another_message_has_is_not_taken_for_it(tmp_path: Path, over: bool) -> None:
+    """Guards against one client's use of another one's id: seen as an order broken, the second of a key sent
+    while the first, answered 202 for what somebody else had handed in, was in no line."""
+
+    async def test(state: Path) -> None:
+        async with World(state, **KEYED) as world:
+            await world.hand_in("m1", X_Session_Key="other")
+            request = await world.receiver.next()
+            if over:
+                request.answer(200)
+                while world.sender.journal.entries:
+                    await asyncio.sleep(0.001)
+            reply = await world.hand_in("m1", X_Session_Key="k")
+            assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
+            assert (await world.hand_in("m1", X_Session_Key="other")).status == 202
+
+    play(test)(tmp_path)
+
+
+@play
+async def test_one_id_twice_in_a_turn_is_one_message(state: Path) -> None:
+    async with World(state) as world:
+        replies = await asyncio.gather(*(world.hand_in("m1", body) for body in (b"x", b"y")))
+        assert sorted(each.status for each in replies) == [202, 503]
