Read requests for a part of each turn only; a told wait binds as its answer is read

Seen: a call went 0.42 s before a told wait was over. A wait took effect four turns of the loop after its bytes had come (`Client.call`, `Sender.call_ended`, `post`, `turn`), and a turn read whatever clients at full speed had sent, hundreds of requests in bursts: more than the 100 ms that are let through. Requests are now read for 3 ms of a turn, clients that have asked well first, and the wait is told from the answer's head.

--- a/elmglade/net/client.py
+++ b/elmglade/net/client.py
@@ -48,10 +48,16 @@
     `most` bounds the connections open at once; to open one more, the one idle for longest is closed."""
 
     def __init__(
-        self, conn_idle: float, connect_timeout: float, most: int, dials: Callable[[], Mapping[str, Address]]
+        self,
+        conn_idle: float,
+        connect_timeout: float,
+        most: int,
+        dials: Callable[[], Mapping[str, Address]],
+        wait_told: Callable[[str, int], None] = lambda endpoint, wait: None,
     ) -> None:
         self.idle_limit = conn_idle * IDLE_SHARE
         self.connect_timeout, self.most, self.dials = connect_timeout, most, dials
+        self.wait_told = wait_told
         # By endpoint, not by address: a new receiver may stand where another one has gone.
         self.pool: dict[str, list[Connection]] = {}
         self.idle: dict[Connection, str] = {}  # the same, the one idle for longest first
@@ -90,7 +96,8 @@
                 if loop.time() >= deadline:
                     raise TimeoutError  # the loop was late: whether this still was a delivery is not known
                 answer = answer_from(response)
-                wait = answer.wait
+                if wait := answer.wait:
+                    self.wait_told(endpoint, wait)
                 if int(header(response.headers, b"content-length") or 0) > BODY_LIMIT:
                     raise Spoilt(response.status_code, "the answer is too long")
                 if answer.outcome in NEVER_RAN:
--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -104,6 +104,7 @@
             config.settings.connect_timeout / 1e6,
             share.calls,
             lambda: self.discovery.dials,
+            lambda endpoint, wait: self.dispatcher.wait_told(endpoint, self.now() + wait),
         )
         self.inbox: list[face.Event] = []
         self.arrived: dict[str, tuple[HandedIn, Connection]] = {}  # in the inbox, not answered yet
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -6,6 +6,7 @@
 import logging
 import select
 import socket
+from collections import deque
 from collections.abc import Callable
 
 import h11
@@ -25,6 +26,7 @@
 # comes at the last moment would be taken for a delivery when its time is up for everybody else.
 ON_THE_WAY = 50_000
 ACCEPTS = 16  # connections taken in one turn of the loop: those at hand have their turn too
+READ_SHARE = 0.003  # s of a turn for reading requests, then what receivers and the clock have to say is heard
 ACCEPT_PAUSE = 0.05  # s until the next try where no descriptor was left
 NO_DESCRIPTOR = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
@@ -89,6 +91,7 @@
         self.body = bytearray()
         self.dropped = 0  # bytes, after a refusal
         self.answering = self.discarding = False
+        self.proven = self.queued = False  # has asked for what could be given; waits to be read on
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -121,12 +124,12 @@
         if self.answering:
             self.transport.pause_reading()  # guards against requests by the hundred that nobody has answered
         else:
-            self.advance()
+            self.server.read_on(self)
 
     def advance(self) -> None:
         """Reads on; whatever a client sends ends in an answer, never in an exception through the loop."""
         try:
-            while not (self.answering or self.discarding):
+            while not (self.answering or self.discarding or self.transport.is_closing()):
                 event = self.codec.next_event()
                 if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                     if self.codec.they_are_waiting_for_100_continue:
@@ -197,6 +200,7 @@
 
     def answer(self, status: int, retry_after: int | None = None, text: str = "") -> None:
         """Answers the request that has been read whole; then the next one may come."""
+        self.proven = status < 400 or status in (429, 503)
         if self.transport.is_closing():
             return
         self.respond(status, retry_after, text, close=self.server.stopping)
@@ -211,13 +215,14 @@
         self.since = self.server.loop.time()
         if self.codec.trailing_data[0]:
             self.began = self.server.now()
-            self.server.loop.call_soon(self.advance)
+            self.server.read_on(self)
         else:
             self.server.idle[self] = None
             self.transport.resume_reading()
 
     def refuse(self, status: int, text: str = "") -> None:
         """Answers what is not read to its end."""
+        self.proven = False
         if self.codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             self.respond(status, None, text, close=True)
         self.leave()
@@ -287,6 +292,7 @@
         self.silent: dict[Connection, None] = {}  # never spoke
         self.idle: dict[Connection, None] = {}  # between requests
         self.leaving: dict[Connection, None] = {}  # have had their last answer
+        self.to_read: tuple[deque[Connection], deque[Connection]] = (deque(), deque())  # proven first
         self.ready = self.stopping = False
         self.accepted = 0  # ever
         self.listener: socket.socket | None = None
@@ -300,6 +306,32 @@
         assert self.listener is not None
         return self.listener.getsockname()
 
+    def read_on(self, connection: Connection) -> None:
+        if not connection.queued:
+            connection.queued = True
+            if not any(self.to_read):
+                self.loop.call_soon(self.read_some)
+            self.to_read[not connection.proven].append(connection)
+
+    def read_some(self) -> None:
+        """Guards the calls out from a flood of requests: they are read for a part of each turn of the loop,
+        those of clients that have asked well before first, but one of the others in any case."""
+        until = self.loop.time() + READ_SHARE
+        proven, others = self.to_read
+        while proven or others:
+            connection = (proven or others).popleft()
+            connection.queued = False
+            connection.advance()
+            if self.loop.time() >= until:
+                break
+        else:
+            return
+        if proven and others:
+            others[0].queued = False
+            others.popleft().advance()
+        if proven or others:
+            self.loop.call_soon(self.read_some)
+
     def accept(self) -> None:
         for _ in range(ACCEPTS):
             if self.listener is None:
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -509,6 +509,11 @@
             self.actions += [face.CloseIdle(name) for name, each in self.idle.items() if not each.out]
         self.idle = {}
 
+    def wait_told(self, endpoint: str, until: int) -> None:
+        """Rule: waits. It binds calls that are about to go before their turn of events comes."""
+        if known := self.endpoints.get(endpoint):
+            known.breaker.wait_until = max(known.breaker.wait_until, until)
+
     def may_still_go(self, endpoint: str, now: int) -> bool:
         """Rules: drains and waits, asked again as a call's first byte goes: its connection took a while."""
         known = self.endpoints.get(endpoint)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -390,3 +390,14 @@
         again = call(client, receiver.address)
         (await receiver.next()).break_off()
         assert (await soon(again)).outcome is Outcome.RESET and receiver.accepted == 3
+
+
+@play
+async def test_a_told_wait_is_heard_before_the_rest_of_its_answer(_: Path) -> None:
+    async with client_and_receiver() as (client, receiver):
+        heard: asyncio.Queue[tuple[str, int]] = asyncio.Queue()
+        client.wait_told = lambda *told: heard.put_nowait(told)
+        going = call(client, receiver.address)
+        (await receiver.next()).write(head("429 Wait", "Retry-After: 2", "Content-Length: 9") + "half")
+        assert await soon(heard.get()) == ("r", 2_000_000)
+        going.cancel()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -255,3 +255,10 @@
             breaker.failed(world.now)
         gaps.append(breaker.cold_gap(world.now))
     assert gaps[1] == 2 / 40 * SECOND / (2.0 * COLD_PUSH * 0.2) < gaps[0]
+
+
+def test_a_told_wait_binds_calls_about_to_go_before_its_events_are_handled() -> None:
+    world = World()
+    world.dispatcher.wait_told("a", world.now + SECOND)
+    assert not world.dispatcher.may_still_go("a", world.now) and sent(world.take()) == []
+    assert sent(world.step(face.WakeUp(), after=SECOND)) == ["m1"]
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -285,6 +285,28 @@
         held.writer.close()
 
 
+@play
+async def test_a_flood_is_read_for_a_part_of_each_turn_and_proven_clients_first(_: Path) -> None:
+    """Guards what receivers say from a loop busy with bad requests: seen as a told wait not heeded."""
+    async with serving(most=40) as (server, taken):
+        usual = await Held.open(server, message("a"))
+        assert (await read_reply(usual.reader)).status == 202
+        read_some, server.read_some = server.read_some, lambda: None  # type: ignore[method-assign]
+        flood = [await Held.open(server, message(f"m{each}")) for each in range(10)]
+        usual.writer.write(message("b"))
+        while sum(map(len, server.to_read)) < 11:
+            await asyncio.sleep(0)
+        server.read_some, clock = read_some, server.loop.time  # type: ignore[method-assign]
+        server.loop.time = lambda: clock() + len(taken)  # type: ignore[method-assign]  # each takes a second
+        read_some()
+        assert [each.id for each in taken] == ["a", "b"]
+        server.loop.time = clock  # type: ignore[method-assign]
+        for each in flood:
+            assert (await read_reply(each.reader)).status == 202
+            each.writer.close()
+        usual.writer.close()
+
+
 @play
 async def test_a_destination_that_no_list_ever_named_is_turned_away(_: Path) -> None:
     async with serving() as (server, taken):
