--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -7,7 +7,8 @@
 import select
 import socket
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from itertools import takewhile
 
 import h11
 
@@ -19,6 +20,9 @@
 # A client that cannot be served is owed an error or a close within 3 s of connecting.
 READ_LIMIT = 2.0  # s for a request to come in whole; the first one's run from connecting
 IDLE_LIMIT = 3.0  # s that a connection may stand with no request open, after its first
+LEAST_IDLE = 2.0  # s for which a client may count on such a connection, unless nothing else makes room
+SILENT_GRACE = 0.3  # s from connecting in which a usual client's request comes
+SILENT_SHARE = 1 / 3  # of the connections that may have just come and be silent
 LINGER = 0.5  # s for the other side to read a last answer
 LINGER_BYTES = 1024 * 1024  # that are still read and dropped meanwhile; then the other side has to wait
 UNREAD_LIMIT = 64 * 1024  # bytes of answers that a client leaves unread before it is cut off
@@ -92,6 +96,7 @@
         self.dropped = 0  # bytes, after a refusal
         self.answering = self.discarding = False
         self.proven = self.queued = False  # has asked for what could be given; waits to be read on
+        self.handed_in = False  # ever
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
@@ -120,6 +125,7 @@
             else:
                 self.since = self.server.loop.time()
             self.server.idle.pop(self, None)
+            self.server.strangers.pop(self, None)
         self.codec.receive_data(bytes(memoryview(self.server.buffer)[:size]))
         if self.answering:
             self.transport.pause_reading()  # guards against requests by the hundred that nobody has answered
@@ -178,6 +184,7 @@
             except BadRequest as error:
                 self.answer(error.status, text=str(error))
             else:
+                self.handed_in = True
                 self.server.take(message, self)
         else:
             self.answer(405 if target == READY or method != b"GET" else 404)
@@ -217,7 +224,7 @@
             self.began = self.server.now()
             self.server.read_on(self)
         else:
-            self.server.idle[self] = None
+            (self.server.idle if self.handed_in else self.server.strangers)[self] = None
             self.transport.resume_reading()
 
     def refuse(self, status: int, text: str = "") -> None:
@@ -232,8 +239,8 @@
         would reset the connection, and the client might never see its answer."""
         self.discarding = True
         self.since = self.server.loop.time()
-        self.server.silent.pop(self, None)
-        self.server.idle.pop(self, None)
+        for kind in (self.server.silent, self.server.strangers, self.server.idle):
+            kind.pop(self, None)
         if not self.transport.is_closing():
             self.server.leaving[self] = None
             self.transport.write_eof()
@@ -290,6 +297,7 @@
         self.connections: set[Connection] = set()
         # Of these, each in the order in which it came to be so:
         self.silent: dict[Connection, None] = {}  # never spoke
+        self.strangers: dict[Connection, None] = {}  # between requests, and never handed a message in
         self.idle: dict[Connection, None] = {}  # between requests
         self.leaving: dict[Connection, None] = {}  # have had their last answer
         self.to_read: tuple[deque[Connection], deque[Connection]] = (deque(), deque())  # proven first
@@ -373,18 +381,29 @@
             connection.sock.close()
 
     def make_room(self) -> None:
-        """Guards usual clients from those that only connect: the oldest that never spoke goes first, then the
-        one that has had its last answer, then the one unused for longest. One whose request has come but is
-        not read yet is none of these."""
-        for kind in (self.silent, self.leaving, self.idle):
-            for connection in list(kind):
-                if kind is self.leaving or not connection.has_unread():
-                    connection.close()
-                    return
+        """Guards usual clients from crowds that only connect, or only ask whether the sender is ready. One
+        whose request has come but is not read yet serves somebody, and so will one that has just come up."""
+        for connection in self.spare():
+            if connection.discarding or not connection.has_unread():
+                connection.close()
+                return
+
+    def spare(self) -> Iterator[Connection]:
+        """Those that serve nobody now, the ones missed least first, and of each kind the oldest."""
+        now = self.loop.time()
+        yield from takewhile(lambda each: now - each.since > SILENT_GRACE, self.silent)
+        yield from self.leaving
+        yield from self.strangers
+        yield from takewhile(lambda each: now - each.since > LEAST_IDLE, self.idle)
+        # A few that have just come are usual clients whose request is on its way; many are a crowd.
+        if len(self.silent) > self.most * SILENT_SHARE:
+            yield from self.silent
+        yield from self.idle
+        yield from self.silent
 
     def forget(self, connection: Connection) -> None:
         self.connections.discard(connection)
-        for kind in (self.silent, self.leaving, self.idle):
+        for kind in (self.silent, self.leaving, self.strangers, self.idle):
             kind.pop(connection, None)
 
     def expire(self) -> None:
@@ -401,5 +420,5 @@
             self.loop.remove_reader(self.listener)
             self.listener.close()
             self.listener = None
-        for connection in [*self.idle, *self.silent]:
+        for connection in [*self.idle, *self.strangers, *self.silent]:
             connection.close()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -17,6 +17,7 @@
     LINGER_BYTES,
     ON_THE_WAY,
     READ_LIMIT,
+    SILENT_GRACE,
     Connection,
     Server,
 )
@@ -161,6 +162,8 @@
         usual = await Held.open(server, message("a"))
         assert (await read_reply(usual.reader)).status == 202
         silent = [await Held.open(server) for _ in range(2)]
+        for connection in server.silent:
+            connection.since -= SILENT_GRACE + 0.1
         assert (await raw(server, message("b"))).status == 202
         assert await silent[0].ended() == b""
         late = [await Held.open(server) for _ in range(20)]
@@ -172,6 +175,42 @@
             each.writer.close()
 
 
+@play
+async def test_a_crowd_that_asks_for_readiness_pushes_out_its_own_and_nobody_who_just_came(_: Path) -> None:
+    """Seen as an incident: with the room full, each new connection was closed before its request had come."""
+    async with serving(most=4) as (server, _taken):
+        usual = await Held.open(server, message("a"))
+        assert (await read_reply(usual.reader)).status == 202
+        fresh = await Held.open(server)
+        crowd = [await Held.open(server, READY) for _ in range(8)]
+        for each in crowd[-2:]:
+            assert (await read_reply(each.reader)).status == 200
+        for held, name in ((fresh, "b"), (usual, "c")):
+            held.writer.write(message(name))
+            assert (await read_reply(held.reader)).status == 202
+        assert len(server.connections) <= 4 + server.lingering
+        for each in (usual, fresh, *crowd):
+            each.writer.close()
+
+
+@play
+async def test_one_who_has_just_come_is_not_closed_for_those_between_requests(_: Path) -> None:
+    """Seen as an incident: with the room full of kept connections, each new one was closed before its request
+    had come, and its client tried again and again."""
+    async with serving(most=4) as (server, taken):
+        kept = [await Held.open(server, message(name)) for name in "abcd"]
+        for each in kept:
+            assert (await read_reply(each.reader)).status == 202
+        fresh = await Held.open(server)
+        late = await Held.open(server, message("e"))
+        assert (await read_reply(late.reader)).status == 202
+        fresh.writer.write(message("f"))
+        assert (await read_reply(fresh.reader)).status == 202
+        assert [each.id for each in taken] == list("abcdef") and await kept[0].ended() == b""
+        for each in (fresh, late, *kept):
+            each.writer.close()
+
+
 @play
 async def test_with_every_connection_at_work_one_more_is_turned_away(_: Path) -> None:
     async with serving(most=1) as (server, _taken):
