Leave connections that say nothing yet alone while others make room

Seen: with the room full, 47 connections a second that had said nothing for 320 ms were closed, and as many requests a second came on new ones; half of the messages were given up as refused though this sender had refused none. A probe of what is accepted, asked and closed ruled out answers (no 4xx or 5xx but to readiness while stopping), the restart (the loss went on in 15 to 20 s with both senders up) and the crowd that asks for readiness (it pushes out its own). Usual clients connect well before they ask: `make_room` took the oldest silent one first. Silent ones now go only when they are many, after those idle for 2 s. What stands unused is looked at four times a second, since what clients are owed within 3 s goes by it.

--- a/elmglade/net/sender.py
+++ b/elmglade/net/sender.py
@@ -25,7 +25,7 @@
 
 STOP_LISTENING = 0.6  # s after SIGTERM; the front deals out new connections for up to 0.4 s more
 STOP = 3.3  # s after SIGTERM: the process ends, well before SIGKILL may come at 3.7 s
-SWEEP = 1.0  # s between looks at connections that stand unused
+SWEEP = 0.25  # s between looks at connections that stand unused; what clients are owed within 3 s goes by it
 TIMER_SLACK = (
     0.0005  # s: a timer must not run before its time on the module's clock, which then sets no other
 )
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -21,7 +21,6 @@
 READ_LIMIT = 2.0  # s for a request to come in whole; the first one's run from connecting
 IDLE_LIMIT = 3.0  # s that a connection may stand with no request open, after its first
 LEAST_IDLE = 2.0  # s for which a client may count on such a connection, unless nothing else makes room
-SILENT_GRACE = 0.3  # s from connecting in which a usual client's request comes
 SILENT_SHARE = 1 / 3  # of the connections that may have just come and be silent
 LINGER = 0.5  # s for the other side to read a last answer
 LINGER_BYTES = 1024 * 1024  # that are still read and dropped meanwhile; then the other side has to wait
@@ -382,7 +381,7 @@
 
     def make_room(self) -> None:
         """Guards usual clients from crowds that only connect, or only ask whether the sender is ready. One
-        whose request has come but is not read yet serves somebody, and so will one that has just come up."""
+        whose request has come but is not read yet serves somebody, and so may one that says nothing yet."""
         for connection in self.spare():
             if connection.discarding or not connection.has_unread():
                 connection.close()
@@ -391,11 +390,10 @@
     def spare(self) -> Iterator[Connection]:
         """Those that serve nobody now, the ones missed least first, and of each kind the oldest."""
         now = self.loop.time()
-        yield from takewhile(lambda each: now - each.since > SILENT_GRACE, self.silent)
         yield from self.leaving
         yield from self.strangers
         yield from takewhile(lambda each: now - each.since > LEAST_IDLE, self.idle)
-        # A few that have just come are usual clients whose request is on its way; many are a crowd.
+        # Some usual clients connect well before they ask; only many that say nothing are a crowd.
         if len(self.silent) > self.most * SILENT_SHARE:
             yield from self.silent
         yield from self.idle
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -17,7 +17,6 @@
     LINGER_BYTES,
     ON_THE_WAY,
     READ_LIMIT,
-    SILENT_GRACE,
     Connection,
     Server,
 )
@@ -162,8 +161,6 @@
         usual = await Held.open(server, message("a"))
         assert (await read_reply(usual.reader)).status == 202
         silent = [await Held.open(server) for _ in range(2)]
-        for connection in server.silent:
-            connection.since -= SILENT_GRACE + 0.1
         assert (await raw(server, message("b"))).status == 202
         assert await silent[0].ended() == b""
         late = [await Held.open(server) for _ in range(20)]
