Fail every system call of every connection once, and contain what that showed

Need: one mend says nothing of the other calls that a peer's state can make raise.

They found: a close that raised out of a call or out of the notices ended the process; the network's ETIMEDOUT on an answer passed for the end of our own patience. Both are mended.

--- a/elmglade/net/http.py
+++ b/elmglade/net/http.py
@@ -1,6 +1,7 @@
 """The calling side of HTTP/1.1 on a plain socket, for receivers and for the platform."""
 
 import asyncio
+import contextlib
 import re
 import socket
 from collections.abc import Iterable
@@ -49,6 +50,12 @@
     return float(text) if DECIMAL.fullmatch(text) else None
 
 
+def close(sock: socket.socket) -> None:
+    """Guards whoever is done with a socket from what its last packets met."""
+    with contextlib.suppress(OSError):
+        sock.close()
+
+
 class Connection:
     """One connection to a server. It never sends anything twice by itself."""
 
@@ -68,7 +75,7 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             await asyncio.get_running_loop().sock_connect(sock, address)
         except BaseException:
-            sock.close()
+            close(sock)
             raise
         return cls(sock, address)
 
@@ -104,7 +111,12 @@
             loop.remove_writer(self.sock)
 
     async def receive(self) -> None:
-        self.codec.receive_data(await asyncio.get_running_loop().sock_recv(self.sock, READ_SIZE))
+        try:
+            data = await asyncio.get_running_loop().sock_recv(self.sock, READ_SIZE)
+        except TimeoutError as error:
+            # The network's ETIMEDOUT; read as our own patience's end, it would pass for a call given up.
+            raise ConnectionResetError(str(error)) from None
+        self.codec.receive_data(data)
 
     def read_event(self) -> h11.Event | None:
         """The next event of what has come; none if more has to come first."""
@@ -189,4 +201,5 @@
         return True
 
     def close(self) -> None:
-        self.sock.close()
+        """Never raises: close(2) frees the descriptor, whatever else it has to say of the connection."""
+        close(self.sock)
--- a/elmglade/net/server.py
+++ b/elmglade/net/server.py
@@ -12,7 +12,7 @@
 import h11
 
 from elmglade.interface import Effect, MessageClass
-from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, decimal, header
+from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, close, decimal, header
 from elmglade.net.message import HandedIn
 from elmglade.net.peer import Cause, Reports, cause_of
 
@@ -398,7 +398,7 @@
         assert self.listener is not None
         self.loop.remove_reader(self.listener)
         if cause is Cause.DEFECT:
-            self.listener.close()
+            close(self.listener)
         else:
             self.make_room()
         self.loop.call_later(ACCEPT_PAUSE, self.accept_again)
@@ -407,14 +407,14 @@
         if len(self.connections) >= self.most:
             self.make_room()
         if len(self.connections) >= self.most + self.lingering:
-            sock.close()
+            close(sock)
             return
         connection = Connection(self, sock)
         try:
             sock.setblocking(False)
         except OSError as error:
             self.reports.tell(error, "taking in")
-            sock.close()
+            close(sock)
             return
         self.connections.add(connection)
         self.silent[connection] = None
@@ -439,7 +439,7 @@
             if connection.transport:
                 connection.transport.abort()  # closes the socket, once the loop has let go of it
             else:
-                connection.sock.close()
+                close(connection.sock)
 
     def make_room(self) -> None:
         """Guards usual clients from crowds that only connect, or only ask whether the sender is ready. One
@@ -481,7 +481,7 @@
         """No new connections; those between requests end. A client whose request crosses that sends again."""
         if self.listener:
             self.loop.remove_reader(self.listener)
-            self.listener.close()
+            close(self.listener)
             self.listener = None
         for connection in [*self.idle, *self.strangers, *self.silent]:
             connection.close()
--- a/tests/faults.py
+++ b/tests/faults.py
@@ -1,8 +1,8 @@
 """Sockets that fail on request: one system call, on one side of the sender, raises one error once.
 
-`Faults` puts a socket class of its own in place of `socket.socket`. A socket's side follows from its ports: the
-sender's listener, a client's connection (accepted there), a call to a receiver, a connection to the platform.
-The scripted peers' own sockets have no side and never fail. `register` stands for epoll_ctl(2).
+`Faults` puts a socket class of its own in place of `socket.socket`. A socket's side follows from its ports:
+the sender's listener, a client's connection (accepted there), a call to a receiver, a connection to the
+platform. The scripted peers' own sockets have no side and never fail. `register` stands for epoll_ctl(2).
 """
 
 import asyncio
@@ -18,6 +18,8 @@
 import pytest
 
 REAL = socket.socket
+CALLED = ("receiver", "platform")
+NOT_YET = "not connected yet"  # one of the sides that the sender calls, which one is not known
 
 
 class Faults:
@@ -34,7 +36,9 @@
 
     def due(self, side: str, call: str) -> int:
         """The error that this call has to raise now, 0 for none."""
-        if self.armed is None or self.armed[:2] != (side, call):
+        if self.armed is None or self.armed[1] != call:
+            return 0
+        if side != self.armed[0] and not (side == NOT_YET and self.armed[0] in CALLED):
             return 0
         error, self.armed = self.armed[2], None
         self.struck += 1
@@ -59,8 +63,8 @@
         self.side = ""
         # Only the sender's calls open a plain TCP socket by hand; whom for shows when they connect.
         if told == (socket.AF_INET, socket.SOCK_STREAM) and not more:
-            for side in ("receiver", "platform"):
-                self.faults.strike(side, "socket")
+            self.side = NOT_YET
+            self.faults.strike(self.side, "socket")
         super().__init__(*told, **more)
         self.faults.sockets.add(self)
 
@@ -103,7 +107,9 @@
     return method
 
 
-for each in ("recv", "recv_into", "send", "shutdown", "getsockname", "getpeername", "setsockopt", "setblocking"):
+for each in ("recv", "recv_into", "send", "shutdown"):
+    setattr(FaultySocket, each, failing(each))
+for each in ("getsockname", "getpeername", "setsockopt", "setblocking"):
     setattr(FaultySocket, each, failing(each))
 
 
