--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -9,10 +9,10 @@
 from pathlib import Path
 from typing import Any
 
-from elmglade.net.discovery import Listed
-from elmglade.net.http import address_from
-from elmglade.net.peer import describe
-from elmglade.net.sender import Config, Sender
+from elmglade.core.peer import describe
+from elmglade.http.codec import address_from
+from elmglade.http.daemon import Config, Sender
+from elmglade.http.platform import Listed
 from elmglade.settings import settings_from
 
 MEGABYTE = 1_000_000
--- a/elmglade/net/sender.py
+++ b/elmglade/core/engine.py
@@ -1,36 +1,30 @@
-"""One real sender: owns the decision module, feeds it what happened and does what it says.
+"""The engine: owns the decision module, feeds it what happened and does what it says.
 
-The only place that joins the server, the calls, discovery and the journal.
+The only place that joins doors, couriers, a directory, a teller and the journal. It knows their ports alone
+(elmglade/core/ports.py). All of it runs on one asyncio loop; nothing here is safe to call from another
+thread.
 """
 
 import asyncio
 import logging
-import signal
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, replace
 from functools import partial
 from pathlib import Path
-from typing import Any, ClassVar
+from typing import Any
 
 from elmglade import interface as face
+from elmglade.core.peer import describe
+from elmglade.core.ports import Answer, Caller, Courier, Directory, End, State, Teller, TurnedAway, Why
 from elmglade.interface import Outcome
-from elmglade.net.client import Answer, Client
-from elmglade.net.discovery import Discovery, Listed
-from elmglade.net.http import Address
-from elmglade.net.journal import Attempt, Entry, Journal
-from elmglade.net.message import HandedIn
-from elmglade.net.peer import describe, transport_in
-from elmglade.net.server import ACCEPTS, Connection, Server
+from elmglade.journal.file import Attempt, Entry, Journal
+from elmglade.message import HandedIn
 from elmglade.rules import Dispatcher
 
-STOP_LISTENING = 0.6  # s after SIGTERM; the front deals out new connections for up to 0.4 s more
-STOP = 3.3  # s after SIGTERM: the process ends, well before SIGKILL may come at 3.7 s
-SWEEP = 0.25  # s between looks at connections that stand unused; what clients are owed within 3 s goes by it
-TIMER_SLACK = (
-    0.0005  # s: a timer must not run before its time on the module's clock, which then sets no other
-)
-
+SWEEP = 0.25  # s between chores; what clients are owed within 3 s goes by it
+# s: a timer must not run before its time on the module's clock, which then sets no other
+TIMER_SLACK = 0.0005
 OVER = 4096  # ids of messages that are over and still known: more than come in the longest deadline
 
 log = logging.getLogger(__name__)
@@ -38,36 +32,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Config:
+    """What the engine itself needs to know."""
+
     name: str
-    listen: Address
-    discovery: Address
-    state: Path
+    state: Path  # the folder that outlasts the process
     seed: int
-    disk_bytes: int
-    sockets: int
-    known: Listed
+    disk_bytes: int  # that may stand in it
     settings: face.Settings
-
-
-@dataclass(frozen=True, slots=True)
-class Descriptors:
-    """How the descriptors that the configuration allows are shared out: all that opens one counts here."""
-
-    # The standard streams, the loop's three, the listener, the journal and its copy, the configuration, the
-    # watch and the notices with their successors at a new address: 14; and a turn's accepted connections,
-    # which push out others that close only after it.
-    OWN: ClassVar[int] = 20 + ACCEPTS
-
-    clients: int
-    lingering: int  # clients above these that only hear that they are turned away
-    calls: int  # with the connections that are kept for the next ones
-
-    @classmethod
-    def of(cls, sockets: int, slots: int) -> "Descriptors":
-        """Clients get half; they may need a third. Calls get the rest, all slots in any case."""
-        lingering = sockets // 16
-        calls = max(sockets - cls.OWN - sockets // 2, slots + 4)
-        return cls(max(sockets - cls.OWN - lingering - calls, 1), lingering, calls)
+    known: tuple[face.Endpoint, ...]  # the endpoints as last told; may be old
 
 
 class Clock:
@@ -77,6 +49,7 @@
         self.base = time.time_ns() - time.monotonic_ns()
 
     def now(self) -> int:
+        """Microseconds since the epoch."""
         return (self.base + time.monotonic_ns()) // 1000
 
 
@@ -89,70 +62,50 @@
     return isinstance(event, face.MessageTaken) and event.message == name
 
 
-class Sender:
-    def __init__(self, config: Config) -> None:
+class Engine:
+    """One sender without its protocols. Build it on its loop, `plug` the ports in, `start` it, `close` it."""
+
+    courier: Courier
+    directory: Directory
+    teller: Teller
+
+    def __init__(self, config: Config, clock: Callable[[], int] | None = None) -> None:
+        """Opens the journal. Raises OSError where the state folder cannot be used."""
         self.config, self.settings = config, config.settings
         self.loop = asyncio.get_running_loop()
-        self.now = Clock().now
+        self.now = clock or Clock().now
         self.dispatcher = Dispatcher(config.settings, config.seed)
         self.journal = Journal(config.state, config.disk_bytes)
-        classes = {each.name: each for each in config.settings.classes}
-        share = Descriptors.of(config.sockets, config.settings.slots)
-        self.server = Server(classes, self.take, self.now, share.clients, share.lingering, self.is_named)
-        self.discovery = Discovery(config.discovery, config.known, self.list_told, self.end_answered)
-        self.client = Client(
-            config.settings.conn_idle / 1e6,
-            config.settings.connect_timeout / 1e6,
-            share.calls,
-            lambda: self.discovery.dials,
-            lambda endpoint, wait: self.dispatcher.wait_told(endpoint, self.now() + wait),
-        )
         self.inbox: list[face.Event] = []
-        self.arrived: dict[str, tuple[HandedIn, Connection]] = {}  # in the inbox, not answered yet
+        self.arrived: dict[str, tuple[HandedIn, Caller]] = {}  # in the inbox, not answered yet
+        self.callers: dict[str, Caller] = {}  # those that wait for the end of a message that is taken on
+        self.withdrawn: set[str] = set()  # called off by their callers while an attempt was out
         self.calls: dict[tuple[str, int], asyncio.Task[Answer]] = {}
         self.ended: dict[str, int] = {}  # messages that are over: id and content, oldest first, OVER at most
+        self.chores: list[Callable[[], None]] = []  # of the doors, done in each sweep
+        self.attempt_ended: Callable[[], None] = lambda: None  # for who waits until nothing is owed
         self.watching: asyncio.Task[None] | None = None
         self.wake: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
         self.turning = self.over = False
-        self.defect = ""  # the line that names what ends the process
+        self.defect = ""  # the line that names what ended it
         self.stopped: asyncio.Future[int] = self.loop.create_future()
 
     # Start and stop.
 
-    async def start(self) -> None:
-        """Takes over what the journal holds; only then do clients hear that the sender is ready."""
-        self.loop.set_exception_handler(lambda _, context: self.loop_failed(context))
-        self.loop.add_signal_handler(signal.SIGTERM, self.terminate)
-        self.loop.add_signal_handler(signal.SIGINT, self.terminate)
-        known = self.config.known
-        self.post(face.EndpointsListed(face.Listing.CACHED, known.endpoints))
+    def plug(self, courier: Courier, directory: Directory, teller: Teller) -> None:
+        self.courier, self.directory, self.teller = courier, directory, teller
+
+    def start(self) -> None:
+        """Takes over what the journal holds; only then may a door say that it is ready."""
+        self.post(face.EndpointsListed(face.Listing.CACHED, self.config.known))
         for entry in self.journal.entries.values():
-            self.discovery.destinations.add(entry.message.destination)
+            self.directory.remember(entry.message.destination)
             self.post(self.restored(entry))
         log.info("%s: %d messages taken over from the journal", self.config.name, len(self.journal.entries))
         self.turn()
-        self.spawn(self.discovery.tell())
+        self.spawn(self.teller.run())
         self.spawn(self.sweep())
-        self.server.listen(*self.config.listen)
-        self.server.ready = not self.server.stopping
-        host, port = self.server.address()
-        log.info("%s: ready on %s:%d", self.config.name, host, port)
-
-    async def run(self) -> int:
-        """Serves until it is told to stop; the answer is the exit code."""
-        code = await self.stopped
-        self.over = True  # calls still out have no outcome in the journal: the next start reads a reset
-        try:
-            self.server.close()
-            for task in [*self.calls.values(), *self.tasks]:
-                task.cancel()
-            self.client.close()
-        finally:
-            self.journal.close()
-        if self.defect:
-            log.critical("%s: ended by a defect: %s", self.config.name, self.defect)
-        return code
 
     def restored(self, entry: Entry) -> face.MessageRestored:
         risk = entry.first_risk()
@@ -164,56 +117,33 @@
             outcomes=tuple((each.endpoint, each.outcome) for each in entry.attempts.values() if each.outcome),
         )
 
-    def reconfigure(self, config: Config) -> None:
-        """SIGHUP. Discovery may have moved; anything else that has changed waits for the next start."""
-        if config.discovery != self.discovery.address:
-            log.info("%s: discovery is at %s:%d from now on", self.config.name, *config.discovery)
-            self.discovery.move(config.discovery)
-            if self.watching:  # the watch at the old address goes on until this one has a list
-                self.watching = self.spawn(self.discovery.watch())
-
-    def terminate(self) -> None:
-        """SIGTERM. Clients are still answered, and what they hand in is taken on: the journal keeps it."""
-        if self.server.stopping:
-            return
-        log.info("%s: stopping", self.config.name)
-        self.server.stop()
-        self.post(face.Stopping(int(STOP * 1e6)))
-        self.loop.call_later(STOP_LISTENING, self.stop_listening)
-        self.loop.call_later(STOP, self.stop, 0)
-
-    def stop_listening(self) -> None:
-        self.server.close()
-        self.stop_if_done()
-
-    def stop_if_done(self) -> None:
-        if self.server.stopping and not (self.server.listener or self.calls or self.journal.entries):
-            self.stop(0)
-
     def stop(self, code: int) -> None:
+        """Ends `stopped` with this exit code."""
         if not self.stopped.done():
             self.stopped.set_result(code)
 
-    def loop_failed(self, context: dict[str, Any]) -> None:
-        """What a callback raised. Where it is one connection's own, that connection ends; an OSError of any
-        other one (half a turn, say) is a defect like the rest: what it was about to do is not done."""
-        error = context.get("exception")
-        if transport := transport_in(context):
-            if isinstance(error, Exception):
-                self.server.reports.tell(error, str(context.get("message")))
-            if isinstance(transport, asyncio.WriteTransport):
-                transport.abort()
-            return
-        self.fail(context)
-
-    def fail(self, context: dict[str, Any]) -> None:
-        """What nobody foresaw ends the process; the next one starts from the journal. Nothing more is done on
+    def fail(self, doing: str, error: BaseException | None) -> None:
+        """What nobody foresaw ends the engine; the next one starts from the journal. Nothing more is done on
         the strength of a state that may be half changed."""
-        self.defect = self.defect or describe(context.get("exception"), str(context.get("message")))
+        self.defect = self.defect or describe(error, doing)
         self.over = True
         self.stop(1)
 
+    def close(self) -> None:
+        """Everything ends here. Calls still out have no outcome in the journal: the next start reads a
+        reset."""
+        self.over = True
+        try:
+            for task in [*self.calls.values(), *self.tasks]:
+                task.cancel()
+            if self.wake:
+                self.wake.cancel()
+            self.courier.close()
+        finally:
+            self.journal.close()
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        """A task in the background. An exception of its own is a defect."""
         task = self.loop.create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.task_ended)
@@ -222,13 +152,13 @@
     def task_ended(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and (error := task.exception()):
-            self.fail({"message": "a task failed", "exception": error})
+            self.fail("a task failed", error)
 
     async def sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP)
-            self.server.expire()
-            self.client.drop_old()
+            for chore in (*self.chores, self.courier.tidy):
+                chore()
 
     # What happened. The events of one loop turn go to the module together: they share one core.
 
@@ -249,34 +179,61 @@
             again=message.again,
         )
 
-    def take(self, message: HandedIn, connection: Connection) -> None:
+    def take(self, message: HandedIn, caller: Caller) -> None:
+        """A door hands a message in. Its caller hears of it in this turn or the next."""
         known = self.known_as(message.id)
         if known == content(message):
-            connection.answer(202)  # the same hand-in once more: it is already ours, or was
+            self.known_already(message.id, caller)
         elif known is not None or message.id in self.arrived:
-            # Guards a client whose id another one has used: 202 would take nothing of it on, and the order
+            # Guards a client whose id another one has used: it would take nothing of it on, and the order
             # of its key would not wait for it. It may come again, under a new id.
             log.warning("the id %s is another message's", message.id)
-            connection.answer(503, self.dispatcher.come_again(), "this id is another message's")
+            caller.turned_away(TurnedAway(Why.OTHER_ID, self.dispatcher.come_again()))
         elif len(self.dispatcher.messages) + len(self.arrived) >= self.settings.max_open:
-            connection.answer(503, self.dispatcher.come_again())
+            caller.turned_away(TurnedAway(Why.NO_ROOM, self.dispatcher.come_again()))
         else:
-            self.arrived[message.id] = message, connection
+            self.arrived[message.id] = message, caller
             self.post(self.taken(message))
 
+    def known_already(self, name: str, caller: Caller) -> None:
+        """The same hand-in once more: it is already ours, or was. Who comes later waits in place of who came
+        before; the end of one that is over was told, and is not known here any more."""
+        if not caller.taken():
+            return
+        if name in self.journal.entries:
+            self.callers[name] = caller
+        else:
+            caller.ended(End(State.FAILED, status="it is over, and its answer was given before"))
+
     def known_as(self, name: str) -> int | None:
         if entry := self.journal.entries.get(name):
             return content(entry.message)
         return self.ended.get(name)
 
-    def is_named(self, destination: int) -> bool:
-        """Whether there ever was such a destination; one whose endpoints are all gone may come back."""
-        return destination in self.discovery.destinations
+    def withdraw(self, name: str, caller: Caller) -> None:
+        """A caller calls off what it waits for. An attempt that is out is given up and may have run, so its
+        key rests; the next one of the key goes after that. Nothing is told to anybody."""
+        if self.over or self.callers.get(name) is not caller:
+            return
+        del self.callers[name]
+        self.post(face.MessageWithdrawn(name))
+        out = [task for (message, _), task in self.calls.items() if message == name]
+        if out:
+            self.withdrawn.add(name)  # the journal forgets it when its attempt's fate is known
+            for task in out:
+                task.cancel()
+        else:
+            self.message_over(name)
 
     def list_told(self, event: face.EndpointsListed) -> None:
-        self.client.drop_gone()
+        """The directory has news."""
+        self.courier.list_changed()
         self.post(event)
 
+    def wait_told(self, endpoint: str, wait: int) -> None:
+        """An answer tells a wait, in us: it binds before the answer's turn comes."""
+        self.dispatcher.wait_told(endpoint, self.now() + wait)
+
     def message_over(self, name: str) -> None:
         if entry := self.journal.entries.get(name):
             self.ended[name] = content(entry.message)
@@ -285,9 +242,34 @@
             del self.ended[next(iter(self.ended))]
 
     def end_answered(self, name: str) -> None:
-        self.message_over(name)
+        """The end of a message that was told has been heard."""
+        if name in self.journal.entries:
+            self.message_over(name)
         self.post(face.EndAnswered(name))
-        self.stop_if_done()
+        self.attempt_ended()
+
+    def end(self, name: str, end: End) -> None:
+        """The module's final answer: to the caller that waits, or else to the teller. The journal forgets a
+        message before its caller hears, as a crash between the two ends both."""
+        if caller := self.callers.pop(name, None):
+            self.end_answered(name)
+            if caller.ended(end):
+                return
+        elif self.teller.tell(name, end):
+            return
+        else:
+            self.end_answered(name)
+
+    def finished(self, name: str, answer: Answer) -> None:
+        """Its endpoint has it, or wants it no more: nothing is owed but the news."""
+        state = State.DELIVERED if answer.outcome is Outcome.OK else State.WITHDRAWN
+        end = End(state, reply=answer.reply, status=answer.status)
+        caller = self.callers.pop(name, None)
+        if caller is None and name not in self.withdrawn:
+            self.teller.tell(name, end)  # before the journal forgets it
+        self.message_over(name)
+        if caller:
+            caller.ended(end)
 
     def call_ended(self, name: str, number: int, task: asyncio.Task[Answer]) -> None:
         del self.calls[name, number]
@@ -296,16 +278,19 @@
         if task.cancelled():
             answer = Answer(Outcome.CANCELLED)
         elif error := task.exception():
-            self.fail({"message": "a call failed", "exception": error})
+            self.fail("a call failed", error)
             return
         else:
             answer = task.result()
         if name in self.journal.entries:
             self.journal.outcome(name, number, answer.outcome)
             if answer.finished:
+                self.finished(name, answer)
+            elif name in self.withdrawn:
                 self.message_over(name)
+        self.withdrawn.discard(name)
         self.post(face.AttemptEnded(name, number, answer.outcome, answer.finished, answer.wait))
-        self.stop_if_done()
+        self.attempt_ended()
 
     # One turn: the module hears what happened and says what to do.
 
@@ -313,33 +298,40 @@
         self.turning = False
         if self.over:
             return
+        try:
+            self.one_turn()
+        except Exception as error:
+            self.fail("a turn failed", error)
+
+    def one_turn(self) -> None:
         arrived, self.arrived = self.arrived, {}
-        withdrawn = {name for name, (_, connection) in arrived.items() if connection.gone()}
+        gone = {name for name, (_, caller) in arrived.items() if caller.gone()}
         events, self.inbox = self.inbox, []
-        for name in withdrawn:
+        for name in gone:
             events = [each for each in events if not is_taking(each, name)]
         actions = self.dispatcher.handle(self.now(), events)
         refused = {each.message: each for each in actions if isinstance(each, face.Refuse | face.Fail)}
         untaken = set()
-        for name, (message, connection) in arrived.items():
-            if name in withdrawn:
-                connection.transport.close()
+        for name, (message, caller) in arrived.items():
+            if name in gone:
+                caller.given_up()
             elif name in refused:
-                self.refuse(refused[name], connection)
+                self.refuse(refused[name], caller)
                 untaken.add(name)
             elif self.journal.taken(message):
-                connection.answer(202)
+                if caller.taken():
+                    self.callers[name] = caller
             else:
-                connection.answer(503, self.dispatcher.come_again())
+                caller.turned_away(TurnedAway(Why.NO_DISK, self.dispatcher.come_again()))
                 untaken.add(name)
                 self.post(face.MessageWithdrawn(name))
         for action in actions:
             self.act(action, untaken)
 
-    def refuse(self, action: face.Refuse | face.Fail, connection: Connection) -> None:
+    def refuse(self, action: face.Refuse | face.Fail, caller: Caller) -> None:
         """The final answer of a message that was never taken on. Nothing of it has run."""
         after = action.retry_after if isinstance(action, face.Refuse) else self.dispatcher.come_again()
-        connection.answer(429, after)
+        caller.turned_away(TurnedAway(Why.REFUSED, after))
         self.post(face.EndAnswered(action.message))
 
     def act(self, action: face.Action, untaken: set[str]) -> None:
@@ -347,11 +339,11 @@
             case face.Send():
                 self.send(action, action.message in untaken)
             case face.Refuse(name) | face.Fail(name) if name in untaken:
-                pass  # answered to its client
+                pass  # answered to its caller
             case face.Refuse(name, retry_after):
-                self.discovery.notify(name, "returned", retry_after)
+                self.end(name, End(State.REFUSED, retry_after))
             case face.Fail(name):
-                self.discovery.notify(name, "failed")
+                self.end(name, End(State.FAILED))
             case face.CancelAttempt(name, number):
                 if task := self.calls.get((name, number)):
                     task.cancel()
@@ -362,9 +354,9 @@
             case face.Subscribe():
                 if self.watching:
                     self.watching.cancel()
-                self.watching = self.spawn(self.discovery.watch())
+                self.watching = self.spawn(self.directory.watch())
             case face.CloseIdle(endpoint):
-                self.client.close_idle(endpoint)
+                self.courier.close_idle(endpoint)
             case face.Note(text):
                 log.info("%s", text)
 
@@ -375,7 +367,7 @@
         if untaken or not self.journal.sent(name, number, Attempt(self.now(), endpoint, zone)):
             self.post(face.AttemptEnded(name, number, Outcome.NOT_SENT, finished=untaken))
             return
-        call = self.client.call(
+        call = self.courier.call(
             endpoint,
             self.journal.entries[name].message,
             action.timeout / 1e6,
--- a/elmglade/core/ports.py
+++ b/elmglade/core/ports.py
@@ -14,8 +14,8 @@
 from enum import Enum
 from typing import Protocol
 
-from elmglade.core.message import HandedIn
 from elmglade.interface import Outcome
+from elmglade.message import HandedIn
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,13 +69,13 @@
     def gone(self) -> bool:
         """Whether nobody waits any more; asked once, before the message is taken on."""
 
-    def taken(self) -> None:
-        """The message is on record: from now on its end is owed."""
+    def taken(self) -> bool:
+        """The message is on record: from now on its end is owed. True: `ended` shall tell of it here."""
 
     def turned_away(self, told: TurnedAway) -> None:
         """It is not taken on. Nothing follows."""
 
-    def dropped(self) -> None:
+    def given_up(self) -> None:
         """It was withdrawn before it was taken on, for `gone` said so. Nothing follows."""
 
     def ended(self, end: End) -> bool:
--- a/elmglade/net/client.py
+++ b/elmglade/http/courier.py
@@ -3,14 +3,14 @@
 import asyncio
 import math
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
 
 import h11
 
+from elmglade.core.peer import Cause, Reports, cause_of
+from elmglade.core.ports import Answer
+from elmglade.http.codec import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
 from elmglade.interface import NEVER_RAN, Outcome
-from elmglade.net.http import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
-from elmglade.net.message import HandedIn
-from elmglade.net.peer import Cause, Reports, cause_of
+from elmglade.message import HandedIn
 
 IDLE_SHARE = 0.8  # of the receiver's idle limit: a kept connection is dropped that much earlier
 BODY_PATIENCE = 0.5  # s for the rest of an answer whose head has come; the body means nothing
@@ -18,13 +18,6 @@
 LONGEST_WAIT = 3600.0  # s: no message lives so long; a longer told wait would only keep its breaker for ever
 
 
-@dataclass(frozen=True, slots=True)
-class Answer:
-    outcome: Outcome
-    finished: bool = False
-    wait: int = 0  # us
-
-
 def answer_from(response: h11.Response) -> Answer:
     """The protocol's table. A status that it does not name may have run."""
     match response.status_code:
@@ -45,7 +38,7 @@
             return Answer(Outcome.ERROR)
 
 
-class Client:
+class HttpCourier:
     """`dials` is discovery's: an endpoint that is no longer in it, or at another address, keeps nothing.
     `most` bounds the connections open at once; to open one more, the one idle for longest is closed."""
 
@@ -217,12 +210,12 @@
     def too_old(self, connection: Connection) -> bool:
         return asyncio.get_running_loop().time() - connection.idle_since >= self.idle_limit
 
-    def drop_old(self) -> None:
+    def tidy(self) -> None:
         """Called now and then, so that what nobody uses holds no descriptor."""
         for connection in [each for each in self.idle if self.too_old(each) or each.ended()]:
             self.close_one(connection)
 
-    def drop_gone(self) -> None:
+    def list_changed(self) -> None:
         """After each line of discovery: what is kept for an endpoint closes with it."""
         for connection, endpoint in list(self.idle.items()):
             if self.dials().get(endpoint) != connection.address:
--- a/elmglade/net/server.py
+++ b/elmglade/http/door.py
@@ -11,10 +11,11 @@
 
 import h11
 
+from elmglade.core.peer import Cause, Reports, cause_of
+from elmglade.core.ports import End, TurnedAway, Why
+from elmglade.http.codec import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, close, decimal, header
 from elmglade.interface import Effect, MessageClass
-from elmglade.net.http import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, close, decimal, header
-from elmglade.net.message import HandedIn
-from elmglade.net.peer import Cause, Reports, cause_of
+from elmglade.message import HandedIn
 
 READY = "/health/ready"
 # A client that cannot be served is owed an error or a close within 3 s of connecting.
@@ -269,6 +270,22 @@
         poll.register(self.sock.fileno(), events)
         return bool(poll.poll(0))
 
+    # As a caller of the engine's: it hears that its message is taken on, and the platform hears the end.
+
+    def taken(self) -> bool:
+        self.answer(202)
+        return False
+
+    def turned_away(self, told: TurnedAway) -> None:
+        text = "this id is another message's" if told.why is Why.OTHER_ID else ""
+        self.answer(429 if told.why is Why.REFUSED else 503, told.retry_after, text)
+
+    def given_up(self) -> None:
+        self.transport.close()
+
+    def ended(self, end: End) -> bool:
+        return False
+
     def gone(self) -> bool:
         """Whether the client has closed already, though the loop has not come to read that. Never raises; one
         that cannot be asked is answered like any other."""
--- a/elmglade/net/discovery.py
+++ b/elmglade/http/platform.py
@@ -10,7 +10,8 @@
 import h11
 
 from elmglade import interface as face
-from elmglade.net.http import BROKEN, Address, Connection, address_from
+from elmglade.core.ports import End, State
+from elmglade.http.codec import BROKEN, Address, Connection, address_from
 
 SILENCE = 4.0  # s with no line, empty ones come every 2 s: the watch is dead, though TCP says nothing
 CONNECT_TIMEOUT = 1.0
@@ -22,6 +23,7 @@
 MOVE_PAUSE = (
     0.2  # s between tries to hear a new address's list: what it tells counts as told 4 s after SIGHUP
 )
+STATES = {State.REFUSED: "returned", State.FAILED: "failed"}
 UNREADABLE = (ValueError, KeyError, TypeError, AttributeError, ArithmeticError, RecursionError)
 
 log = logging.getLogger(__name__)
@@ -160,15 +162,25 @@
         listing = face.Listing.FULL if told.whole else face.Listing.CHANGES
         self.listed(face.EndpointsListed(listing, told.endpoints))
 
-    def notify(self, message: str, state: str, after: int = 0) -> None:
-        """The end of a message; told again and again until it is answered."""
-        notice: dict[str, Any] = {"id": message, "state": state}
-        if after:
-            notice["after_ms"] = -(-after // 1000)
+    def knows(self, destination: int) -> bool:
+        """Whether there ever was such a destination; one whose endpoints are all gone may come back."""
+        return destination in self.destinations
+
+    def remember(self, destination: int) -> None:
+        self.destinations.add(destination)
+
+    def tell(self, message: str, end: End) -> bool:
+        """The end of a message; told again and again until it is answered. A delivery is no news here."""
+        if end.state not in STATES:
+            return False
+        notice: dict[str, Any] = {"id": message, "state": STATES[end.state]}
+        if end.retry_after:
+            notice["after_ms"] = -(-end.retry_after // 1000)
         self.notices[message] = json.dumps(notice)
         self.has_notices.set()
+        return True
 
-    async def tell(self) -> None:
+    async def run(self) -> None:
         """Posts what notices there are, forever; a connection that failed is not used again."""
         connection, tries, most = None, 0, NOTICES_AT_ONCE
         while True:
--- a/elmglade/net/journal.py
+++ b/elmglade/journal/file.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 from elmglade.interface import NEVER_RAN, Outcome
-from elmglade.net.message import HandedIn
+from elmglade.message import HandedIn
 
 FILE, COMPACTED = "journal", "journal.new"
 BLOCK = 512  # a file counts in whole blocks
@@ -51,7 +51,10 @@
 
 def taken_line(message: HandedIn) -> bytes:
     told = {name: getattr(message, name) for name in HANDED_IN}
-    return line({"taken": told | {"body": base64.b64encode(message.body).decode()}})
+    told["body"] = base64.b64encode(message.body).decode()
+    if not message.extras:
+        del told["extras"]  # what most messages lack takes no room
+    return line({"taken": told})
 
 
 def attempt_line(message: str, number: int, attempt: Attempt) -> bytes:
@@ -105,7 +108,8 @@
 
     def apply(self, record: dict[str, Any], size: int) -> None:
         if told := record.get("taken"):
-            message = HandedIn(**told | {"body": base64.b64decode(told["body"])})
+            extras = tuple((str(name), str(text)) for name, text in told.get("extras", ()))
+            message = HandedIn(**told | {"body": base64.b64decode(told["body"]), "extras": extras})
             self.entries[message.id] = Entry(message)
             self.grow(message.id, size)
         elif name := record.get("sent"):
--- a/elmglade/net/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The real sender: the decision module on sockets."""
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -10,10 +10,10 @@
 from helpers import ENV
 
 from elmglade.__main__ import config_from
-from elmglade.net.http import Address
-from elmglade.net.message import HandedIn
-from elmglade.net.sender import Sender
-from elmglade.net.server import Server
+from elmglade.http.codec import Address
+from elmglade.http.daemon import Sender
+from elmglade.http.door import Server
+from elmglade.message import HandedIn
 
 PATIENCE = 4.0  # s; only a failing test waits so long
 READY = b"GET /health/ready HTTP/1.1\r\nHost: x\r\n\r\n"
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -11,11 +11,12 @@
 import pytest
 from peers import Peer, handed_in, play, soon
 
+from elmglade.core.ports import Answer
+from elmglade.http import codec as http
+from elmglade.http import courier as module
+from elmglade.http.codec import Address, Connection
+from elmglade.http.courier import HttpCourier, answer_from
 from elmglade.interface import Outcome
-from elmglade.net import client as module
-from elmglade.net import http
-from elmglade.net.client import Answer, Client, answer_from
-from elmglade.net.http import Address, Connection
 
 ANSWERS = [
     ("200", (), Answer(Outcome.OK, finished=True)),
@@ -31,7 +32,7 @@
 
 
 def call(
-    client: Client, address: Address, timeout: float = 10, body: bytes = b"x", may_go: bool = True
+    client: HttpCourier, address: Address, timeout: float = 10, body: bytes = b"x", may_go: bool = True
 ) -> asyncio.Task[Answer]:
     """A call to the endpoint "r", which stands at `address`."""
     client.dials = lambda: {"r": address}
@@ -39,12 +40,12 @@
     return asyncio.create_task(work)
 
 
-def client_with(conn_idle: float = 10, connect_timeout: float = 10, most: int = 4) -> Client:
-    return Client(conn_idle, connect_timeout, most, dict)
+def client_with(conn_idle: float = 10, connect_timeout: float = 10, most: int = 4) -> HttpCourier:
+    return HttpCourier(conn_idle, connect_timeout, most, dict)
 
 
 @asynccontextmanager
-async def client_and_receiver(connect_timeout: float = 10) -> AsyncIterator[tuple[Client, Peer]]:
+async def client_and_receiver(connect_timeout: float = 10) -> AsyncIterator[tuple[HttpCourier, Peer]]:
     client = client_with(connect_timeout=connect_timeout)
     async with Peer() as receiver:
         yield client, receiver
@@ -259,7 +260,7 @@
         await soon(going)
         assert list(client.pool) == ["r"]
         client.dials = lambda: {"new": receiver.address}
-        client.drop_gone()
+        client.list_changed()
         await soon(receiver.ends.get())
         going = asyncio.create_task(client.call("new", handed_in(), 10, lambda: True))
         request = await receiver.next()
@@ -369,7 +370,7 @@
                 await soon(receiver.ends.get())
             if spoil == "old":
                 kept[0].idle_since -= 8.5  # the receiver may close it after 10
-                client.drop_old()
+                client.tidy()
                 assert not client.pool
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,9 +11,10 @@
 from peers import Platform, host, list_line, play, soon, tell
 
 from elmglade import interface as face
+from elmglade.core.ports import End, State
+from elmglade.http import platform as module
+from elmglade.http.platform import Discovery, Listed
 from elmglade.interface import EndpointState, Listing
-from elmglade.net import discovery as module
-from elmglade.net.discovery import Discovery, Listed
 
 OLD, NEW = "127.0.0.1:1", "127.0.0.1:2"
 
@@ -25,7 +26,7 @@
         answered: asyncio.Queue[str] = asyncio.Queue()
         known = Listed({"seq": 41, "whole": True, "hosts": [host(OLD)]})
         discovery = Discovery(platform.address, known, heard.put_nowait, answered.put_nowait)
-        tasks = [asyncio.create_task(discovery.watch()), asyncio.create_task(discovery.tell())]
+        tasks = [asyncio.create_task(discovery.watch()), asyncio.create_task(discovery.run())]
         yield discovery, platform, heard, answered
         for task in tasks:
             task.cancel()
@@ -79,12 +80,12 @@
 @play
 async def test_notices_are_told_again_until_they_are_answered(_: Path) -> None:
     async with watching() as (discovery, platform, _heard, answered):
-        discovery.notify("a", "failed")
+        discovery.tell("a", End(State.FAILED))
         (await platform.next()).break_off()
         (await platform.next()).answer(503)
         request = await platform.next()
         assert answered.empty()
-        discovery.notify("b", "returned", 1_500_000)
+        discovery.tell("b", End(State.REFUSED, 1_500_000))
         request.answer(204)
         assert (request.target, await soon(answered.get())) == ("/v1/notices", "a")
         request = await platform.next()
@@ -96,7 +97,7 @@
 @play
 async def test_a_hung_platform_gets_the_notice_on_a_new_connection(_: Path) -> None:
     async with watching() as (discovery, platform, _heard, answered):
-        discovery.notify("a", "failed")
+        discovery.tell("a", End(State.FAILED))
         silent = await platform.next()
         request = await platform.next()
         assert request.writer is not silent.writer and request.body == silent.body
@@ -107,10 +108,10 @@
 @play
 async def test_one_notice_that_cannot_be_read_does_not_hold_up_the_others(_: Path) -> None:
     async with watching() as (discovery, platform, _heard, answered):
-        discovery.notify("a", "failed")
+        discovery.tell("a", End(State.FAILED))
         first = await platform.next()
-        discovery.notify("b", "failed")
-        discovery.notify("c", "failed")
+        discovery.tell("b", End(State.FAILED))
+        discovery.tell("c", End(State.FAILED))
         first.answer(204)
         (await platform.next()).answer(400)
         (await platform.next()).answer(400)
@@ -185,7 +186,7 @@
 @play
 async def test_a_notice_under_way_is_told_again_at_the_new_address(_: Path) -> None:
     async with watching() as (discovery, old, _heard, answered), Platform() as new:
-        discovery.notify("a", "failed")
+        discovery.tell("a", End(State.FAILED))
         first = await old.next()
         discovery.move(new.address)
         first.break_off()
@@ -198,10 +199,10 @@
 @play
 async def test_a_kept_connection_for_notices_moves_too(_: Path) -> None:
     async with watching() as (discovery, old, _heard, answered), Platform() as new:
-        discovery.notify("a", "failed")
+        discovery.tell("a", End(State.FAILED))
         (await old.next()).answer(204)
         await soon(answered.get())
         discovery.move(new.address)
-        discovery.notify("b", "failed")
+        discovery.tell("b", End(State.FAILED))
         (await new.next()).answer(204)
         assert await soon(answered.get()) == "b" and old.requests.empty()
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -15,9 +15,9 @@
 from peers import PATIENCE, Held, World, message, read_reply, soon
 
 from elmglade import interface as face
+from elmglade.core.ports import Answer
+from elmglade.http import courier, door, platform
 from elmglade.interface import NEVER_RAN, Outcome
-from elmglade.net import client, discovery, server
-from elmglade.net.client import Answer
 
 NO_ROOM = (errno.ENOBUFS, errno.ENOMEM)
 NO_DESCRIPTOR = (errno.EMFILE, errno.ENFILE, *NO_ROOM)
@@ -62,15 +62,15 @@
         self.sender = world.sender
         self.skipped = 0
         self.answers: list[tuple[str, Answer]] = []
-        now, call = self.sender.now, self.sender.client.call
-        self.sender.now = lambda: now() + self.skipped
+        now, call = self.sender.engine.now, self.sender.courier.call
+        self.sender.engine.now = lambda: now() + self.skipped
 
         async def watched(*told: object) -> Answer:
             answer = await call(*told)  # type: ignore[arg-type]
             self.answers.append((told[1].id, answer))  # type: ignore[attr-defined]
             return answer
 
-        self.sender.client.call = watched  # type: ignore[method-assign]
+        self.sender.courier.call = watched  # type: ignore[method-assign]
 
     def at(self, stage: str, side: str) -> None:
         if self.case[0] == stage:
@@ -79,37 +79,37 @@
     async def skip(self, seconds: float) -> None:
         """The module's clock moves on."""
         self.skipped += int(seconds * 1e6)
-        self.sender.post(face.WakeUp())
-        await until(lambda: not self.sender.inbox)
+        self.sender.engine.post(face.WakeUp())
+        await until(lambda: not self.sender.engine.inbox)
 
     async def deliver(self, held: Held, what: str) -> int:
         """Hands a message in on a kept connection and serves whatever is called for it; how many calls."""
         held.writer.write(message(what))
         assert (await read_reply(held.reader)).status == 202
         calls = 0
-        while what in self.sender.journal.entries:
+        while what in self.sender.engine.journal.entries:
             if self.world.receiver.requests.empty():
                 await self.skip(0.05)
                 continue
             request = self.world.receiver.requests.get_nowait()
             calls += request.id == what
             request.answer(200)
-            await until(lambda: not self.sender.calls)
+            await until(lambda: not self.sender.engine.calls)
         return calls
 
     async def settle(self) -> None:
         """All that is called for is served, and everything that is held is over."""
-        while self.sender.journal.entries:
+        while self.sender.engine.journal.entries:
             if self.world.receiver.requests.empty():
                 await self.skip(0.05)
             else:
                 self.world.receiver.requests.get_nowait().answer(200)
-                await until(lambda: not self.sender.calls)
+                await until(lambda: not self.sender.engine.calls)
 
     async def check(self) -> None:
         """What holds after every fault."""
         assert self.faults.struck == 1, "the scenario does not come to this call: the case proves nothing"
-        assert not self.sender.defect and not self.sender.stopped.done()
+        assert not self.sender.engine.defect and not self.sender.engine.stopped.done()
         assert await self.deliver(self.bystander, "after") == 1
         fresh = await Held.open(self.sender.server)
         assert await self.deliver(fresh, "fresh") == 1
@@ -125,7 +125,7 @@
                 each.since -= PATIENCE
             await turn()
         await until(lambda: self.faults.open("client") == 0)
-        await until(lambda: self.faults.open("receiver") == len(self.sender.client.open))
+        await until(lambda: self.faults.open("receiver") == len(self.sender.courier.open))
         assert self.faults.open("platform") <= 2
 
 
@@ -146,7 +146,7 @@
     scenario: Callable[[Stage], Awaitable[None]],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    for module, pause in ((server, "ACCEPT_PAUSE"), (discovery, "NOTICE_PAUSE"), (client, "SHORTAGE_PAUSE")):
+    for module, pause in ((door, "ACCEPT_PAUSE"), (platform, "NOTICE_PAUSE"), (courier, "SHORTAGE_PAUSE")):
         monkeypatch.setattr(module, pause, 0.0)
 
     async def test(faults: Faults) -> None:
@@ -198,7 +198,7 @@
             stage.at("closing", "client")
             close = {"Connection": "close"} if faulty_stage == "closing" else {}
             held.writer.write(message("m", **close))
-            await until(lambda: stage.faults.struck == 1 or "m" in sender.journal.entries)
+            await until(lambda: stage.faults.struck == 1 or "m" in sender.engine.journal.entries)
         elif faulty_stage == "answered":
             held.writer.write(message("m"))
             assert (await read_reply(held.reader)).status == 202
@@ -257,7 +257,7 @@
 async def a_receiver(stage: Stage) -> None:
     sender, receiver, (at, call, _) = stage.sender, stage.world.receiver, stage.case
     if at in ("opening", "sending", "waiting"):
-        sender.client.close_idle("r")
+        sender.courier.close_idle("r")
     stage.at("opening", "receiver")
     stage.at("sending", "receiver")
     if (at, call) == ("kept", "recv"):  # the look at a kept connection before it is used comes first
@@ -279,14 +279,14 @@
         else:  # the loop has to watch the connection once more
             stage.at("waiting", "receiver")
             request.write("HTTP/1.1 ")
-        await until(lambda: stage.faults.struck == 1 and not sender.calls)
-    while "m" in sender.journal.entries:
+        await until(lambda: stage.faults.struck == 1 and not sender.engine.calls)
+    while "m" in sender.engine.journal.entries:
         if receiver.requests.empty():
             await stage.skip(0.05)
             continue
         receiver.requests.get_nowait().answer(200)
         seen += 1
-        await until(lambda: not sender.calls)
+        await until(lambda: not sender.engine.calls)
     fates = [answer.outcome for who, answer in stage.answers if who == "m"]
     ran = [each for each in fates if each not in NEVER_RAN]
     assert len(ran) == seen, f"{seen} requests came whole, and the fates are {fates}"
@@ -333,7 +333,7 @@
     for each in ("notice opening", "notice telling"):
         stage.at(each, "platform")
     await stage.skip(0.2)
-    while "late" in stage.sender.journal.entries:
+    while "late" in stage.sender.engine.journal.entries:
         if not platform.requests.empty():
             request = platform.requests.get_nowait()
             if stage.faults.struck == 0:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -6,8 +6,8 @@
 from peers import handed_in
 
 from elmglade.interface import Outcome
-from elmglade.net import journal as module
-from elmglade.net.journal import Attempt, Journal
+from elmglade.journal import file as module
+from elmglade.journal.file import Attempt, Journal
 
 LIMIT = 3_000_000
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -9,10 +9,10 @@
 from peers import KEYED, PATIENCE, READY, Running, World, ask, host, message, play, read_reply, soon, tell
 
 from elmglade.__main__ import config_from
-from elmglade.interface import Outcome
-from elmglade.net import sender as module
-from elmglade.net.journal import Attempt, Journal
-from elmglade.net.sender import Descriptors, Sender
+from elmglade.http import door as module
+from elmglade.http.daemon import Descriptors, Sender
+from elmglade.interface import Outcome, WakeAfter
+from elmglade.journal.file import Attempt, Journal
 
 GONE = {"X_Route_To": "dest=9"}  # no endpoint: held until its time is up
 SHORT = {"X_Time_Left": "0.1"}
@@ -36,7 +36,7 @@
         assert request.id == "m1" and journalled(state) == ["m1"]
         assert (await world.hand_in("m1")).status == 202  # the same hand-in again is not a second message
         request.answer(200)
-        while world.sender.journal.entries:
+        while world.sender.engine.journal.entries:
             await asyncio.sleep(0.001)
         assert journalled(state) == [] and world.receiver.requests.empty()
 
@@ -45,7 +45,7 @@
 async def test_a_message_is_on_record_before_its_202_and_each_attempt_before_its_bytes(state: Path) -> None:
     seen: list[str] = []
     async with World(state) as world:
-        journal, client = world.sender.journal, world.sender.client
+        journal, client = world.sender.engine.journal, world.sender.courier
         taken, sent, call = journal.taken, journal.sent, client.call
         journal.taken = lambda message: seen.append("taken") or taken(message)
         journal.sent = lambda *told: seen.append("sent") or sent(*told)
@@ -71,7 +71,7 @@
 @play
 async def test_no_more_than_the_settings_allow_are_held(state: Path) -> None:
     async with World(state) as world:
-        world.sender.settings = replace(world.sender.settings, max_open=1)
+        world.sender.engine.settings = replace(world.sender.engine.settings, max_open=1)
         assert (await world.hand_in("m1")).status == 202
         reply = await world.hand_in("m2")
         assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
@@ -80,30 +80,30 @@
 @play
 async def test_a_full_journal_refuses_and_nothing_is_sent(state: Path) -> None:
     async with World(state) as world:
-        world.sender.journal.limit = 0
+        world.sender.engine.journal.limit = 0
         reply = await world.hand_in("m1")
         assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
-        world.sender.journal.limit = 3_000_000
+        world.sender.engine.journal.limit = 3_000_000
         assert (await world.hand_in("m2")).status == 202
         assert (await world.receiver.next()).id == "m2"
-        assert journalled(state) == ["m2"] and list(world.sender.dispatcher.messages) == ["m2"]
+        assert journalled(state) == ["m2"] and list(world.sender.engine.dispatcher.messages) == ["m2"]
 
 
 @play
 async def test_a_client_that_closed_before_its_answer_withdraws_its_message(state: Path) -> None:
     async with World(state) as world:
-        turn, closed = world.sender.turn, asyncio.Event()
-        world.sender.turn = lambda: None  # the loop is late: the turn does not come
+        turn, closed = world.sender.engine.turn, asyncio.Event()
+        world.sender.engine.turn = lambda: None  # the loop is late: the turn does not come
         _, writer = await asyncio.open_connection(*world.running.address)
         writer.write(message("m1"))
-        while not world.sender.arrived:
+        while not world.sender.engine.arrived:
             await asyncio.sleep(0.001)
-        connection = world.sender.arrived["m1"][1]
+        connection = world.sender.engine.arrived["m1"][1]
         connection.transport.pause_reading()
         writer.close()
         await writer.wait_closed()
         closed.set()
-        world.sender.turn = turn
+        world.sender.engine.turn = turn
         turn()
         assert (await world.hand_in("m2")).status == 202
         assert (await world.receiver.next()).id == "m2"
@@ -119,7 +119,7 @@
         assert (told["id"], told["state"]) == ("m1", "returned") and told["after_ms"] > 0
         assert journalled(state) == ["m1"]
         notice.answer(204)
-        while world.sender.journal.entries:
+        while world.sender.engine.journal.entries:
             await asyncio.sleep(0.001)
         assert journalled(state) == []
 
@@ -141,12 +141,12 @@
     async with World(state) as world:
         await world.hand_in("m1")
         (await world.receiver.next()).answer(429, "Retry-After: 3600")
-        while world.sender.calls:
+        while world.sender.engine.calls:
             await asyncio.sleep(0.001)
         await world.hand_in("m2", **SHORT)
         # m2 ends by its time without a call, and m1 is held.
         assert json.loads((await world.platform.next()).body)["id"] == "m2"
-        assert world.receiver.requests.empty() and list(world.sender.dispatcher.messages) == ["m1"]
+        assert world.receiver.requests.empty() and list(world.sender.engine.dispatcher.messages) == ["m1"]
 
 
 @play
@@ -156,7 +156,7 @@
         await world.hand_in("m1")
         (await world.receiver.next()).answer(200)
         tell(watch, 42, host(world.receiver.dial, health="draining"))
-        while world.sender.dispatcher.endpoints:
+        while world.sender.engine.dispatcher.endpoints:
             await asyncio.sleep(0.001)
         await world.hand_in("m2", **SHORT)
         assert json.loads((await world.platform.next()).body)["id"] == "m2"
@@ -166,7 +166,7 @@
 @play
 async def test_a_drain_told_while_a_call_connects_stops_it(state: Path) -> None:
     async with World(state) as world:
-        watch, client = await soon(world.platform.watches.get()), world.sender.client
+        watch, client = await soon(world.platform.watches.get()), world.sender.courier
         connecting, go_on, connect = asyncio.Event(), asyncio.Event(), client.connect
 
         async def slow(address: tuple[str, int]) -> object:
@@ -178,7 +178,7 @@
         await world.hand_in("m1", X_Time_Left="1")
         await soon(connecting.wait())
         tell(watch, 42, host(world.receiver.dial, health="gone"))
-        while world.sender.dispatcher.endpoints:
+        while world.sender.engine.dispatcher.endpoints:
             await asyncio.sleep(0.001)
         go_on.set()
         assert json.loads((await world.platform.next()).body)["id"] == "m1"
@@ -204,8 +204,8 @@
         world.sender.stop(0)
         await world.running.task
         async with Running(world.told, state) as again:
-            assert list(again.sender.dispatcher.messages) == ["m1", "m2"]
-            restored = again.sender.dispatcher.messages["m1"]
+            assert list(again.sender.engine.dispatcher.messages) == ["m1", "m2"]
+            restored = again.sender.engine.dispatcher.messages["m1"]
             assert restored.attempts == 2 and restored.risky_zone == "z" and restored.risky_since is not None
             request = await world.receiver.next()
             assert (request.id, request.body) == ("m1", first.body) and world.receiver.requests.empty()
@@ -261,7 +261,7 @@
         world.sender.stop_listening()
         with pytest.raises(OSError):
             await asyncio.open_connection(*world.running.address)
-        assert not world.sender.stopped.done()
+        assert not world.sender.engine.stopped.done()
         request.answer(200)
         (await world.receiver.next()).answer(200)
         assert await asyncio.wait_for(world.running.task, PATIENCE) == 0
@@ -271,7 +271,7 @@
 @play
 async def test_a_stopping_sender_starts_no_call_that_may_not_end(state: Path) -> None:
     async with World(state) as world:
-        world.sender.dispatcher.stops_at = world.sender.now() + 1000
+        world.sender.engine.dispatcher.stops_at = world.sender.engine.now() + 1000
         await world.hand_in("m1")
         await world.hand_in("m2")
         world.sender.stop(0)
@@ -286,7 +286,7 @@
         async def broken(*_: object) -> None:
             raise RuntimeError("nobody foresaw this")
 
-        world.sender.client.call = broken
+        world.sender.courier.call = broken
         await world.hand_in("m1")
         assert await soon(world.running.task) == 1
         world.running.task = asyncio.create_task(asyncio.sleep(0, 0))
@@ -299,13 +299,13 @@
     async def test(state: Path) -> None:
         async with World(state) as world:
             await world.hand_in("m1", **GONE)
-            journal = world.sender.journal
+            journal = world.sender.engine.journal
             for number, outcome in enumerate((Outcome.FULL, Outcome.ERROR, Outcome.RESET)):
                 journal.sent("m1", number, Attempt(1000 + number, "r", f"z{number}"))
                 journal.outcome("m1", number, outcome)
             world.sender.stop(0)
             await world.running.task
-            again = Sender(config_from(world.told, state))
+            again = Sender(config_from(world.told, state)).engine
             restored = again.restored(again.journal.entries["m1"])
             assert (restored.attempts, restored.risky_since, restored.risky_zone) == (3, 1001, "z1")
 
@@ -318,7 +318,7 @@
     async with World(state) as world:
         await world.hand_in("m1")
         (await world.receiver.next()).answer(200)
-        while world.sender.journal.entries:
+        while world.sender.engine.journal.entries:
             await asyncio.sleep(0.001)
         assert (await world.hand_in("m1")).status == 202
         await world.hand_in("m2")
@@ -336,11 +336,11 @@
 async def test_no_timer_outlives_an_earlier_one(state: Path) -> None:
     """Guards a process that lasts: the module asks for ever earlier times and unsets none."""
     async with World(state) as world:
-        asked = [module.face.WakeAfter(each * 1_000_000) for each in (50, 40, 30)]
+        asked = [WakeAfter(each * 1_000_000) for each in (50, 40, 30)]
         timers = []
         for each in asked:
-            world.sender.act(each, set())
-            timers.append(world.sender.wake)
+            world.sender.engine.act(each, set())
+            timers.append(world.sender.engine.wake)
         assert [each.cancelled() for each in timers] == [True, True, False]
 
 
@@ -362,7 +362,7 @@
             request = await world.receiver.next()
             if over:
                 request.answer(200)
-                while world.sender.journal.entries:
+                while world.sender.engine.journal.entries:
                     await asyncio.sleep(0.001)
             reply = await world.hand_in("m1", X_Session_Key="k")
             assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -10,8 +10,7 @@
 from peers import READY, Held, Reply, ask, message, play, read_reply, soon
 
 from elmglade import interface as face
-from elmglade.net.message import HandedIn
-from elmglade.net.server import (
+from elmglade.http.door import (
     IDLE_LIMIT,
     LINGER,
     LINGER_BYTES,
@@ -20,6 +19,7 @@
     Connection,
     Server,
 )
+from elmglade.message import HandedIn
 
 KEYED = face.MessageClass("c", 800_000, 8_000_000, 1.0, 0.1, face.Effect.KEYED, window=5_000_000)
 NOW = 1_000_000_000
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -19,12 +19,12 @@
 from faults import turn, until
 from peers import READY, Held, World, handed_in, host, message, play, read_reply, soon, tell
 
+from elmglade.core.peer import REPORT_SPAN, REPORTS, Cause, Reports, cause_of, describe
+from elmglade.http.codec import Address
+from elmglade.http.courier import HttpCourier as Courier
+from elmglade.http.daemon import log
+from elmglade.http.door import Connection
 from elmglade.interface import NEVER_RAN, Outcome, WakeUp
-from elmglade.net.client import Client as Courier
-from elmglade.net.http import Address
-from elmglade.net.peer import REPORT_SPAN, REPORTS, Cause, Reports, cause_of, describe
-from elmglade.net.sender import log
-from elmglade.net.server import Connection
 
 LATE = (0.05, 0.4, 2.1, 3.0)  # s that a turn takes
 
@@ -64,9 +64,9 @@
         self.accepted: list[socket.socket] = []
         take_in = self.server.take_in
         self.server.take_in = lambda sock: (self.accepted.append(sock), take_in(sock))  # type: ignore
-        time, now = self.loop.time, self.sender.now
+        time, now = self.loop.time, self.sender.engine.now
         self.loop.time = lambda: time() + self.passed  # type: ignore[method-assign]
-        self.sender.now = self.server.now = lambda: now() + int(self.passed * 1e6)
+        self.sender.engine.now = self.server.now = lambda: now() + int(self.passed * 1e6)
 
     async def comes_to(self, stage: str) -> Client:
         """A client's connection that has come as far as that, and not further."""
@@ -101,9 +101,9 @@
         await until(lambda: own.queued)
 
     async def taken(self, client: Client, own: Connection) -> None:
-        self.sender.turn = lambda: None  # type: ignore[method-assign]
+        self.sender.engine.turn = lambda: None  # type: ignore[method-assign]
         client.sock.sendall(message("m"))
-        await until(lambda: "m" in self.sender.arrived)
+        await until(lambda: "m" in self.sender.engine.arrived)
 
     async def paused(self, client: Client, own: Connection) -> None:
         await self.taken(client, own)
@@ -133,20 +133,21 @@
     def one_late_turn(self, seconds: float, sweep_first: bool) -> None:
         """What a late loop does before it looks at its sockets again, in either order."""
         self.passed += seconds
-        reading, turning = type(self.server).read_some, type(self.sender).turn
-        steps: list[Callable[[], object]] = [lambda: reading(self.server), lambda: turning(self.sender)]
+        engine = self.sender.engine
+        reading, turning = type(self.server).read_some, type(engine).turn
+        steps: list[Callable[[], object]] = [lambda: reading(self.server), lambda: turning(engine)]
         for each in (self.server.expire, *steps) if sweep_first else (*steps, self.server.expire):
             each()
         if self.server.leaving or self.server.strangers:
             self.server.make_room()  # else it would choose the bystander, who stands between requests
         self.server.read_some = lambda: reading(self.server)  # type: ignore[method-assign]
-        self.sender.turn = lambda: turning(self.sender)  # type: ignore[method-assign]
+        self.sender.engine.turn = lambda: turning(engine)  # type: ignore[method-assign]
 
     async def serve_all(self, *, most: int = 1) -> None:
         """Answers what is called for until nothing is owed; no message may come twice."""
         seen: dict[str, int] = {}
         requests = self.world.receiver.requests
-        while self.sender.journal.entries or self.sender.calls:
+        while self.sender.engine.journal.entries or self.sender.engine.calls:
             while not requests.empty():
                 request = requests.get_nowait()
                 seen[request.id] = seen.get(request.id, 0) + 1
@@ -178,7 +179,7 @@
 
     async def test(state: Path) -> None:
         async with World(state) as world:
-            world.sender.dispatcher.stops_at = float("inf")
+            world.sender.engine.dispatcher.stops_at = float("inf")
             late_one = Late(world)
             bystander = await Held.open(world.sender.server, message("b"))
             assert (await read_reply(bystander.reader)).status == 202
@@ -193,7 +194,7 @@
             bystander.writer.write(message("after"))
             assert (await read_reply(bystander.reader)).status == 202
             await late_one.serve_all()
-            assert not world.sender.defect and not world.sender.stopped.done()
+            assert not world.sender.engine.defect and not world.sender.engine.stopped.done()
             client.sock.close()
             bystander.writer.close()
             while world.sender.server.connections:
@@ -231,12 +232,12 @@
     """Out of a turn the same error was only logged, and those behind it were neither answered nor sent."""
     async with World(state) as world:
         late = Late(world)
-        late.sender.turn = lambda: None  # type: ignore[method-assign]
+        late.sender.engine.turn = lambda: None  # type: ignore[method-assign]
         first = Client(world.running.address, message("m", Connection="close"))
-        await until(lambda: "m" in world.sender.arrived)
+        await until(lambda: "m" in world.sender.engine.arrived)
         second = await Held.open(world.sender.server, message("n"))
-        await until(lambda: "n" in world.sender.arrived)
-        gone, _ = world.sender.arrived["m"][1], first.finish()
+        await until(lambda: "n" in world.sender.engine.arrived)
+        gone, _ = world.sender.engine.arrived["m"][1], first.finish()
         gone.gone = lambda: False  # type: ignore[method-assign]  # it closes between the look and the answer
         late.one_late_turn(0.0, sweep_first=False)
         assert (await read_reply(second.reader)).status == 202
@@ -305,7 +306,7 @@
             await turn()
             late.one_late_turn((0.0, 0.05, 0.4, 3.0)[step % 4] if step % 10 == 9 else 0.0, step % 2 == 0)
         await late.serve_all()
-        assert not world.sender.defect
+        assert not world.sender.engine.defect
         late.passed += 4.0
         world.sender.server.expire()
         assert (await world.hand_in("after")).status == 202
@@ -475,16 +476,16 @@
         sender = world.sender
         await world.hand_in("m1")
         order: list[str] = []
-        close = sender.journal.close
-        sender.journal.close = lambda: (order.append("closed"), close())  # type: ignore[method-assign]
+        close = sender.engine.journal.close
+        sender.engine.journal.close = lambda: (order.append("closed"), close())  # type: ignore[method-assign]
         told, log.critical = log.critical, lambda *line: order.append(line[0] % line[1:])
-        handle = sender.dispatcher.handle
-        sender.dispatcher.handle = lambda *_: 1 / 0  # type: ignore[method-assign]
+        handle = sender.engine.dispatcher.handle
+        sender.engine.dispatcher.handle = lambda *_: 1 / 0  # type: ignore[method-assign]
         try:
             reply = asyncio.ensure_future(world.hand_in("m2"))
             assert await soon(asyncio.shield(world.running.task)) == 1
         finally:
-            log.critical, sender.dispatcher.handle = told, handle
+            log.critical, sender.engine.dispatcher.handle = told, handle
         assert order[0] == "closed" and len(order) == 2
         assert order[1].startswith("n0: ended by a defect: ") and "ZeroDivisionError" in order[1]
         assert "\n" not in order[1]
@@ -501,9 +502,9 @@
         broken = ConnectionResetError(errno.ECONNRESET, "reset")
         handle = asyncio.Handle(own.transport.abort, (), asyncio.get_running_loop())
         world.sender.loop_failed({"message": "a callback raised", "exception": broken, "handle": handle})
-        assert not world.sender.defect and own.transport.is_closing()
+        assert not world.sender.engine.defect and own.transport.is_closing()
         world.sender.loop_failed({"message": "a callback raised", "exception": broken})
-        assert "ConnectionResetError" in world.sender.defect
+        assert "ConnectionResetError" in world.sender.engine.defect
         client.finish()
         assert await soon(asyncio.shield(world.running.task)) == 1
         world.running.ended = True
@@ -519,7 +520,7 @@
             late = Late(world)
             while len(world.platform.watched) == tries:
                 late.passed += 0.25
-                world.sender.post(WakeUp())
+                world.sender.engine.post(WakeUp())
                 await turn()
             watch = world.platform.watched[-1]
-        assert not world.sender.defect and list(world.sender.dispatcher.endpoints) == ["r"]
+        assert not world.sender.engine.defect and list(world.sender.engine.dispatcher.endpoints) == ["r"]
