Run without the platform: serve, check and demo, with stand-ins and a referee

Need: without $BALANCER_CONFIG nobody could start the program, and no subsystem could be judged by what went over its sockets.

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -70,6 +70,11 @@
 
 
 def main() -> int:
+    """Without arguments the platform's sender; with them the command line."""
+    if len(sys.argv) > 1:
+        from elmglade.cli import main as command
+
+        return command()
     logging.basicConfig(
         level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
     )
--- /dev/null
+++ b/elmglade/directory/__init__.py
@@ -0,0 +1,1 @@
+"""Who is there: directories that need no platform."""
--- a/elmglade/http/codec.py
+++ b/elmglade/http/codec.py
@@ -103,7 +103,12 @@
     async def writable(self) -> None:
         loop = asyncio.get_running_loop()
         ready: asyncio.Future[None] = loop.create_future()
-        loop.add_writer(self.sock, lambda: ready.done() or ready.set_result(None))
+
+        def wake() -> None:
+            if not ready.done():
+                ready.set_result(None)
+
+        loop.add_writer(self.sock, wake)
         try:
             await ready
         finally:
--- a/elmglade/http/door.py
+++ b/elmglade/http/door.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from itertools import takewhile
+from typing import Any
 
 import h11
 
@@ -450,7 +451,7 @@
             log.error("no connection can be taken yet: %s", error)
             self.loop.call_later(ACCEPT_PAUSE, self.accept_again)
 
-    def taken_in(self, task: asyncio.Task, connection: Connection) -> None:
+    def taken_in(self, task: asyncio.Task[Any], connection: Connection) -> None:
         if task.cancelled() or task.exception():
             self.forget(connection)
             if connection.transport:
--- /dev/null
+++ b/elmglade/lab/demo.py
@@ -0,0 +1,243 @@
+"""`elmglade demo`: one sender between stand-ins, through a calm stretch, an outage and a cold return."""
+
+import asyncio
+import contextlib
+import io
+import logging
+import math
+import random
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from elmglade import config
+from elmglade.core.ports import End
+from elmglade.http.serve import LineTeller, PlainSender
+from elmglade.interface import Effect
+from elmglade.lab.history import Ended, History, Outage, Refused, Taken
+from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.referee import Breach, Kind, Referee, Rules
+from elmglade.lab.script import Act, Does, Script
+
+CALM, OUTAGE, RETURN = 8.0, 7.0, 12.0  # s at the usual pace
+DEADLINE, WINDOW, QUIET = 6.0, 5.0, 0.1  # s
+CLIENTS = 8
+DESTINATIONS = 3
+STRUCK = 1  # the destination that goes down
+CAPACITY = 60.0  # calls a second that the stand-ins of a destination are taken to bear
+
+
+@dataclass(slots=True)
+class Count:
+    """What the demo shows."""
+
+    phase: str = "calm"
+    sent: int = 0
+    turned_away: int = 0
+    attempts: int = 0
+    held: int = 0
+    ends: Counter[str] = field(default_factory=Counter)
+    latencies: list[float] = field(default_factory=list)  # s from handing in to the final answer, delivered
+
+
+def percentile(values: list[float], share: float) -> float:
+    """The nearest-rank percentile; 0 where there are no values."""
+    ordered = sorted(values)
+    return ordered[max(math.ceil(share * len(ordered)) - 1, 0)] if ordered else 0.0
+
+
+class Demo:
+    def __init__(self, pace: float, rate: float, seed: int) -> None:
+        self.pace, self.rate, self.random = pace, rate, random.Random(seed)
+        self.history, self.count = History(), Count()
+        self.handed_in: dict[str, float] = {}
+        self.down = False
+
+    def rule(self, message: str) -> Act | None:
+        if self.random.random() < 0.02:
+            return Act(Does.ERROR)
+        return None
+
+    def told(self, endpoints: list[HttpEndpoint]) -> config.General:
+        listed = [
+            {"id": each.name, "destination": number // 2, "dial": f"127.0.0.1:{each.port}", "zone": "z"}
+            for number, each in enumerate(endpoints)
+        ]
+        command = {"effect": "keyed", "aim_ms": 4000, "deadline_ms": int(DEADLINE * 1000)}
+        command |= {"window_ms": int(WINDOW * 1000), "in_order": True}
+        return config.read(
+            {
+                "name": "demo",
+                "classes": {"command": command},
+                "endpoints": listed,
+                "rules": {"cold_ms": 6000, "key_quiet_ms": int(QUIET * 1000)},
+            }
+        )
+
+    def heard(self, name: str, end: End) -> None:
+        now = time.monotonic()
+        self.history.note(Ended(now, name, end.state.value))
+        self.count.ends[end.state.value] += 1
+        if end.state.value == "delivered":
+            self.count.latencies.append(now - self.handed_in[name])
+
+    async def client(self, number: int, address: tuple[str, int], until: float) -> None:
+        """One of several, each with keys of its own, so that a key's messages come one after another."""
+        client = HttpClient(address)
+        pause = CLIENTS / self.rate
+        following = time.monotonic() + pause * number / CLIENTS
+        while following < until:
+            await asyncio.sleep(max(following - time.monotonic(), 0))
+            following += pause
+            await self.hand_in(client, f"{number}-{self.count.sent}", f"k{number}.{self.random.randrange(3)}")
+        client.close()
+
+    async def hand_in(self, client: HttpClient, name: str, key: str) -> None:
+        self.count.sent += 1
+        destination = self.random.randrange(DESTINATIONS)
+        fields = {
+            "X-Correlation-Id": name,
+            "X-Service-Class": "command",
+            "X-Time-Left": f"{DEADLINE:.3f}",
+            "X-Route-To": f"dest={destination}",
+            "X-Session-Key": f"{key}.{destination}",
+            "Idempotency-Key": f"i{name}",
+        }
+        self.handed_in[name] = now = time.monotonic()
+        status, _ = await client.post("/command", fields, b"start")
+        if status == 202:
+            taken = Taken(now, name, "command", destination, now + DEADLINE, f"{key}.{destination}")
+            self.history.note(taken)
+        else:
+            self.count.turned_away += 1
+            self.history.note(Refused(time.monotonic(), name))
+
+    async def phases(self, endpoints: list[HttpEndpoint]) -> None:
+        struck = endpoints[2 * STRUCK : 2 * STRUCK + 2]
+        await asyncio.sleep(CALM * self.pace)
+        self.count.phase, began = "outage", time.monotonic()
+        for each in struck:
+            each.down = True
+            each.break_off()
+        await asyncio.sleep(OUTAGE * self.pace)
+        for each in struck:
+            each.down = False
+        self.count.phase = "cold return"
+        self.history.note(Outage(began, time.monotonic(), STRUCK))
+        await asyncio.sleep(RETURN * self.pace)
+        self.count.phase = "settling"
+
+    async def run(self, show: Callable[[Count], None]) -> list[Breach]:
+        async with contextlib.AsyncExitStack() as stack:
+            scripts = [Script(rule=self.rule, usual=Act(Does.SERVE, 0.01)) for _ in range(2 * DESTINATIONS)]
+            endpoints = [
+                await stack.enter_async_context(HttpEndpoint(f"e{number}", script, self.history))
+                for number, script in enumerate(scripts)
+            ]
+            folder = stack.enter_context(tempfile.TemporaryDirectory())
+            sender = PlainSender(self.told(endpoints), Path(folder), LineTeller(io.StringIO(), self.heard))
+            await sender.start()
+            running = asyncio.create_task(sender.run())
+            await self.play(sender, endpoints, scripts, show)
+            sender.stop(0)
+            await running
+        return Referee(self.rules()).judge(self.history.events)
+
+    async def play(
+        self,
+        sender: PlainSender,
+        endpoints: list[HttpEndpoint],
+        scripts: list[Script],
+        show: Callable[[Count], None],
+    ) -> None:
+        until = time.monotonic() + (CALM + OUTAGE + RETURN) * self.pace
+        address = sender.server.address()[:2]
+        work = [asyncio.create_task(self.client(number, address, until)) for number in range(CLIENTS)]
+        work.append(asyncio.create_task(self.phases(endpoints)))
+        last = until + DEADLINE + 1.0
+        while time.monotonic() < last:
+            await asyncio.sleep(min(0.5, self.pace))
+            self.count.held = len(sender.engine.dispatcher.messages)
+            self.count.attempts = sum(sum(each.seen.values()) for each in scripts)
+            show(self.count)
+            if all(task.done() for task in work) and not sender.engine.journal.entries:
+                break
+        await asyncio.gather(*work)
+
+    def rules(self) -> Rules:
+        names = [f"e{number}" for number in range(2 * DESTINATIONS)]
+        return Rules(
+            kinds={"command": Kind(Effect.KEYED, WINDOW, in_order=True)},
+            destinations={name: number // 2 for number, name in enumerate(names)},
+            capacity=dict.fromkeys(range(DESTINATIONS), CAPACITY),
+            quiet=QUIET,
+            cold=6.0,
+        )
+
+
+def row(count: Count) -> list[tuple[str, str]]:
+    return [
+        ("phase", count.phase),
+        ("sent", str(count.sent)),
+        ("held", str(count.held)),
+        ("calls", str(count.attempts)),
+        ("delivered", str(count.ends["delivered"])),
+        ("refused", str(count.ends["refused"] + count.turned_away)),
+        ("failed", str(count.ends["failed"])),
+    ]
+
+
+@contextlib.contextmanager
+def display(plain: bool) -> Iterator[Callable[[Count], None]]:
+    """Something that shows a count: a live table where there is a terminal and the library, else lines."""
+    if not plain and sys.stdout.isatty():
+        with contextlib.suppress(ImportError):
+            from rich.live import Live
+            from rich.table import Table
+
+            def table(count: Count) -> Table:
+                made = Table(title="elmglade demo")
+                for name, _ in row(count):
+                    made.add_column(name, justify="right")
+                made.add_row(*(text for _, text in row(count)))
+                return made
+
+            with Live(table(Count()), refresh_per_second=4) as live:
+                yield lambda count: live.update(table(count))
+            return
+    last = [0.0]
+
+    def line(count: Count) -> None:
+        if time.monotonic() - last[0] >= 1.0:
+            last[0] = time.monotonic()
+            print("  ".join(f"{name} {text}" for name, text in row(count)), flush=True)
+
+    yield line
+
+
+def report(count: Count, breaches: list[Breach]) -> None:
+    print(f"\n{'sent':12}{count.sent:>8}")
+    for name in ("delivered", "refused", "failed"):
+        print(f"{name:12}{count.ends[name]:>8}")
+    print(f"{'turned away':12}{count.turned_away:>8}")
+    print(f"{'calls':12}{count.attempts:>8}")
+    for share, name in ((0.5, "p50"), (0.99, "p99")):
+        print(f"{'latency ' + name:12}{percentile(count.latencies, share) * 1e3:>8.0f} ms")
+    for breach in breaches:
+        print(f"broken: {breach.rule}: {breach.text}")
+    print("the referee: " + (f"{len(breaches)} rules broken" if breaches else "no rule broken"))
+
+
+def demo(pace: float = 1.0, rate: float = 40.0, seed: int = 1, *, plain: bool = False) -> int:
+    """Runs it; 0 if no rule was broken and something was delivered, else 1."""
+    logging.disable(logging.WARNING)
+    shown = Demo(pace, rate, seed)
+    print("one sender, three destinations of two endpoints each; destination 1 goes down and comes back cold")
+    with display(plain) as show:
+        breaches = asyncio.run(shown.run(show))
+    report(shown.count, breaches)
+    return 1 if breaches or not shown.count.ends["delivered"] else 0
--- /dev/null
+++ b/elmglade/lab/history.py
@@ -0,0 +1,114 @@
+"""What went over the sockets, as the stand-ins saw it: the referee's only evidence.
+
+Times are seconds of one monotonic clock, in the order in which they were noted.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import Enum
+
+
+class Ran(Enum):
+    """What the endpoint knows of a call's effect."""
+
+    YES = "yes"
+    MAYBE = "maybe"  # it broke off after the last byte, or was given up
+    NEVER = "never"
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """The sender has said that it takes a message on."""
+
+    at: float
+    message: str
+    kind: str
+    destination: int
+    until: float  # when its time is up
+    key: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The sender has turned a message away; nothing of it may run."""
+
+    at: float
+    message: str
+
+
+@dataclass(frozen=True, slots=True)
+class Began:
+    """A call's last byte has come to an endpoint."""
+
+    at: float
+    message: str
+    endpoint: str
+    call: int  # its own number
+
+
+@dataclass(frozen=True, slots=True)
+class Over:
+    """A call has been answered, or its connection has ended."""
+
+    at: float
+    call: int
+    ran: Ran
+    wait: float = 0.0  # s that the answer told
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """The final answer of a message has been heard: `delivered`, `refused`, `failed` or `withdrawn`."""
+
+    at: float
+    message: str
+    state: str
+
+
+@dataclass(frozen=True, slots=True)
+class Drained:
+    """The sender has been told that an endpoint drains or is gone."""
+
+    at: float
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class Outage:
+    """A destination was down, silent or failing from `at` to `until`."""
+
+    at: float
+    until: float
+    destination: int
+
+
+@dataclass(frozen=True, slots=True)
+class Restarted:
+    """A sender has come up again; calls that were out before have no known fate."""
+
+    at: float
+
+
+Event = Taken | Refused | Began | Over | Ended | Drained | Outage | Restarted
+
+
+@dataclass(slots=True)
+class History:
+    """Notes events as they come."""
+
+    clock: Callable[[], float] = time.monotonic
+    events: list[Event] = field(default_factory=list)
+    calls: int = 0
+
+    def note(self, event: Event) -> None:
+        self.events.append(event)
+
+    def began(self, message: str, endpoint: str) -> int:
+        """A call has come whole; its number."""
+        self.calls += 1
+        self.note(Began(self.clock(), message, endpoint, self.calls))
+        return self.calls
+
+    def over(self, call: int, ran: Ran, wait: float = 0.0) -> None:
+        self.note(Over(self.clock(), call, ran, wait))
