The sender inside a gRPC client, and one conformance suite for daemon and plug-in

Need: partners want to call from inside their own process, without the second hop, under the same rules.

Change: elmglade/grpc: a grpc.aio channel whose unary calls go through the engine; one table for every status; RetryInfo read and written; answers that nobody waits for are kept in a file until collected; the library's retries, service configurations and shared connections are off. tests/conformance plays each scenario through the daemon over HTTP and the plug-in over gRPC and compares ends, calls and order, with the referee last.

--- a/elmglade/cli.py
+++ b/elmglade/cli.py
@@ -7,7 +7,7 @@
 from collections.abc import Sequence
 from pathlib import Path
 
-from elmglade.config import Faulty, load
+from elmglade.config import ConfigError, load
 
 
 def parser() -> argparse.ArgumentParser:
@@ -31,7 +31,7 @@
 def check(file: Path) -> int:
     try:
         config = load(file)
-    except Faulty as error:
+    except ConfigError as error:
         for fault in error.faults:
             print(fault)
         return 1
@@ -60,7 +60,7 @@
             return asyncio.run(run(options.config, config, state, sys.stdout))
         with options.answers.open("a") as out:
             return asyncio.run(run(options.config, config, state, out))
-    except Faulty as error:
+    except ConfigError as error:
         for fault in error.faults:
             print(f"elmglade: configuration: {fault}", file=sys.stderr)
     except OSError as error:
--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -30,7 +30,7 @@
         return f"{self.path}: {self.text}"
 
 
-class Faulty(ValueError):
+class ConfigError(ValueError):
     """The configuration cannot be used; `faults` has all that is wrong with it."""
 
     def __init__(self, faults: list[Fault]) -> None:
@@ -216,7 +216,7 @@
 
 
 def read(told: Mapping[str, Any], folder: Path = Path()) -> General:
-    """The configuration in `told`; paths in it are relative to `folder`. Raises Faulty with every fault."""
+    """The configuration in `told`, paths in it relative to `folder`. Raises ConfigError with all faults."""
     faults: list[Fault] = []
     top = Reader(told, "", faults)
     name = top.take("name", str, "elmglade")
@@ -246,7 +246,7 @@
             if each not in known:
                 faults.append(Fault(f"{group}.{each}", "is not known here"))
     if faults or settings is None:
-        raise Faulty(faults)
+        raise ConfigError(faults)
     where = folder / state if state else None
     return General(name, listen, where, seed, int(disk * 1e6), sockets, settings, tuple(places))
 
@@ -263,9 +263,9 @@
 
 
 def load(path: Path) -> General:
-    """The configuration in a TOML file. Raises Faulty, also where the file is no TOML, and OSError."""
+    """The configuration in a TOML file. Raises ConfigError, also where the file is no TOML, and OSError."""
     try:
         told = tomllib.loads(path.read_text())
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise Faulty([Fault(str(path), str(error))]) from None
+        raise ConfigError([Fault(str(path), str(error))]) from None
     return read(told, path.parent)
--- a/elmglade/core/lock.py
+++ b/elmglade/core/lock.py
@@ -7,7 +7,7 @@
 FILE = "lock"
 
 
-class Taken(OSError):
+class LockTakenError(OSError):
     """Another process, or another sender in this one, has the folder."""
 
 
@@ -15,13 +15,13 @@
     """Held until `release`, or until the process ends however it ends (flock(2) goes with the descriptor)."""
 
     def __init__(self, folder: Path) -> None:
-        """Raises Taken if another one holds it, and OSError if the folder cannot be used."""
+        """Raises LockTakenError if another one holds it, and OSError if the folder cannot be used."""
         self.file = os.open(folder / FILE, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
         try:
             fcntl.flock(self.file, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             os.close(self.file)
-            raise Taken(f"another sender uses {folder}") from None
+            raise LockTakenError(f"another sender uses {folder}") from None
 
     def release(self) -> None:
         os.close(self.file)
--- /dev/null
+++ b/elmglade/grpc/__init__.py
@@ -0,0 +1,12 @@
+"""The sender inside a gRPC client: a `grpc.aio` channel whose calls go through the engine.
+
+    channel = await open_channel(config, state)
+    reply = await SomeStub(channel).Command(request, timeout=4, metadata=[("elmglade-destination", "7")])
+
+Needs the extra `elmglade[grpc]`. See docs/design/grpc.md and docs/operate/grpc.md.
+"""
+
+from elmglade.grpc.channel import Channel, open_channel
+from elmglade.grpc.route import BadRouteError, Route
+
+__all__ = ["BadRouteError", "Channel", "Route", "open_channel"]
--- /dev/null
+++ b/elmglade/grpc/courier.py
@@ -0,0 +1,162 @@
+"""Calls out over gRPC: one channel of the library to each endpoint, one call an attempt."""
+
+import asyncio
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any
+
+import grpc
+
+from elmglade.core.ports import Answer
+from elmglade.directory.static import Dial
+from elmglade.grpc.fates import fate
+from elmglade.grpc.retry import retry_after
+from elmglade.grpc.route import IDEMPOTENCY, PREFIX, unpaired
+from elmglade.interface import Outcome
+from elmglade.message import HandedIn
+
+Options = Sequence[tuple[str, Any]]
+Factory = Callable[[str, Options], grpc.aio.Channel]
+
+#: Nothing may act behind the engine's back: no retries of the library's (transparent ones included), no
+#: policy that a name service hands out, no connection shared with somebody else's channel.
+OPTIONS: Options = (
+    ("grpc.enable_retries", 0),
+    ("grpc.service_config_disable_resolution", 1),
+    ("grpc.use_local_subchannel_pool", 1),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.min_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1000),
+)
+ENFORCED = frozenset(name for name, _ in OPTIONS) | {"grpc.service_config"}
+
+
+def insecure(target: str, options: Options) -> grpc.aio.Channel:
+    return grpc.aio.insecure_channel(target, options=options)
+
+
+class GrpcCourier:
+    """`dials` is the directory's: an endpoint that is no longer in it, or at another address, keeps
+    nothing."""
+
+    def __init__(
+        self,
+        connect_timeout: float,
+        dials: Callable[[], Mapping[str, Dial]],
+        wait_told: Callable[[str, int], None],
+        options: Options = (),
+        factory: Factory = insecure,
+    ) -> None:
+        """`connect_timeout` in seconds. `options` are the host's for every channel; those that would let the
+        library act by itself are passed over. `factory` makes a channel, with TLS for instance."""
+        self.connect_timeout, self.dials, self.wait_told = connect_timeout, dials, wait_told
+        self.options = (*(each for each in options if each[0] not in ENFORCED), *OPTIONS)
+        self.factory = factory
+        self.channels: dict[str, tuple[Dial, grpc.aio.Channel]] = {}
+        self.busy: dict[str, int] = {}
+        self.closing: set[asyncio.Task[None]] = set()
+
+    async def call(
+        self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
+    ) -> Answer:
+        """One attempt. Before its connection is up it has never run; from then on only an answer says."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        if (dial := self.dials().get(endpoint)) is None:
+            return Answer(Outcome.NOT_SENT)  # gone since the module chose it
+        self.busy[endpoint] = self.busy.get(endpoint, 0) + 1
+        try:
+            channel = self.channel(endpoint, dial)
+            if not await self.up(channel, min(self.connect_timeout, timeout)):
+                self.drop(endpoint, channel)
+                return Answer(Outcome.CONNECT_FAILED)
+            if not may_go():
+                return Answer(Outcome.NOT_SENT)
+            return await self.attempt(channel, endpoint, message, max(deadline - loop.time(), 0.001))
+        finally:
+            self.busy[endpoint] -= 1
+            if not self.busy[endpoint]:
+                del self.busy[endpoint]
+
+    async def up(self, channel: grpc.aio.Channel, timeout: float) -> bool:
+        """Whether a connection is there, within so many seconds."""
+        try:
+            async with asyncio.timeout(timeout):
+                while True:
+                    state = channel.get_state(try_to_connect=True)
+                    if state is grpc.ChannelConnectivity.READY:
+                        return True
+                    if state in (
+                        grpc.ChannelConnectivity.TRANSIENT_FAILURE,
+                        grpc.ChannelConnectivity.SHUTDOWN,
+                    ):
+                        return False
+                    await channel.wait_for_state_change(state)
+        except (TimeoutError, grpc.aio.UsageError):
+            return False
+
+    async def attempt(
+        self, channel: grpc.aio.Channel, endpoint: str, message: HandedIn, timeout: float
+    ) -> Answer:
+        method, metadata = unpaired(message.extras)
+        metadata += [(PREFIX + "id", message.id)]
+        if message.idempotency_key:
+            metadata += [(IDEMPOTENCY, message.idempotency_key)]
+        out = channel.unary_unary(method)(
+            message.body, timeout=timeout, metadata=tuple(metadata), wait_for_ready=False
+        )
+        try:
+            reply = await out
+        except grpc.aio.AioRpcError as error:
+            told = retry_after(error.trailing_metadata())
+            answer = fate(error.code(), told, details=error.details() or "")
+        else:
+            answer = fate(grpc.StatusCode.OK, None, reply=reply)
+        if answer.wait:
+            self.wait_told(endpoint, answer.wait)
+        return answer
+
+    def channel(self, endpoint: str, dial: Dial) -> grpc.aio.Channel:
+        known = self.channels.get(endpoint)
+        if known and known[0] == dial:
+            return known[1]
+        if known:
+            self.drop(endpoint, known[1])
+        host, port = dial
+        made = self.factory(f"[{host}]:{port}" if ":" in host else f"{host}:{port}", self.options)
+        self.channels[endpoint] = dial, made
+        return made
+
+    def drop(self, endpoint: str, channel: grpc.aio.Channel) -> None:
+        """Guards a destination that is back from a channel that still waits out its own backoff."""
+        known = self.channels.get(endpoint)
+        if known and known[1] is channel:
+            del self.channels[endpoint]
+            task = asyncio.get_running_loop().create_task(self.end(channel))
+            self.closing.add(task)
+            task.add_done_callback(self.closing.discard)
+
+    async def end(self, channel: grpc.aio.Channel) -> None:
+        await channel.close(grace=None)
+
+    def close_idle(self, endpoint: str) -> None:
+        known = self.channels.get(endpoint)
+        if known and not self.busy.get(endpoint):
+            self.drop(endpoint, known[1])
+
+    def tidy(self) -> None:
+        """The library closes what stands idle by itself."""
+
+    def list_changed(self) -> None:
+        """One that has gone or moved closes; a call that is out there keeps its channel until it ends."""
+        dials = self.dials()
+        for name, (dial, channel) in list(self.channels.items()):
+            if dials.get(name) != dial and not self.busy.get(name):
+                self.drop(name, channel)
+
+    def close(self) -> None:
+        for name, (_, channel) in list(self.channels.items()):
+            self.drop(name, channel)
+
+    async def closed(self) -> None:
+        """Waits until every channel is."""
+        await asyncio.gather(*self.closing, return_exceptions=True)
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -10,7 +10,7 @@
 from pathlib import Path
 from typing import TextIO
 
-from elmglade.config import Faulty, General, load
+from elmglade.config import ConfigError, General, load
 from elmglade.core.engine import Config as EngineConfig
 from elmglade.core.engine import Engine
 from elmglade.core.lock import Lock
@@ -44,8 +44,7 @@
     """An HTTP sender over a static directory."""
 
     def __init__(self, config: General, state: Path, teller: LineTeller) -> None:
-        """Raises `lock.Taken` where another sender uses the state folder, and OSError where it cannot be
-        used."""
+        """Raises LockTakenError where another sender uses the state folder, OSError where it is no use."""
         self.lock = Lock(state)
         self.directory = StaticDirectory(config.places)
         engine = Engine(
@@ -73,7 +72,7 @@
     try:
         sender.directory.replace(load(path).places)
         log.info("%d endpoints from now on", len(sender.directory.places))
-    except (Faulty, OSError) as error:
+    except (ConfigError, OSError) as error:
         log.error("the new configuration is not used: %s", error)
 
 
--- /dev/null
+++ b/tests/conformance/sides.py
@@ -0,0 +1,293 @@
+"""The same world twice: commands through the daemon over HTTP, and through the plug-in over gRPC."""
+
+import asyncio
+import io
+from collections import Counter
+from collections.abc import Mapping, Sequence
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Self
+
+import grpc
+
+from elmglade import config
+from elmglade.core.ports import End
+from elmglade.grpc import Channel, open_channel
+from elmglade.http.serve import LineTeller, PlainSender
+from elmglade.interface import Effect
+from elmglade.lab.grpc import GrpcEndpoint
+from elmglade.lab.history import Ended, History, Refused, Restarted, Taken
+from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.referee import Breach, Kind, Referee, Rules
+from elmglade.lab.script import Act, Script
+
+PATIENCE = 15.0  # s; only a failing test waits so long
+DEADLINE, WINDOW, QUIET = 6.0, 4.0, 0.1  # s
+METHOD = "/stromweg.Commands/Send"
+
+CLASSES: dict[str, dict[str, Any]] = {
+    "safe": {"effect": "safe"},
+    "keyed": {"effect": "keyed", "window_ms": WINDOW * 1000},
+    "zoned": {"effect": "keyed", "window_ms": WINDOW * 1000, "window_by_zone": True},
+    "unsafe": {"effect": "unsafe"},
+    "ordered": {"effect": "keyed", "window_ms": WINDOW * 1000, "in_order": True},
+    "ordered-unsafe": {"effect": "unsafe", "in_order": True},
+}
+KINDS = {
+    "safe": Kind(),
+    "keyed": Kind(Effect.KEYED, WINDOW),
+    "zoned": Kind(Effect.KEYED, WINDOW, by_zone=True),
+    "unsafe": Kind(Effect.UNSAFE),
+    "ordered": Kind(Effect.KEYED, WINDOW, in_order=True),
+    "ordered-unsafe": Kind(Effect.UNSAFE, in_order=True),
+}
+#: Two destinations: 1 has endpoints in two zones, 2 has one endpoint.
+ENDPOINTS = {"a": (1, "x"), "b": (1, "y"), "c": (2, "x")}
+
+
+@dataclass(frozen=True, slots=True)
+class Message:
+    id: str
+    kind: str = "safe"
+    destination: int = 2
+    key: str = ""
+    time_left: float = DEADLINE
+
+
+@dataclass(slots=True)
+class Result:
+    """What has to be the same on both sides."""
+
+    ends: dict[str, str] = field(default_factory=dict)
+    attempts: dict[str, int] = field(default_factory=dict)
+    order: dict[str, list[str]] = field(default_factory=dict)  # key -> messages as they first came
+
+
+class Side:
+    """One sender between scripted endpoints, its callers, and a history for the referee."""
+
+    def __init__(self, state: Path, acts: Mapping[str, Sequence[Act]], **limits: object) -> None:
+        self.state, self.script, self.history = state, Script(acts), History()
+        self.limits = limits
+        self.ends: dict[str, str] = {}
+        self.news = asyncio.Event()
+        self.stack = AsyncExitStack()
+        self.endpoints: dict[str, Any] = {}
+        self.keys: dict[str, str] = {}
+        self.restarts = 0
+
+    def told(self) -> config.General:
+        common = {"aim_ms": 2000, "deadline_ms": DEADLINE * 1000}
+        listed = [
+            {"id": name, "destination": destination, "zone": zone}
+            | {"dial": f"127.0.0.1:{self.endpoints[name].port}"}
+            for name, (destination, zone) in ENDPOINTS.items()
+        ]
+        # A destination whose one endpoint drains: what is for it is held to its end.
+        listed.append({"id": "d", "destination": 9, "dial": "127.0.0.1:9", "state": "draining"})
+        return config.read(
+            {
+                "name": "n",
+                "zone": "x",
+                "classes": {name: common | kind for name, kind in CLASSES.items()},
+                "endpoints": listed,
+                "limits": self.limits,
+                "rules": {"key_quiet_ms": QUIET * 1000},
+            }
+        )
+
+    async def __aenter__(self) -> Self:
+        for name in ENDPOINTS:
+            self.endpoints[name] = await self.stack.enter_async_context(self.endpoint(name))
+        await self.open()
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        await self.close()
+        await self.stack.aclose()
+
+    def endpoint(self, name: str) -> Any:  # noqa: ANN401
+        raise NotImplementedError
+
+    async def open(self) -> None:
+        raise NotImplementedError
+
+    async def close(self) -> None:
+        raise NotImplementedError
+
+    async def hand_in(self, message: Message) -> None:
+        """Returns once it is taken on or turned away."""
+        raise NotImplementedError
+
+    async def restart(self) -> None:
+        """The sender ends with whatever is out and comes again on the same folder."""
+        await self.close()
+        self.history.note(Restarted(self.history.clock()))
+        self.restarts += 1
+        await self.open()
+
+    def note(self, message: Message) -> Taken:
+        now = self.history.clock()
+        until = now + message.time_left
+        taken = Taken(now, message.id, message.kind, message.destination, until, message.key)
+        self.history.note(taken)
+        self.keys[message.id] = message.key
+        return taken
+
+    def turned_away(self, taken: Taken) -> None:
+        self.history.events.remove(taken)
+        self.history.note(Refused(self.history.clock(), taken.message))
+        self.end(taken.message, "turned away", note=False)
+
+    def end(self, name: str, state: str, note: bool = True) -> None:
+        if note:
+            self.history.note(Ended(self.history.clock(), name, state))
+        self.ends[name] = state if name not in self.ends else f"{self.ends[name]} and {state}"
+        self.news.set()
+
+    async def all_ended(self, *names: str) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not all(name in self.ends for name in names):
+                self.news.clear()
+                await self.news.wait()
+
+    async def came(self, name: str, times: int = 1) -> None:
+        """Until that many calls for a message have come whole."""
+        async with asyncio.timeout(PATIENCE):
+            while self.script.seen[name] < times:
+                await asyncio.sleep(0.002)
+
+    def engine(self) -> Any:  # noqa: ANN401
+        raise NotImplementedError
+
+    def result(self) -> Result:
+        attempts = Counter(each.message for each in self.history.events if type(each).__name__ == "Began")
+        order: dict[str, list[str]] = {}
+        for each in self.history.events:
+            name = getattr(each, "message", "")
+            if type(each).__name__ == "Began" and self.keys.get(name):
+                line = order.setdefault(self.keys[name], [])
+                if name not in line:
+                    line.append(name)
+        return Result(dict(sorted(self.ends.items())), dict(sorted(attempts.items())), order)
+
+    def judge(self) -> list[Breach]:
+        rules = Rules(
+            KINDS,
+            zones={name: zone for name, (_, zone) in ENDPOINTS.items()},
+            destinations={name: destination for name, (destination, _) in ENDPOINTS.items()},
+            quiet=QUIET,
+        )
+        return Referee(rules).judge(self.history.events)
+
+
+class DaemonSide(Side):
+    def endpoint(self, name: str) -> HttpEndpoint:
+        return HttpEndpoint(name, self.script, self.history)
+
+    async def open(self) -> None:
+        teller = LineTeller(io.StringIO(), lambda name, end: self.end(name, end.state.value))
+        self.sender = PlainSender(self.told(), self.state, teller)
+        await self.sender.start()
+        self.running = asyncio.create_task(self.sender.run())
+        self.client = HttpClient(self.sender.server.address()[:2])
+
+    async def close(self) -> None:
+        self.client.close()
+        self.sender.stop(0)
+        assert await self.running == 0, self.sender.engine.defect
+
+    def engine(self) -> Any:  # noqa: ANN401
+        return self.sender.engine
+
+    async def hand_in(self, message: Message) -> None:
+        taken = self.note(message)
+        fields = {
+            "X-Correlation-Id": message.id,
+            "X-Service-Class": message.kind,
+            # What the door takes off for the way to it is given on top, so that both sides have the same
+            # time.
+            "X-Time-Left": f"{message.time_left + 0.05:.3f}",
+            "X-Route-To": f"dest={message.destination}",
+            "X-Session-Key": message.key,
+            "Idempotency-Key": f"i-{message.id}",
+        }
+        status, _ = await self.client.post(f"/{message.kind}", fields, b"body")
+        if status != 202:
+            self.turned_away(taken)
+
+
+class PluginSide(Side):
+    channel: Channel
+
+    def endpoint(self, name: str) -> GrpcEndpoint:
+        return GrpcEndpoint(name, self.script, self.history)
+
+    async def open(self) -> None:
+        self.channel = await open_channel(self.told(), self.state)
+        self.calls: dict[str, Any] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+        tell = self.channel.tell
+
+        def told(name: str, end: End) -> bool:
+            kept = tell(name, end)
+            collected = self.channel.collect(name)
+            assert collected == end and self.channel.collect(name) is None
+            self.end(name, end.state.value)
+            return kept
+
+        self.channel.tell = told  # type: ignore[method-assign]
+        for name in self.keys:  # what ended while the channel was opened
+            if name not in self.ends and (end := self.channel.collect(name)):
+                self.end(name, end.state.value)
+
+    async def close(self) -> None:
+        for each in self.tasks:
+            each.cancel()  # the waiting alone; the call is the channel's
+        self.calls.clear()
+        await self.channel.close()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    def engine(self) -> Any:  # noqa: ANN401
+        return self.channel.engine
+
+    async def hand_in(self, message: Message) -> None:
+        taken = self.note(message)
+        metadata = [
+            ("elmglade-class", message.kind),
+            ("elmglade-destination", str(message.destination)),
+            ("elmglade-id", message.id),
+            ("elmglade-key", message.key),
+            ("idempotency-key", f"i-{message.id}"),
+        ]
+        call = self.channel.unary_unary(METHOD)(b"body", timeout=message.time_left, metadata=metadata)
+        self.calls[message.id] = call
+        self.tasks.append(asyncio.create_task(self.wait(message.id, taken, call)))
+        async with asyncio.timeout(PATIENCE):
+            while message.id in self.channel.engine.arrived:
+                await asyncio.sleep(0)
+
+    async def wait(self, name: str, taken: Taken, call: Any) -> None:  # noqa: ANN401
+        done = asyncio.Event()
+        call.add_done_callback(lambda _: done.set())
+        await done.wait()
+        if call.cancelled():
+            return
+        code, details = await call.code(), await call.details()
+        if details.startswith("the channel was closed"):
+            return  # it is kept, and goes on
+        if details.startswith("turned away"):
+            self.turned_away(taken)
+        elif code is grpc.StatusCode.OK:
+            assert await call == b"body"
+            self.end(name, "delivered")
+        elif code is grpc.StatusCode.UNAVAILABLE:
+            self.end(name, "refused")
+        elif code is grpc.StatusCode.CANCELLED:
+            self.end(name, "withdrawn")
+        else:
+            self.end(name, "failed")
+
+
+SIDES: dict[str, type[Side]] = {"daemon": DaemonSide, "plugin": PluginSide}
