--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -25,6 +25,8 @@
 SWEEP = 0.25  # s between chores; what clients are owed within 3 s goes by it
 # s: a timer must not run before its time on the module's clock, which then sets no other
 TIMER_SLACK = 0.0005
+#: What a caller hears in place of the reply of a message that an earlier process delivered.
+REPLY_LOST = "UNKNOWN delivered; its reply was lost with the process"
 OVER = 4096  # ids of messages that are over and still known: more than come in the longest deadline
 
 log = logging.getLogger(__name__)
@@ -99,8 +101,12 @@
     def start(self) -> None:
         """Takes over what the journal holds; only then may a door say that it is ready."""
         self.post(face.EndpointsListed(face.Listing.CACHED, self.config.known))
-        for entry in self.journal.entries.values():
+        for entry in list(self.journal.entries.values()):
             self.directory.remember(entry.message.destination)
+            if entry.delivered():  # the process ended between the answer and the end on record
+                self.teller.tell(entry.message.id, End(State.DELIVERED, status=REPLY_LOST))
+                self.message_over(entry.message.id)
+                continue
             self.post(self.restored(entry))
         log.info("%s: %d messages taken over from the journal", self.config.name, len(self.journal.entries))
         self.turn()
--- a/elmglade/journal/file.py
+++ b/elmglade/journal/file.py
@@ -41,6 +41,9 @@
     attempts: dict[int, Attempt] = field(default_factory=dict)
     size: int = 0  # bytes of its records
 
+    def delivered(self) -> bool:
+        return any(each.outcome is Outcome.OK for each in self.attempts.values())
+
     def first_risk(self) -> Attempt | None:
         return next((each for each in self.attempts.values() if each.may_have_run()), None)
 
--- /dev/null
+++ b/tests/conformance/test_killed_daemon.py
@@ -0,0 +1,125 @@
+"""The daemon without the platform, as a process: SIGKILL in the middle of histories, judged by the
+referee."""
+
+import asyncio
+import json
+import random
+import re
+import signal
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from conformance.sides import PATIENCE
+from elmglade.interface import Effect
+from elmglade.lab.history import Ended, History, Restarted, Taken
+from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.referee import Kind, Referee, Rules
+from elmglade.lab.script import Act, Does, Script
+
+ROOT = Path(__file__).parent.parent.parent
+CLASSES = {
+    "keyed": {"effect": "keyed", "window_ms": 6000, "in_order": True},
+    "unsafe": {"effect": "unsafe", "in_order": True},
+    "safe": {"effect": "safe"},
+}
+KINDS = {
+    "keyed": Kind(Effect.KEYED, 6.0, in_order=True),
+    "unsafe": Kind(Effect.UNSAFE, in_order=True),
+    "safe": Kind(),
+}
+DEADLINE = 8.0
+
+
+def toml(port: int) -> str:
+    lines = ['name = "n"', 'listen = "127.0.0.1:0"']
+    for name, kind in CLASSES.items():
+        lines += [f"[classes.{name}]", "aim_ms = 2000", f"deadline_ms = {DEADLINE * 1000}"]
+        lines += [f"{key} = {json.dumps(value)}" for key, value in kind.items()]
+    lines += ["[[endpoints]]", 'id = "c"', "destination = 2", f'dial = "127.0.0.1:{port}"']
+    return "\n".join(lines) + "\n"
+
+
+class Daemon:
+    def __init__(self, folder: Path, port: int) -> None:
+        self.folder, self.file = folder, folder / "config.toml"
+        self.file.write_text(toml(port))
+
+    async def start(self) -> HttpClient:
+        words = ["serve", "--config", str(self.file), "--state", str(self.folder / "state")]
+        words += ["--answers", str(self.folder / "answers")]
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable, "-m", "elmglade", *words, cwd=ROOT, stderr=asyncio.subprocess.PIPE
+        )
+        assert self.process.stderr is not None
+        async with asyncio.timeout(PATIENCE):
+            while not (found := re.search(rb"ready on (\S+):(\d+)", await self.process.stderr.readline())):
+                assert self.process.returncode is None
+        return HttpClient((found[1].decode(), int(found[2])))
+
+    async def end(self, number: int) -> None:
+        self.process.send_signal(number)
+        await asyncio.wait_for(self.process.wait(), PATIENCE)
+
+    def ends(self) -> list[dict[str, Any]]:
+        file = self.folder / "answers"
+        return [json.loads(line) for line in file.read_text().splitlines()] if file.exists() else []
+
+
+async def hand_in(client: HttpClient, history: History, name: str, kind: str, key: str) -> None:
+    fields = {
+        "X-Correlation-Id": name,
+        "X-Service-Class": kind,
+        "X-Time-Left": str(DEADLINE),
+        "X-Route-To": "dest=2",
+        "X-Session-Key": key,
+        "Idempotency-Key": name,
+    }
+    now = history.clock()
+    status, _ = await client.post(f"/{kind}", fields, b"x")
+    assert status == 202
+    history.note(Taken(now, name, kind, 2, now + DEADLINE, key))
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_sigkill_in_the_middle_of_a_history(seed: int, tmp_path: Path) -> None:
+    async def test() -> None:
+        chance, history = random.Random(seed), History()
+        script = Script({"m3": [Act(Does.ERROR), Act(Does.SERVE)]}, usual=Act(Does.SERVE, 0.02))
+        names = []
+        async with HttpEndpoint("c", script, history) as endpoint:
+            daemon = Daemon(tmp_path, endpoint.port)
+            for life in range(3):
+                client, before = await daemon.start(), sum(script.seen.values())
+                for _ in range(6):
+                    names.append(f"m{len(names)}")
+                    kind = chance.choice(list(CLASSES))
+                    key = f"{kind}{chance.randrange(2)}" if kind != "safe" else ""
+                    await hand_in(client, history, names[-1], kind, key)
+                client.close()
+                if life < 2:
+                    goal = before + chance.randrange(1, 5)
+                    async with asyncio.timeout(PATIENCE):
+                        while sum(script.seen.values()) < goal:
+                            await asyncio.sleep(0.001)
+                    await daemon.end(signal.SIGKILL)
+                    history.note(Restarted(history.clock()))
+            async with asyncio.timeout(PATIENCE):
+                while len({each["id"] for each in daemon.ends()}) < len(names):
+                    await asyncio.sleep(0.01)
+            await daemon.end(signal.SIGTERM)
+        assert daemon.process.returncode == 0
+        ends = daemon.ends()
+        # A line that was written as the process died may be written once more by the next one.
+        ends = list({(each["id"], each["state"]): each for each in ends}.values())
+        assert Counter(each["id"] for each in ends) == Counter(names), "one final answer for each"
+        offset = history.clock() - time.time()
+        for each in ends:
+            history.note(Ended(each["at"] + offset, each["id"], each["state"]))
+        assert Referee(Rules(KINDS, destinations={"c": 2})).judge(history.events) == []
+
+    asyncio.run(asyncio.wait_for(test(), 3 * PATIENCE))
--- /dev/null
+++ b/tests/test_arrows.py
@@ -0,0 +1,71 @@
+"""Who may know whom: the arrows of the design run downward only, and the daemon imports no extra."""
+
+import ast
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+ROOT = Path(__file__).parent.parent / "elmglade"
+#: What each part may import of the package, besides itself; the parts above are not in any of these.
+BASE = {"interface", "message"}
+ALLOWED: dict[str, set[str]] = {
+    "interface": set(),
+    "message": set(),
+    "rules": {"interface"},
+    "settings": {"interface"},
+    "journal": BASE,
+    "directory": BASE,
+    "core": {*BASE, "rules", "journal"},
+    "config": {*BASE, "directory"},
+    "http": {*BASE, "core", "config", "directory"},
+    "grpc": {*BASE, "core", "config", "directory", "journal"},
+    "lab": {*BASE, "core", "config", "directory", "http", "grpc"},
+    "adapter": {"interface", "rules", "settings"},
+    "cli": {"config", "http", "lab"},
+    "__main__": {"cli", "core", "http", "settings"},
+    "__init__": {"rules"},
+}
+
+
+def part(file: Path) -> str:
+    return file.relative_to(ROOT).parts[0].removesuffix(".py")
+
+
+def imported(file: Path) -> set[str]:
+    """The parts of the package that a file imports, wherever it does."""
+    found = set()
+    for node in ast.walk(ast.parse(file.read_text())):
+        names = []
+        if isinstance(node, ast.ImportFrom) and node.module and node.level == 0:
+            names = [f"{node.module}.{each.name}" for each in node.names]
+        elif isinstance(node, ast.Import):
+            names = [each.name for each in node.names]
+        for name in names:
+            top, _, rest = name.partition(".")
+            if top == "elmglade" and rest:
+                found.add(rest.partition(".")[0])
+    return found
+
+
+@pytest.mark.parametrize("file", sorted(ROOT.rglob("*.py")), ids=lambda file: str(file.relative_to(ROOT)))
+def test_arrows_run_downward(file: Path) -> None:
+    own = part(file)
+    assert imported(file) - {own, "Dispatcher"} <= ALLOWED[own]
+
+
+def test_the_core_and_what_is_below_it_know_no_protocol() -> None:
+    for name in ("core", "journal", "directory", "rules", "interface", "message"):
+        assert not ALLOWED[name] & {"http", "grpc", "lab", "cli"}
+
+
+EXTRAS = {"grpc", "google", "rich", "hypothesis"}
+
+
+@pytest.mark.parametrize("module", ["__main__", "cli", "http.serve", "adapter"])
+def test_the_daemon_imports_no_extra(module: str) -> None:
+    code = f"import sys, elmglade.{module}; print(sorted({EXTRAS} & set(sys.modules)))"
+    words = [sys.executable, "-c", code]
+    out = subprocess.run(words, cwd=ROOT.parent, capture_output=True, check=True, text=True)
+    assert out.stdout.strip() == "[]"
--- /dev/null
+++ b/tests/test_config.py
@@ -0,0 +1,142 @@
+"""The general configuration: every fault at once, each with its path."""
+
+import copy
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from elmglade import interface as face
+from elmglade.cli import main
+from elmglade.config import ConfigError, load, read
+
+GOOD: dict[str, Any] = {
+    "name": "n",
+    "listen": "127.0.0.1:8080",
+    "state": "state",
+    "classes": {
+        "command": {"effect": "keyed", "aim_ms": 4000, "deadline_ms": 20000, "window_ms": 5000}
+        | {"in_order": True}
+    },
+    "endpoints": [
+        {"id": "a", "destination": 1, "dial": "127.0.0.1:9001", "zone": "x"},
+        {"id": "b", "destination": 1, "dial": "[::1]:9002", "state": "draining", "own_limit": True},
+    ],
+    "limits": {"slots": 8, "disk_mb": 3},
+    "rules": {"key_quiet_ms": 100, "rates_told": True},
+    "tenants": {"acme": 5},
+}
+
+
+def test_a_good_one_is_read_as_it_is_meant(tmp_path: Path) -> None:
+    told = read(GOOD, tmp_path)
+    (command,) = told.settings.classes
+    assert (command.effect, command.aim, command.window) == (face.Effect.KEYED, 4_000_000, 5_000_000)
+    assert told.state == tmp_path / "state" and told.disk_bytes == 3_000_000
+    assert told.settings.slots == 8 and told.settings.tenants == (("acme", 5.0),)
+    assert told.settings.key_quiet == 100_000 and told.settings.rates_told
+    assert [each.dial for each in told.places] == [("127.0.0.1", 9001), ("::1", 9002)]
+    assert told.places[1].endpoint.state is face.EndpointState.DRAINING
+    assert told.places[1].endpoint.kind == "apart"
+
+
+FAULTS: list[tuple[list[Any], Any, str]] = [
+    (["listen"], "here", "listen: must be host:port, not 'here'"),
+    (["listen"], "h:99999", "listen: must be host:port, not 'h:99999'"),
+    (["name"], 7, "name: must be a text, not 7"),
+    (["seed"], -1, "seed: must be from 0 to 9223372036854775808, not -1"),
+    (["nmae"], "n", "nmae: is not known here"),
+    (["classes"], {}, "classes: must name at least one class"),
+    (["classes", "command"], 1, "classes.command: must be a table"),
+    (["classes", "command", "effect"], "twice", "effect: must be one of safe, keyed, unsafe, not 'twice'"),
+    (["classes", "command", "aim_ms"], None, "classes.command.aim_ms: is missing"),
+    (["classes", "command", "aim_ms"], True, "classes.command.aim_ms: must be a number, not True"),
+    (["classes", "command", "aim_ms"], 30000, "classes.command.aim_ms: must be no more than deadline_ms"),
+    (["classes", "command", "window_ms"], 0, "classes.command.window_ms: must be above 0 for a keyed class"),
+    (["classes", "command", "widnow_ms"], 1, "classes.command.widnow_ms: is not known here"),
+    (["endpoints", 0, "dial"], "nowhere", "endpoints[0].dial: must be host:port"),
+    (["endpoints", 1, "id"], "a", "endpoints[1].id: 'a' is listed twice"),
+    (["endpoints", 1, "id"], "", "endpoints[1].id: must not be empty"),
+    (["endpoints", 1], "b", "endpoints[1]: must be a table"),
+    (["endpoints", 1, "state"], "gone", "endpoints[1].state: must be one of ready, draining"),
+    (["endpoints", 0, "destination"], -3, "endpoints[0].destination: must be from 0"),
+    (["limits", "slots"], 0, "limits.slots: must be from 1"),
+    (["limits", "slot"], 3, "limits.slot: is not known here"),
+    (["limits", "disk_mb"], "much", "limits.disk_mb: must be a number, not 'much'"),
+    (["rules", "cold_from"], 2, "rules.cold_from: must be from 0.01 to 1, not 2"),
+    (["rules"], [], "rules: must be a table, not []"),
+    (["tenants", "acme"], "x", "tenants.acme: must be a number"),
+]
+
+
+def changed(*changes: tuple[list[Any], Any]) -> dict[str, Any]:
+    told = copy.deepcopy(GOOD)
+    for path, value in changes:
+        at: Any = told
+        for each in path[:-1]:
+            at = at[each]
+        if value is None:
+            del at[path[-1]]
+        else:
+            at[path[-1]] = value
+    return told
+
+
+@pytest.mark.parametrize(("path", "value", "text"), FAULTS, ids=lambda each: str(each)[:40])
+def test_a_fault_is_named_with_its_path(path: list[Any], value: Any, text: str) -> None:  # noqa: ANN401
+    with pytest.raises(ConfigError) as error:
+        read(changed((path, value)))
+    assert any(text in str(each) for each in error.value.faults), error.value.faults
+
+
+def test_all_faults_are_named_at_once() -> None:
+    changes = [(["listen"], "x"), (["classes", "command", "aim_ms"], 0), (["endpoints", 0, "dial"], 7)]
+    with pytest.raises(ConfigError) as error:
+        read(changed(*changes, (["limits", "slots"], -1), (["extra"], 1)))
+    assert {each.path for each in error.value.faults} == {
+        "listen",
+        "classes.command.aim_ms",
+        "endpoints[0].dial",
+        "limits.slots",
+        "extra",
+    }
+
+
+def test_check_names_them_and_ends_with_1(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    file = tmp_path / "c.toml"
+    file.write_text('listen = "x"\nslots = 3\n')
+    assert main(["check", str(file)]) == 1
+    out = capsys.readouterr().out
+    assert out.splitlines() == [
+        "listen: must be host:port, not 'x'",
+        "classes: must name at least one class",
+        "slots: is not known here",
+    ]
+    file.write_text("no toml")
+    assert main(["check", str(file)]) == 1 and str(file) in capsys.readouterr().out
+    assert main(["check", str(tmp_path / "nothing")]) == 1
+
+
+@pytest.mark.parametrize("name", ["serve.toml", "grpc.toml"])
+def test_the_examples_under_deploy_are_good(name: str) -> None:
+    assert load(Path(__file__).parent.parent / "deploy" / name).places
+
+
+def test_a_demo_of_a_tenth_of_its_length_breaks_no_rule(capsys: pytest.CaptureFixture[str]) -> None:
+    assert main(["demo", "--pace", "0.1", "--plain"]) == 0
+    out = capsys.readouterr().out
+    assert "the referee: no rule broken" in out and "cold return" in out
+    assert main(["demo", "--pace", "9"]) == 2
+
+
+def test_a_demo_with_a_broken_rule_ends_with_1(
+    monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    from elmglade.lab import demo
+    from elmglade.lab.referee import Breach
+
+    async def broken(self: object, show: object) -> list[Breach]:
+        return [Breach("order", 1.0, "forged")]
+
+    monkeypatch.setattr(demo.Demo, "run", broken)
+    assert main(["demo", "--plain"]) == 1 and "broken: order: forged" in capsys.readouterr().out
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -312,6 +312,24 @@
     play(test)(tmp_path)
 
 
+@play
+async def test_what_an_earlier_process_delivered_is_not_sent_again(state: Path) -> None:
+    """It ended between the answer's record and the end's: an unsafe message failed then, others went
+    again."""
+    async with World(state) as world:
+        await world.hand_in("m1", **GONE)
+        journal = world.sender.engine.journal
+        journal.sent("m1", 0, Attempt(1000, "r", "z"))
+        journal.outcome("m1", 0, Outcome.OK)
+        world.sender.stop(0)
+        await world.running.task
+        async with Running(world.told, state) as again:
+            assert not again.sender.engine.journal.entries
+            assert (await again.hand_in("m2")).status == 202
+            assert (await world.receiver.next()).id == "m2"
+            assert not again.sender.discovery.notices
+
+
 @play
 async def test_an_id_that_is_over_is_not_a_new_message(state: Path) -> None:
     """Guards against a second effect by the same hand-in once more, as by one whose answer was lost."""
