A call's fate is told in the turn in which it is known; cheaper records and calls

Profile: nine turns of the loop a message, four JSON encoders made anew, a callable of the library's made for each attempt, a shield for each await, a second copy of a message to hash it.

Change: the engine's task tells the fate itself, where a callback of a later turn did; one encoder; callables kept with their channel; no shield; the hash of a tuple.

--- a/benchmarks/plugin.py
+++ b/benchmarks/plugin.py
@@ -29,7 +29,7 @@
 
 from elmglade.grpc import open_channel
 from elmglade.lab.grpc import GrpcEndpoint
-from elmglade.lab.history import History
+from elmglade.lab.history import Event, History
 from elmglade.lab.http import HttpClient, HttpEndpoint
 from elmglade.lab.script import Script
 
@@ -57,10 +57,16 @@
     return "\n".join([*lines, "[[endpoints]]", 'id="e"', "destination=1", f'dial="127.0.0.1:{port}"', ""])
 
 
+class Unkept(History):
+    """Nothing is judged here, so nothing is kept."""
+
+    def note(self, event: Event) -> None:
+        pass
+
+
 async def endpoints() -> None:
     pin(ENDPOINT_CORE)
-    history = History()
-    history.note = lambda event: None  # type: ignore[method-assign]  # nothing is judged here
+    history = Unkept()
     async with GrpcEndpoint("e", Script(), history) as one, HttpEndpoint("e", Script(), history) as two:
         print(one.port, two.port, flush=True)
         await asyncio.get_running_loop().run_in_executor(None, sys.stdin.read)
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -9,7 +9,7 @@
 import logging
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -57,7 +57,8 @@
 
 def content(message: HandedIn) -> int:
     """Tells whether two hand-ins under one id are the same one. Its time left runs from each anew."""
-    return hash(replace(message, until=0, again=False))
+    told = (message.message_class, message.destination, message.tenant, message.key)
+    return hash((message.id, *told, message.idempotency_key, message.body, message.extras))
 
 
 def is_taking(event: face.Event, name: str) -> bool:
@@ -82,7 +83,7 @@
         self.arrived: dict[str, tuple[HandedIn, Caller]] = {}  # in the inbox, not answered yet
         self.callers: dict[str, Caller] = {}  # those that wait for the end of a message that is taken on
         self.withdrawn: set[str] = set()  # called off by their callers while an attempt was out
-        self.calls: dict[tuple[str, int], asyncio.Task[Answer]] = {}
+        self.calls: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.ended: dict[str, int] = {}  # messages that are over: id and content, oldest first, OVER at most
         self.chores: list[Callable[[], None]] = []  # of the doors, done in each sweep
         self.attempt_ended: Callable[[], None] = lambda: None  # for who waits until nothing is owed
@@ -280,17 +281,29 @@
         if caller:
             caller.ended(end)
 
-    def call_ended(self, name: str, number: int, task: asyncio.Task[Answer]) -> None:
-        del self.calls[name, number]
-        if self.over:
-            return
-        if task.cancelled():
+    async def attempt(self, name: str, number: int, call: Coroutine[Any, Any, Answer]) -> None:
+        """A call to its fate, told in the very turn in which it is known."""
+        try:
+            answer = await call
+        except asyncio.CancelledError:
             answer = Answer(Outcome.CANCELLED)
-        elif error := task.exception():
+        self.call_ended(name, number, answer)
+
+    def call_done(
+        self, name: str, number: int, call: Coroutine[Any, Any, Answer], task: asyncio.Task[None]
+    ) -> None:
+        """What a call that told its fate leaves: nothing. One that was cancelled before it began tells
+        none."""
+        call.close()
+        if not task.cancelled() and (error := task.exception()):
             self.fail("a call failed", error)
+        elif (name, number) in self.calls:
+            self.call_ended(name, number, Answer(Outcome.CANCELLED))
+
+    def call_ended(self, name: str, number: int, answer: Answer) -> None:
+        del self.calls[name, number]
+        if self.over:
             return
-        else:
-            answer = task.result()
         if name in self.journal.entries:
             self.journal.outcome(name, number, answer.outcome)
             if answer.finished:
@@ -382,5 +395,5 @@
             action.timeout / 1e6,
             lambda: self.dispatcher.may_still_go(endpoint, self.now()),
         )
-        task = self.calls[name, number] = self.loop.create_task(call)
-        task.add_done_callback(partial(self.call_ended, name, number))
+        task = self.calls[name, number] = self.loop.create_task(self.attempt(name, number, call))
+        task.add_done_callback(partial(self.call_done, name, number, call))
--- a/elmglade/core/ports.py
+++ b/elmglade/core/ports.py
@@ -9,10 +9,10 @@
 otherwise.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from enum import Enum
-from typing import Protocol
+from typing import Any, Protocol
 
 from elmglade.interface import Outcome
 from elmglade.message import HandedIn
@@ -85,9 +85,9 @@
 class Courier(Protocol):
     """Calls out, by one protocol."""
 
-    async def call(
+    def call(
         self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
-    ) -> Answer:
+    ) -> Coroutine[Any, Any, Answer]:
         """One attempt of at most `timeout` seconds. `may_go` is asked as its first byte goes: drains and
         waits bind until then. Whatever the endpoint or the network does comes back as an Answer; an
         exception is a defect. Cancelled, it gives the attempt up as far as the protocol can."""
--- a/elmglade/grpc/channel.py
+++ b/elmglade/grpc/channel.py
@@ -103,22 +103,24 @@
 
     def __await__(self) -> Any:  # noqa: ANN401
         try:
-            return (yield from asyncio.shield(self._result).__await__())
+            return (yield from self._result.__await__())
         except asyncio.CancelledError:
-            self.cancel()
+            self._called_off()  # cancelling the host's task has cancelled the future that it awaits
             raise
 
     def cancel(self) -> bool:
         """Calls it off. An attempt that is out may have run; its key rests before the next one of it goes."""
         if self._result.done():
             return False
-        self._status = Code.CANCELLED, "cancelled by the host"
-        self._settle(self._call_off)
-        self._channel.engine.withdraw(self._message.id, self)
+        self._result.cancel()
+        self._called_off()
         return True
 
-    def _call_off(self) -> None:
-        self._result.cancel()
+    def _called_off(self) -> None:
+        if self._status is None:
+            self._status = Code.CANCELLED, "cancelled by the host"
+            self._settle(lambda: None)
+            self._channel.engine.withdraw(self._message.id, self)
 
     def cancelled(self) -> bool:
         return self._result.cancelled()
--- a/elmglade/grpc/courier.py
+++ b/elmglade/grpc/courier.py
@@ -27,6 +27,7 @@
     ("grpc.min_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1000),
 )
+MOST_METHODS = 256  # kept for an endpoint
 ENFORCED = frozenset(name for name, _ in OPTIONS) | {"grpc.service_config"}
 
 
@@ -52,6 +53,7 @@
         self.options = (*(each for each in options if each[0] not in ENFORCED), *OPTIONS)
         self.factory = factory
         self.channels: dict[str, tuple[Dial, grpc.aio.Channel]] = {}
+        self.methods: dict[str, tuple[grpc.aio.Channel, dict[str, Any]]] = {}
         self.busy: dict[str, int] = {}
         self.closing: set[asyncio.Task[None]] = set()
 
@@ -66,7 +68,8 @@
         self.busy[endpoint] = self.busy.get(endpoint, 0) + 1
         try:
             channel = self.channel(endpoint, dial)
-            if not await self.up(channel, min(self.connect_timeout, timeout)):
+            up = channel.get_state(try_to_connect=True) is grpc.ChannelConnectivity.READY
+            if not up and not await self.up(channel, min(self.connect_timeout, timeout)):
                 self.drop(endpoint, channel)
                 return Answer(Outcome.CONNECT_FAILED)
             if not may_go():
@@ -101,7 +104,7 @@
         metadata += [(PREFIX + "id", message.id)]
         if message.idempotency_key:
             metadata += [(IDEMPOTENCY, message.idempotency_key)]
-        out = channel.unary_unary(method)(
+        out = self.method(endpoint, channel, method)(
             message.body, timeout=timeout, metadata=tuple(metadata), wait_for_ready=False
         )
         try:
@@ -115,6 +118,18 @@
             self.wait_told(endpoint, answer.wait)
         return answer
 
+    def method(self, endpoint: str, channel: grpc.aio.Channel, name: str) -> Any:  # noqa: ANN401
+        """The library's callable for a method, kept with its channel."""
+        known = self.methods.get(endpoint)
+        if known is None or known[0] is not channel:
+            known = self.methods[endpoint] = channel, {}
+        made = known[1].get(name)
+        if made is None:
+            if len(known[1]) >= MOST_METHODS:
+                known[1].clear()  # guards against hosts that make method names up
+            made = known[1][name] = channel.unary_unary(name)
+        return made
+
     def channel(self, endpoint: str, dial: Dial) -> grpc.aio.Channel:
         known = self.channels.get(endpoint)
         if known and known[0] == dial:
@@ -131,6 +146,7 @@
         known = self.channels.get(endpoint)
         if known and known[1] is channel:
             del self.channels[endpoint]
+            self.methods.pop(endpoint, None)
             task = asyncio.get_running_loop().create_task(self.end(channel))
             self.closing.add(task)
             task.add_done_callback(self.closing.discard)
--- a/elmglade/journal/file.py
+++ b/elmglade/journal/file.py
@@ -19,6 +19,7 @@
 FILE, COMPACTED = "journal", "journal.new"
 BLOCK = 512  # a file counts in whole blocks
 HANDED_IN = tuple(each.name for each in fields(HandedIn))
+ENCODER = json.JSONEncoder(separators=(",", ":"), check_circular=False)
 SPARE = 8  # one part in so many is kept free of new messages, for the attempts and ends of those held
 
 log = logging.getLogger(__name__)
@@ -49,7 +50,7 @@
 
 
 def line(record: dict[str, Any]) -> bytes:
-    return json.dumps(record, separators=(",", ":")).encode() + b"\n"
+    return ENCODER.encode(record).encode() + b"\n"
 
 
 def taken_line(message: HandedIn) -> bytes:
