--- a/elmglade/lab/demo.py
+++ b/elmglade/lab/demo.py
@@ -234,8 +234,16 @@
 
 def demo(pace: float = 1.0, rate: float = 40.0, seed: int = 1, *, plain: bool = False) -> int:
     """Runs it; 0 if no rule was broken and something was delivered, else 1."""
-    logging.disable(logging.WARNING)
-    shown = Demo(pace, rate, seed)
+    logger = logging.getLogger("elmglade")
+    level = logger.level
+    logger.setLevel(logging.ERROR)  # what the outage makes it say would run through the display
+    try:
+        return show_demo(Demo(pace, rate, seed), plain)
+    finally:
+        logger.setLevel(level)
+
+
+def show_demo(shown: Demo, plain: bool) -> int:
     print("one sender, three destinations of two endpoints each; destination 1 goes down and comes back cold")
     with display(plain) as show:
         breaches = asyncio.run(shown.run(show))
