--- a/elmglade/lab/grpc.py
+++ b/elmglade/lab/grpc.py
@@ -37,7 +37,8 @@
     async def stop(self, grace: float | None = None) -> None:
         """As when the process ends; with a `grace`, a GOAWAY first."""
         await self.server.stop(grace)
-        del self.server  # collected now: the library ends it once more then, and needs the running loop for it
+        # Collected now: the library ends it once more then, and needs the running loop for that.
+        del self.server
 
     def service(self, handler_call_details: Any) -> grpc.RpcMethodHandler:  # noqa: ANN401
         method = handler_call_details.method
--- a/tests/conformance/sides.py
+++ b/tests/conformance/sides.py
@@ -121,8 +121,8 @@
         raise NotImplementedError
 
     async def restart(self) -> None:
-        """The sender ends with whatever is out, here and now, and comes again on the same folder. A turn after
-        this would begin attempts that the next life has to count, sent or not."""
+        """The sender ends with whatever is out, here and now, and comes again on the same folder. A turn
+        after this would begin attempts that the next life has to count, sent or not."""
         self.engine().over = True
         await self.close()
         self.history.note(Restarted(self.history.clock()))
