A change of the list costs what changed; a draining endpoint's wait binds at once

Change: the module and the platform's watch touch only the destinations that a line names. A wait told by an endpoint that is no longer listed binds its destination as its answer is read, not with the attempt's fate up to half a second later.

--- a/elmglade/http/platform.py
+++ b/elmglade/http/platform.py
@@ -152,9 +152,12 @@
 
     def read(self, told: Listed, address: Address | None = None) -> None:
         """One line, whole or not at all: what cannot be read has raised before anything is changed."""
-        dials = told.dials if told.whole else self.dials | told.dials
-        gone = {each.id for each in told.endpoints if each.state is face.EndpointState.GONE}
-        self.dials = {name: dial for name, dial in dials.items() if name not in gone}
+        if told.whole:
+            self.dials = {}
+        self.dials.update(told.dials)  # in place: a change costs what it names, however long the list is
+        for each in told.endpoints:
+            if each.state is face.EndpointState.GONE:
+                self.dials.pop(each.id, None)
         self.destinations |= {each.destination for each in told.endpoints}
         if address in (None, self.address):  # else it is a line of the address before
             self.seq = told.seq
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -343,19 +343,39 @@
             self.subscribe_at = self.now + span * self.random.uniform(0.5, 1)
             return
         self.subscribe_tries, known = 0, self.endpoints
-        self.endpoints = dict(known) if listed.listing is Listing.CHANGES else {}
+        if listed.listing is not Listing.CHANGES:
+            self.endpoints, self.by_destination, self.breakers_at = {}, {}, {}
+        touched = {}  # destinations, in the order in which they were named
         for each in listed.endpoints:
-            endpoint = self.endpoints[each.id] = known.get(each.id) or Endpoint(each)
+            endpoint = known.get(each.id) or self.endpoints.get(each.id) or Endpoint(each)
+            if endpoint.listed.destination != each.destination and each.id in self.endpoints:
+                self.unlist(endpoint)
+                touched[endpoint.listed.destination] = None
+            touched[each.destination] = None
             endpoint.listed = each
             if each.state is not EndpointState.READY:
-                del self.endpoints[each.id]
-        self.by_destination, self.breakers_at = {}, {}
-        for endpoint in self.endpoints.values():
+                self.unlist(endpoint)
+            elif each.id not in self.endpoints:
+                self.endpoints[each.id] = endpoint
+                self.by_destination.setdefault(each.destination, []).append(endpoint)
+        for destination in touched:
+            self.relist(destination)
+
+    def unlist(self, endpoint: Endpoint) -> None:
+        if self.endpoints.pop(endpoint.listed.id, None):
+            self.by_destination[endpoint.listed.destination].remove(endpoint)
+
+    def relist(self, destination: int) -> None:
+        """What follows from a destination's endpoints; the others cost nothing."""
+        self.breakers_at.pop(destination, None)
+        if not self.by_destination.get(destination):
+            self.by_destination.pop(destination, None)
+            return
+        at = self.breakers_at[destination] = []
+        for endpoint in self.by_destination[destination]:
             endpoint.breaker = breaker = self.breaker_of(endpoint)
             if self.settings.rates_told and endpoint.listed.scale > 0:
                 breaker.told_rate(endpoint.listed.scale)
-            self.by_destination.setdefault(endpoint.listed.destination, []).append(endpoint)
-            at = self.breakers_at.setdefault(endpoint.listed.destination, [])
             if breaker not in at:
                 at.append(breaker)
 
@@ -511,8 +531,11 @@
 
     def wait_told(self, endpoint: str, until: int) -> None:
         """Rule: waits. It binds calls that are about to go before their turn of events comes."""
-        if known := self.endpoints.get(endpoint):
-            known.breaker.wait_until = max(known.breaker.wait_until, until)
+        told = {call.breaker for call in self.out if call.endpoint.listed.id == endpoint}
+        if known := self.endpoints.get(endpoint):  # else it drains or has gone, and its destination waits on
+            told.add(known.breaker)
+        for breaker in told:
+            breaker.wait_until = max(breaker.wait_until, until)
 
     def may_still_go(self, endpoint: str, now: int) -> bool:
         """Rules: drains and waits, asked again as a call's first byte goes: its connection took a while."""
--- /dev/null
+++ b/tests/test_listing.py
@@ -0,0 +1,97 @@
+"""A change of the list costs what changed, and leaves what a walk over everything would."""
+
+import random
+from typing import Any
+
+import pytest
+from helpers import World, endpoint
+
+from elmglade import interface as face
+from elmglade.interface import EndpointState, Listing
+
+STATES = (EndpointState.READY, EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE)
+
+
+class Plain:
+    """The list by a walk over everything: endpoints in the order in which they came to be known."""
+
+    def __init__(self) -> None:
+        self.endpoints: dict[str, face.Endpoint] = {}
+
+    def hear(self, listed: face.EndpointsListed) -> None:
+        if listed.listing is not Listing.CHANGES:
+            self.endpoints = {}
+        for each in listed.endpoints:
+            known = self.endpoints.get(each.id)
+            if known and known.destination != each.destination:
+                del self.endpoints[each.id]  # one that moved is the newest where it has come to
+            self.endpoints[each.id] = each
+            if each.state is not EndpointState.READY:
+                del self.endpoints[each.id]
+
+    def by_destination(self) -> dict[int, list[face.Endpoint]]:
+        found: dict[int, list[face.Endpoint]] = {}
+        for each in self.endpoints.values():
+            found.setdefault(each.destination, []).append(each)
+        return found
+
+
+def some(chance: random.Random, most: int) -> tuple[face.Endpoint, ...]:
+    names = chance.sample(range(30), chance.randint(0, most))
+    return tuple(
+        endpoint(
+            f"e{name}",
+            chance.choice((name % 7, chance.randrange(7))),
+            state=chance.choice(STATES),
+            kind=chance.choice(("plain", "apart")),
+            scale=chance.choice((0.0, 2.0, 5.0)),
+        )
+        for name in names
+    )
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_any_stream_of_lists_leaves_what_a_plain_walk_leaves(seed: int) -> None:
+    chance, plain, world = random.Random(seed), Plain(), World(rates_told=True)
+    plain.hear(face.EndpointsListed(Listing.FULL, (endpoint("a"),)))
+    for _ in range(60):
+        kind = chance.choice((Listing.CHANGES,) * 9 + (Listing.FULL,))
+        listed = face.EndpointsListed(kind, some(chance, 25 if kind is Listing.FULL else 3))
+        plain.hear(listed)
+        world.step(listed, after=1000)
+        module = world.dispatcher
+        found = {name: [each.listed for each in line] for name, line in module.by_destination.items()}
+        assert found == plain.by_destination()
+        assert {name: each.listed for name, each in module.endpoints.items()} == plain.endpoints
+        for name, line in module.by_destination.items():
+            breakers = list(dict.fromkeys(each.breaker for each in line))
+            assert module.breakers_at[name] == breakers
+            assert all(each is module.breaker_of(x) for x in line for each in (x.breaker,))
+        assert module.breakers_at.keys() == module.by_destination.keys()
+
+
+@pytest.mark.parametrize("size", [10, 10_000])
+def test_a_change_visits_what_it_names_however_long_the_list_is(size: int) -> None:
+    """Counted: the endpoints that a change looks up a breaker for."""
+    world = World(*(endpoint(f"e{each}", each // 2) for each in range(size)))
+    visited: list[Any] = []
+    breaker_of = world.dispatcher.breaker_of
+    world.dispatcher.breaker_of = lambda each: (visited.append(each), breaker_of(each))[1]  # type: ignore
+    draining = endpoint("e4", 2, state=EndpointState.DRAINING)
+    world.step(face.EndpointsListed(Listing.CHANGES, (draining, endpoint("new", 3))))
+    assert [each.listed.id for each in visited] == ["e5", "e6", "e7", "new"]
+
+
+def test_a_wait_that_a_drained_endpoint_tells_binds_its_destination_at_once() -> None:
+    """Its answer's rest may take half a second to come, and only then is the attempt's fate told."""
+    world = World(endpoint("a"), endpoint("b"))
+    world.take()
+    (first,) = [each for each in world.dispatcher.endpoints.values() if each.out]
+    name = first.listed.id
+    drained = endpoint(name, state=EndpointState.DRAINING)
+    world.step(face.EndpointsListed(Listing.CHANGES, (drained,)), after=1000)
+    other = "b" if name == "a" else "a"
+    assert world.dispatcher.may_still_go(other, world.now)
+    world.dispatcher.wait_told(name, world.now + 500_000)
+    assert not world.dispatcher.may_still_go(other, world.now)
+    assert not [each for each in world.take(after=1000) if isinstance(each, face.Send)]
