One reader for each table, one bound for told waits, one way to a kept answer

Need: a second reading of the change found three things written twice: the names of two tables of the configuration stood again in a list of known names; each courier bounded a told wait by itself; handing in built a kept answer as collect does. And older tests polled with timed sleeps.

Change: the readers know which names were asked for; core/ports has told_wait; hand_in calls collect; those tests wait by turns of the loop. Behaviour and assertions are as they were.

--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -180,8 +180,9 @@
     return places
 
 
-def read_settings(top: Reader, classes: list[face.MessageClass]) -> face.Settings | None:
-    limits, rules = top.inside("limits"), top.inside("rules")
+def read_settings(
+    top: Reader, limits: Reader, rules: Reader, classes: list[face.MessageClass]
+) -> face.Settings | None:
     tenants = top.inside("tenants")
     shares = tuple((name, tenants.number(name, None, 0)) for name in tenants.told)
     before = len(top.faults)
@@ -223,8 +224,7 @@
     listen = top.dial("listen", "127.0.0.1:0")
     state = top.take("state", str, "")
     seed = top.whole("seed", 0, 0, 2**63)
-    inner = told.get("limits", {})
-    limits = Reader(inner if isinstance(inner, dict) else {}, "limits", faults)
+    limits, rules = top.inside("limits"), top.inside("rules")
     disk = limits.number("disk_mb", 64.0, 0.01)
     sockets = limits.whole("sockets", 1024, 64)
     kinds = top.inside("classes")
@@ -237,31 +237,15 @@
     if not kinds.told:
         top.wrong("classes", "must name at least one class")
     classes = [each for each in found if each]
-    settings, places = read_settings(top, classes), read_places(top)
-    top.done()
-    for group in ("limits", "rules"):
-        known = KNOWN[group]
-        inner = told.get(group, {})
-        for each in inner if isinstance(inner, dict) else ():
-            if each not in known:
-                faults.append(Fault(f"{group}.{each}", "is not known here"))
+    settings, places = read_settings(top, limits, rules, classes), read_places(top)
+    for reader in (top, limits, rules):
+        reader.done()
     if faults or settings is None:
         raise ConfigError(faults)
     where = folder / state if state else None
     return General(name, listen, where, seed, int(disk * 1e6), sockets, settings, tuple(places))
 
 
-KNOWN = {
-    "limits": frozenset(
-        "slots max_open max_attempts max_retry_after_ms idle_ms connect_timeout_ms disk_mb sockets".split()
-    ),
-    "rules": frozenset(
-        "tick_ms key_quiet_ms drain_grace_ms cold_ms cold_from fall_multiple over_share_worth rates_told "
-        "fleet_size".split()
-    ),
-}
-
-
 def load(path: Path) -> General:
     """The configuration in a TOML file. Raises ConfigError, also where the file is no TOML, and OSError."""
     try:
--- a/elmglade/core/ports.py
+++ b/elmglade/core/ports.py
@@ -9,6 +9,7 @@
 otherwise.
 """
 
+import math
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
 from enum import Enum
@@ -17,6 +18,8 @@
 from elmglade.interface import Outcome
 from elmglade.message import HandedIn
 
+LONGEST_WAIT = 3600.0  # s: no message lives so long; a longer told wait would only keep its breaker for ever
+
 
 @dataclass(frozen=True, slots=True)
 class Answer:
@@ -29,6 +32,11 @@
     status: str = ""  # the endpoint's own verdict besides, in its protocol's terms
 
 
+def told_wait(seconds: float) -> int:
+    """A wait that an endpoint tells, in whole us; none below 0 nor above LONGEST_WAIT."""
+    return math.ceil(min(max(seconds, 0.0), LONGEST_WAIT) * 1e6)
+
+
 class State(Enum):
     """How a message ended."""
 
--- a/elmglade/grpc/channel.py
+++ b/elmglade/grpc/channel.py
@@ -250,8 +250,7 @@
         call = Call(self, message, read)
         self.waiting.add(call)
         call._result.add_done_callback(lambda _: self.waiting.discard(call))
-        if kept := self.answers.collect(message.id):
-            end = End(State(kept["state"]), kept["retry_after"], kept["reply"], kept["status"])
+        if end := self.collect(message.id):
             call.ended(end)  # its message ended in an earlier life of the host
         else:
             self.engine.take(message, call)
--- a/elmglade/grpc/fates.py
+++ b/elmglade/grpc/fates.py
@@ -14,15 +14,12 @@
   so every break after the call was handed to an open connection counts as one that may have run.
 """
 
-import math
-
 import grpc
 
-from elmglade.core.ports import Answer
+from elmglade.core.ports import Answer, told_wait
 from elmglade.interface import Outcome
 
 Code = grpc.StatusCode
-LONGEST_WAIT = 3600.0  # s: a longer told wait would only keep its breaker for ever
 
 #: Verdicts that another attempt would only hear again.
 FINAL = frozenset(
@@ -58,7 +55,7 @@
     if code is Code.OK:
         return Answer(Outcome.OK, finished=True, reply=reply)
     if code in MAY_BE_TURNED_AWAY and retry_after is not None:
-        return Answer(Outcome.FULL, wait=math.ceil(min(max(retry_after, 0.0), LONGEST_WAIT) * 1e6))
+        return Answer(Outcome.FULL, wait=told_wait(retry_after))
     if code in FINAL:
         return Answer(Outcome.OK, finished=True, status=f"{code.name} {details}".strip())
     return Answer(MAY_HAVE_RUN[code])
--- a/elmglade/http/courier.py
+++ b/elmglade/http/courier.py
@@ -1,13 +1,12 @@
 """Calls to receivers: a pool of kept connections for each endpoint, and what came back as an Outcome."""
 
 import asyncio
-import math
 from collections.abc import Callable, Mapping
 
 import h11
 
 from elmglade.core.peer import Cause, Reports, cause_of
-from elmglade.core.ports import Answer
+from elmglade.core.ports import Answer, told_wait
 from elmglade.http.codec import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
 from elmglade.interface import NEVER_RAN, Outcome
 from elmglade.message import HandedIn
@@ -15,7 +14,6 @@
 IDLE_SHARE = 0.8  # of the receiver's idle limit: a kept connection is dropped that much earlier
 BODY_PATIENCE = 0.5  # s for the rest of an answer whose head has come; the body means nothing
 SHORTAGE_PAUSE = 0.05  # s until the next try to open a connection where no descriptor or port was left
-LONGEST_WAIT = 3600.0  # s: no message lives so long; a longer told wait would only keep its breaker for ever
 
 
 def answer_from(response: h11.Response) -> Answer:
@@ -25,7 +23,7 @@
             return Answer(Outcome.OK, finished=True)
         case 429:
             told = decimal(header(response.headers, b"retry-after") or "") or 0.0
-            return Answer(Outcome.FULL, wait=math.ceil(min(told, LONGEST_WAIT) * 1e6))
+            return Answer(Outcome.FULL, wait=told_wait(told))
         case 503 if header(response.headers, b"x-egress-full") == "1":
             return Answer(Outcome.NOT_SENT)
         case 503:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any, Self
 
+from faults import turn
 from helpers import ENV
 
 from elmglade.__main__ import config_from
@@ -242,7 +243,7 @@
         held.reader, held.writer = await asyncio.open_connection(*server.address())
         held.writer.write(data)
         while server.accepted == seen:
-            await asyncio.sleep(0)
+            await turn()
         return held
 
     async def ended(self) -> bytes:
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -9,6 +9,7 @@
 
 import h11
 import pytest
+from faults import turn
 from peers import Peer, handed_in, play, soon
 
 from elmglade.core.ports import Answer
@@ -326,7 +327,7 @@
         first, second = [await receiver.next() for _n in range(2)]
         first.answer(200)
         while not client.pool:
-            await asyncio.sleep(0)
+            await turn()
         for each in both:
             each.cancel()
         for _n in range(2):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -182,7 +182,7 @@
         await until(lambda: len(sender.server.connections) == 2)
         (own,) = [each for each in sender.server.connections if not each.handed_in]
         await until(lambda: own.transport is not None and own.transport.is_reading())
-        await asyncio.sleep(0)  # the loop reads from it now
+        await turn()  # the loop reads from it now
         stage.at("silent", "client")
         if faulty_stage == "half":
             held.writer.write(message("m")[:30])
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 import pytest
+from faults import turn as loop_turn
 from peers import KEYED, PATIENCE, READY, Running, World, ask, host, message, play, read_reply, soon, tell
 
 from elmglade.__main__ import config_from
@@ -37,7 +38,7 @@
         assert (await world.hand_in("m1")).status == 202  # the same hand-in again is not a second message
         request.answer(200)
         while world.sender.engine.journal.entries:
-            await asyncio.sleep(0.001)
+            await loop_turn()
         assert journalled(state) == [] and world.receiver.requests.empty()
 
 
@@ -97,7 +98,7 @@
         _, writer = await asyncio.open_connection(*world.running.address)
         writer.write(message("m1"))
         while not world.sender.engine.arrived:
-            await asyncio.sleep(0.001)
+            await loop_turn()
         connection = world.sender.engine.arrived["m1"][1]
         connection.transport.pause_reading()
         writer.close()
@@ -120,7 +121,7 @@
         assert journalled(state) == ["m1"]
         notice.answer(204)
         while world.sender.engine.journal.entries:
-            await asyncio.sleep(0.001)
+            await loop_turn()
         assert journalled(state) == []
 
 
@@ -142,7 +143,7 @@
         await world.hand_in("m1")
         (await world.receiver.next()).answer(429, "Retry-After: 3600")
         while world.sender.engine.calls:
-            await asyncio.sleep(0.001)
+            await loop_turn()
         await world.hand_in("m2", **SHORT)
         # m2 ends by its time without a call, and m1 is held.
         assert json.loads((await world.platform.next()).body)["id"] == "m2"
@@ -157,7 +158,7 @@
         (await world.receiver.next()).answer(200)
         tell(watch, 42, host(world.receiver.dial, health="draining"))
         while world.sender.engine.dispatcher.endpoints:
-            await asyncio.sleep(0.001)
+            await loop_turn()
         await world.hand_in("m2", **SHORT)
         assert json.loads((await world.platform.next()).body)["id"] == "m2"
         assert world.receiver.requests.empty()
@@ -179,7 +180,7 @@
         await soon(connecting.wait())
         tell(watch, 42, host(world.receiver.dial, health="gone"))
         while world.sender.engine.dispatcher.endpoints:
-            await asyncio.sleep(0.001)
+            await loop_turn()
         go_on.set()
         assert json.loads((await world.platform.next()).body)["id"] == "m1"
         assert world.receiver.requests.empty()
@@ -190,7 +191,7 @@
     async with World(state) as world:
         watch = await soon(world.platform.watches.get())
         tell(watch, 57, host(world.receiver.dial))
-        await asyncio.sleep(0)
+        await loop_turn()
         watch.writer.close()
         assert (await soon(world.platform.watches.get())).target.endswith("after=57")
 
@@ -337,7 +338,7 @@
         await world.hand_in("m1")
         (await world.receiver.next()).answer(200)
         while world.sender.engine.journal.entries:
-            await asyncio.sleep(0.001)
+            await loop_turn()
         assert (await world.hand_in("m1")).status == 202
         await world.hand_in("m2")
         assert (await world.receiver.next()).id == "m2" and world.receiver.requests.empty()
@@ -381,7 +382,7 @@
             if over:
                 request.answer(200)
                 while world.sender.engine.journal.entries:
-                    await asyncio.sleep(0.001)
+                    await loop_turn()
             reply = await world.hand_in("m1", X_Session_Key="k")
             assert reply.status == 503 and float(reply.headers["retry-after"]) > 0
             assert (await world.hand_in("m1", X_Session_Key="other")).status == 202
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 import pytest
+from faults import turn
 from peers import READY, Held, Reply, ask, message, play, read_reply, soon
 
 from elmglade import interface as face
@@ -127,7 +128,7 @@
         data = message("m", X_Time_Left="1")
         writer.write(data[:40])
         while not any(each.began for each in server.connections):
-            await asyncio.sleep(0)
+            await turn()
         server.now = lambda: NOW + 700_000
         writer.write(data[40:])
         assert (await read_reply(reader)).status == 202
@@ -194,7 +195,7 @@
     async with serving(most=1) as (server, _taken):
         half = await Held.open(server, message("a")[:30])
         while server.silent or not server.connections:
-            await asyncio.sleep(0)
+            await turn()
         assert (await raw(server, b"")).status == 503
         server.lingering = -1
         assert await (await Held.open(server, b"x")).ended() == b""
@@ -234,7 +235,7 @@
         idle = await Held.open(server, message("i"))
         assert (await read_reply(idle.reader)).status == 202
         while len(server.silent) != 1 or len(server.connections) != 3:
-            await asyncio.sleep(0)
+            await turn()
         server.expire()
         assert len(server.connections) == 3
         for connection in server.connections:
@@ -242,7 +243,7 @@
         (dripping,) = [each for each in server.connections if each.began]
         half.writer.write(message("m")[30:40])
         while len(dripping.codec.trailing_data[0]) < 40:
-            await asyncio.sleep(0)
+            await turn()
         server.expire()
         assert (await read_reply(half.reader)).status == 408
         assert await silent.ended() == b""
@@ -261,7 +262,7 @@
         assert (await read_reply(held.reader)).status == 413
         (connection,) = server.connections
         while connection.transport.is_reading():
-            await asyncio.sleep(0)
+            await turn()
         assert connection.dropped < 2 * LINGER_BYTES and taken == []
         connection.since -= LINGER + 0.1
         server.expire()
@@ -289,11 +290,11 @@
         server.take = lambda *_: None  # the answer is still pending
         held = await Held.open(server, message("m"))
         while not any(each.answering for each in server.connections):
-            await asyncio.sleep(0)
+            await turn()
         (connection,) = server.connections
         held.writer.write(message("n", b"x" * 60_000) * 200)
         while connection.transport.is_reading():
-            await asyncio.sleep(0)
+            await turn()
         assert len(connection.codec.trailing_data[0]) <= 1024 * 1024
         server.take = lambda _, connection: connection.answer(202)
         connection.answer(202)
@@ -312,7 +313,7 @@
         flood = [await Held.open(server, message(f"m{each}")) for each in range(10)]
         usual.writer.write(message("b"))
         while sum(map(len, server.to_read)) < 11:
-            await asyncio.sleep(0)
+            await turn()
         server.read_some, clock = read_some, server.loop.time  # type: ignore[method-assign]
         server.loop.time = lambda: clock() + len(taken)  # type: ignore[method-assign]  # each takes a second
         read_some()
