Read what lies unread before a turn and a call's first byte

A traced life showed a process without a core for 190 ms whose calls left on waking, before a 429 was read that had lain in its socket for 100 ms: a turn and a call's task run before what their pass's own look found.

Change: the courier's connections stand in one epoll of ours; Engine.look asks it, and the directory's watch, with no wait as a turn begins and as a first byte is about to go. Heads are read ahead of the task that waits for them. An answer that lies unread as its call is called off is its fate; at a time-out its wait binds. gRPC, which cannot be asked, gets 5 ms after a late pass. The loop's lateness is recorded.

--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from elmglade import interface as face
+from elmglade.core.lateness import OLD, Lateness
 from elmglade.core.peer import describe
 from elmglade.core.ports import Answer, Caller, Courier, Directory, End, State, Teller, TurnedAway, Why
 from elmglade.interface import Outcome
@@ -27,6 +28,7 @@
 TIMER_SLACK = 0.0005
 #: What a caller hears in place of the reply of a message that an earlier process delivered.
 REPLY_LOST = "UNKNOWN delivered; its reply was lost with the process"
+SETTLE = 0.005  # s that a courier which hears late is given after a late pass
 OVER = 4096  # ids of messages that are over and still known: more than come in the longest deadline
 
 log = logging.getLogger(__name__)
@@ -90,6 +92,9 @@
         self.watching: asyncio.Task[None] | None = None
         self.wake: asyncio.TimerHandle | None = None
         self.tasks: set[asyncio.Task[None]] = set()
+        self.leaving: set[str] = set()  # endpoints told to drain or go, of which the module has not heard yet
+        self.lateness = Lateness(self.loop.time())
+        self.since = self.loop.time()  # s: when the oldest event in the inbox came, or should have
         self.turning = self.over = False
         self.defect = ""  # the line that names what ended it
         self.stopped: asyncio.Future[int] = self.loop.create_future()
@@ -163,7 +168,10 @@
 
     async def sweep(self) -> None:
         while True:
+            due = self.loop.time() + SWEEP
             await asyncio.sleep(SWEEP)
+            self.lateness.note(self.loop.time() - due)
+            self.lateness.record(self.loop.time(), len(self.journal.entries), len(self.calls))
             for chore in (*self.chores, self.courier.tidy):
                 chore()
 
@@ -172,9 +180,29 @@
     def post(self, event: face.Event) -> None:
         self.inbox.append(event)
         if not self.turning:
-            self.turning = True
+            self.turning, self.since = True, self.loop.time()
             self.loop.call_soon(self.turn)
 
+    def wake_up(self, due: float) -> None:
+        """A timer that was to run at `due`, on the loop's clock."""
+        self.post(face.WakeUp())
+        self.since = min(self.since, due)
+
+    def look(self) -> None:
+        """Hears what lies unread, before anything is decided or sent on what was heard before."""
+        self.directory.look()
+        self.courier.look()
+
+    def may_go(self, endpoint: str) -> bool:
+        """Rules: drains and waits bind until an attempt's first byte goes, also those that lie unread."""
+        self.look()
+        return endpoint not in self.leaving and self.dispatcher.may_still_go(endpoint, self.now())
+
+    async def hear(self, since: float) -> None:
+        """Guards against what a courier that cannot look has yet to hear after a late pass."""
+        if self.courier.late_reader and self.loop.time() - since > OLD:
+            await asyncio.sleep(SETTLE)
+
     def taken(self, message: HandedIn) -> face.MessageTaken:
         return face.MessageTaken(
             message=message.id,
@@ -234,6 +262,12 @@
 
     def list_told(self, event: face.EndpointsListed) -> None:
         """The directory has news."""
+        named = {each.id for each in event.endpoints if each.state is face.EndpointState.READY}
+        if event.listing is face.Listing.FULL:
+            self.leaving = {each for each in self.dispatcher.endpoints if each not in named}
+        elif event.listing is face.Listing.CHANGES:
+            self.leaving |= {each.id for each in event.endpoints if each.id not in named}
+            self.leaving -= named
         self.courier.list_changed()
         self.post(event)
 
@@ -281,9 +315,10 @@
         if caller:
             caller.ended(end)
 
-    async def attempt(self, name: str, number: int, call: Coroutine[Any, Any, Answer]) -> None:
+    async def attempt(self, name: str, number: int, call: Coroutine[Any, Any, Answer], since: float) -> None:
         """A call to its fate, told in the very turn in which it is known."""
         try:
+            await self.hear(since)
             answer = await call
         except asyncio.CancelledError:
             answer = Answer(Outcome.CANCELLED)
@@ -300,6 +335,13 @@
         elif (name, number) in self.calls:
             self.call_ended(name, number, Answer(Outcome.CANCELLED))
 
+    async def call_off(self, name: str, number: int, since: float) -> None:
+        """The module gives an attempt up, unless its fate has come and only waits to be heard."""
+        task = self.calls.get((name, number))
+        await self.hear(since)
+        if task and self.calls.get((name, number)) is task:
+            task.cancel()
+
     def call_ended(self, name: str, number: int, answer: Answer) -> None:
         del self.calls[name, number]
         if self.over:
@@ -317,7 +359,6 @@
     # One turn: the module hears what happened and says what to do.
 
     def turn(self) -> None:
-        self.turning = False
         if self.over:
             return
         try:
@@ -326,6 +367,10 @@
             self.fail("a turn failed", error)
 
     def one_turn(self) -> None:
+        self.lateness.note(self.loop.time() - self.since)
+        self.look()
+        self.turning = False  # what the look heard is of this turn
+        self.leaving.clear()
         arrived, self.arrived = self.arrived, {}
         gone = {name for name, (_, caller) in arrived.items() if caller.gone()}
         events, self.inbox = self.inbox, []
@@ -367,12 +412,15 @@
             case face.Fail(name):
                 self.end(name, End(State.FAILED))
             case face.CancelAttempt(name, number):
-                if task := self.calls.get((name, number)):
+                if self.courier.late_reader:
+                    self.spawn(self.call_off(name, number, self.since))
+                elif task := self.calls.get((name, number)):
                     task.cancel()
             case face.WakeAfter(delay):
                 if self.wake:
                     self.wake.cancel()  # the module asks anew only for an earlier time, or after this one
-                self.wake = self.loop.call_later(delay / 1e6 + TIMER_SLACK, self.post, face.WakeUp())
+                due = self.loop.time() + delay / 1e6 + TIMER_SLACK
+                self.wake = self.loop.call_at(due, self.wake_up, due)
             case face.Subscribe():
                 if self.watching:
                     self.watching.cancel()
@@ -393,7 +441,8 @@
             endpoint,
             self.journal.entries[name].message,
             action.timeout / 1e6,
-            lambda: self.dispatcher.may_still_go(endpoint, self.now()),
+            partial(self.may_go, endpoint),
         )
-        task = self.calls[name, number] = self.loop.create_task(self.attempt(name, number, call))
+        work = self.attempt(name, number, call, self.since)
+        task = self.calls[name, number] = self.loop.create_task(work)
         task.add_done_callback(partial(self.call_done, name, number, call))
--- a/elmglade/core/ports.py
+++ b/elmglade/core/ports.py
@@ -100,6 +100,15 @@
         waits bind until then. Whatever the endpoint or the network does comes back as an Answer; an
         exception is a defect. Cancelled, it gives the attempt up as far as the protocol can."""
 
+    def look(self) -> None:
+        """Reads what has come and lies unread, so that what it tells binds before what the engine does next:
+        waits above all. Asked before each turn. One that cannot look says so with `late_reader`."""
+
+    @property
+    def late_reader(self) -> bool:
+        """Whether what has come is heard only in later passes of the loop: after a late pass the engine then
+        lets some go by before it begins an attempt or gives one up."""
+
     def close_idle(self, endpoint: str) -> None:
         """Closes what is kept open to an endpoint and not in use."""
 
@@ -116,6 +125,9 @@
 class Directory(Protocol):
     """Who is there. It tells the engine by `Engine.list_told`."""
 
+    def look(self) -> None:
+        """Reads what has come and lies unread: a drain binds before what the engine does next."""
+
     async def watch(self) -> None:
         """One watch, to its end. However it ends, the engine is told a FAILED list then, and asks anew."""
 
--- a/elmglade/directory/static.py
+++ b/elmglade/directory/static.py
@@ -46,6 +46,9 @@
 
     # The port.
 
+    def look(self) -> None:
+        """Nothing lies unread here."""
+
     async def watch(self) -> None:
         """Whoever changes the list tells it; there is nothing to wait for."""
         self.told(face.EndpointsListed(face.Listing.FULL, self.endpoints()))
--- a/elmglade/grpc/courier.py
+++ b/elmglade/grpc/courier.py
@@ -39,6 +39,8 @@
     """`dials` is the directory's: an endpoint that is no longer in it, or at another address, keeps
     nothing."""
 
+    late_reader = True  # the library reads in threads of its own and tells the loop
+
     def __init__(
         self,
         connect_timeout: float,
@@ -154,6 +156,9 @@
     async def end(self, channel: grpc.aio.Channel) -> None:
         await channel.close(grace=None)
 
+    def look(self) -> None:
+        """The library has no way to ask what it has read; see `late_reader`."""
+
     def close_idle(self, endpoint: str) -> None:
         known = self.channels.get(endpoint)
         if known and not self.busy.get(endpoint):
--- a/elmglade/http/codec.py
+++ b/elmglade/http/codec.py
@@ -56,6 +56,11 @@
         sock.close()
 
 
+def wake(waiting: "asyncio.Future[None]") -> None:
+    if not waiting.done():
+        waiting.set_result(None)
+
+
 class Connection:
     """One connection to a server. It never sends anything twice by itself."""
 
@@ -65,6 +70,12 @@
         self.idle_since = 0.0
         self.size = 0  # bytes of the answer's body so far
         self.unsent = 0  # bytes of the request that the system has not taken yet
+        self.reading: asyncio.Future[None] | None = None  # somebody waits for the next bytes
+        self.looked = False  # bytes were read by a look, and who waits for them has not gone on yet
+        self.trouble: OSError | None = None  # what that look met
+        self.interim = 0  # 1xx answers ahead of this one
+        #: The head of the answer, or why there is none.
+        self.found: h11.Response | Spoilt | ConnectionResetError | None = None
 
     @classmethod
     async def open(cls, address: Address) -> "Connection":
@@ -103,24 +114,56 @@
     async def writable(self) -> None:
         loop = asyncio.get_running_loop()
         ready: asyncio.Future[None] = loop.create_future()
-
-        def wake() -> None:
-            if not ready.done():
-                ready.set_result(None)
-
-        loop.add_writer(self.sock, wake)
+        loop.add_writer(self.sock, wake, ready)
         try:
             await ready
         finally:
             loop.remove_writer(self.sock)
 
+    async def readable(self) -> None:
+        """Returns when there is something to read, or when a look has read it."""
+        loop = asyncio.get_running_loop()
+        self.reading = loop.create_future()
+        loop.add_reader(self.sock, wake, self.reading)
+        try:
+            await self.reading
+        finally:
+            self.reading = None
+            loop.remove_reader(self.sock)
+
     async def receive(self) -> None:
+        """The next bytes into the codec."""
+        while not (self.looked or self.trouble or self.read_some()):
+            await self.readable()
+        self.looked = False
+        if self.trouble:
+            raise self.trouble
+
+    def read_some(self) -> bool:
+        """What lies in the socket goes to the codec now. False: nothing does."""
         try:
-            data = await asyncio.get_running_loop().sock_recv(self.sock, READ_SIZE)
+            data = self.sock.recv(READ_SIZE)
+        except (BlockingIOError, InterruptedError):
+            return False
         except TimeoutError as error:
             # The network's ETIMEDOUT; read as our own patience's end, it would pass for a call given up.
             raise ConnectionResetError(str(error)) from None
         self.codec.receive_data(data)
+        return True
+
+    def look(self) -> bool:
+        """Reads in this very turn what somebody waits for, who goes on with it in a later one. Guards what is
+        about to be done from an answer that lies unread because the loop is late. False: nobody waits, or
+        nothing has come. Never raises: who waits hears of the trouble."""
+        if self.reading is None or self.looked:
+            return False
+        try:
+            self.looked = self.read_some()
+        except OSError as error:
+            self.trouble = error
+        if self.looked or self.trouble:
+            wake(self.reading)
+        return self.looked
 
     def read_event(self) -> h11.Event | None:
         """The next event of what has come; none if more has to come first."""
@@ -149,15 +192,34 @@
             await self.receive()
         try:
             async with asyncio.timeout(HEAD_PATIENCE):
-                for _ in range(MOST_INTERIM):
-                    while (event := self.read_event()) is None:
-                        self.check_unread()
-                        await self.receive()
-                    if isinstance(event, h11.Response):
-                        self.size = 0
-                        return event
+                while (found := self.head()) is None:
+                    await self.receive()
         except TimeoutError:
             raise Spoilt(0, "the head does not end") from None
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+    def head(self) -> "h11.Response | Spoilt | ConnectionResetError | None":
+        """The head, or why there will be none, of what has come so far; None if more has to come first. Asked
+        again it says the same: a look may ask ahead of who waits for the answer."""
+        if self.found is None:
+            try:
+                self.found = self.read_head()
+            except BROKEN as error:
+                assert isinstance(error, Spoilt | ConnectionResetError)
+                self.found = error
+        return self.found
+
+    def read_head(self) -> h11.Response | None:
+        while self.interim < MOST_INTERIM:
+            if (event := self.read_event()) is None:
+                self.check_unread()
+                return None
+            if isinstance(event, h11.Response):
+                self.size = 0
+                return event
+            self.interim += 1
         raise Spoilt(0, "too many interim answers")
 
     def check_unread(self) -> None:
@@ -191,6 +253,7 @@
         if self.codec.trailing_data != (b"", False):
             return False
         self.codec.start_next_cycle()
+        self.found, self.interim = None, 0
         return True
 
     def ended(self) -> bool:
--- a/elmglade/http/courier.py
+++ b/elmglade/http/courier.py
@@ -1,6 +1,7 @@
 """Calls to receivers: a pool of kept connections for each endpoint, and what came back as an Outcome."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Mapping
 
 import h11
@@ -8,6 +9,7 @@
 from elmglade.core.peer import Cause, Reports, cause_of
 from elmglade.core.ports import Answer, told_wait
 from elmglade.http.codec import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
+from elmglade.http.unread import Unread
 from elmglade.interface import NEVER_RAN, Outcome
 from elmglade.message import HandedIn
 
@@ -40,6 +42,8 @@
     """`dials` is discovery's: an endpoint that is no longer in it, or at another address, keeps nothing.
     `most` bounds the connections open at once; to open one more, the one idle for longest is closed."""
 
+    late_reader = False  # it looks
+
     def __init__(
         self,
         conn_idle: float,
@@ -55,6 +59,8 @@
         self.pool: dict[str, list[Connection]] = {}
         self.idle: dict[Connection, str] = {}  # the same, the one idle for longest first
         self.open: set[Connection] = set()
+        self.out: dict[Connection, str] = {}  # whose answer is waited for, and the endpoint
+        self.unread = Unread()
         self.connecting = 0
         self.draining: set[asyncio.Task[None]] = set()
         self.reports = Reports()
@@ -86,6 +92,7 @@
                 }
                 await connection.send("POST", "/hook", headers, message.body)
                 written = True
+                self.out[connection] = endpoint
                 response = await connection.response()
                 if loop.time() >= deadline:
                     raise TimeoutError  # the loop was late: whether this still was a delivery is not known
@@ -103,10 +110,14 @@
                     kept = self.finish(endpoint, connection)
             return answer
         except asyncio.CancelledError:
+            if connection and (lying := self.lying(endpoint, connection)):
+                return lying
             given_up = written
             raise
         except TimeoutError:
             given_up = written
+            lying = self.lying(endpoint, connection) if connection else None
+            wait = lying.wait if lying else wait
             return Answer(Outcome.TIMEOUT if written else Outcome.CONNECT_FAILED, wait=wait)
         except Spoilt as error:
             # It may have run; a first line of 200 is true all the same.
@@ -119,12 +130,46 @@
                 return Answer(Outcome.STALE if written else Outcome.NOT_SENT, wait=wait)
             return Answer(Outcome.RESET if written else Outcome.CONNECT_FAILED, wait=wait)
         finally:
+            if connection:
+                self.out.pop(connection, None)
             # A time-out or a cancel gives the call up: only closing the connection tells the receiver.
             if connection and not kept:
                 self.drop(connection)
             if given_up:
                 self.close_idle(endpoint)  # they may have fallen silent with it; a repeat goes on a new one
 
+    def look(self) -> None:
+        """What lies unread in the sockets of calls out binds now: a wait that an answer tells, and the end of
+        a kept connection. Guards calls that are about to go from a loop that comes late to hear of it."""
+        for connection in self.unread.ready():
+            if connection in self.idle:
+                self.close_one(connection)
+            elif (endpoint := self.out.get(connection)) and connection.look():
+                self.heard(endpoint, connection)
+
+    def heard(self, endpoint: str, connection: Connection) -> Answer | None:
+        """The answer, as far as its head says it; none where no head has come that can be read."""
+        if not isinstance(response := connection.head(), h11.Response):
+            return None
+        answer = answer_from(response)
+        if answer.wait:
+            self.wait_told(endpoint, answer.wait)
+        return answer
+
+    def lying(self, endpoint: str, connection: Connection) -> Answer | None:
+        """The answer of a call that is being given up, where it has come and nobody has read it yet. What
+        says that it never ran is believed only whole, as ever."""
+        if connection not in self.out:
+            return None
+        with contextlib.suppress(OSError):
+            connection.read_some()  # nobody waits for it any more
+        if (answer := self.heard(endpoint, connection)) and answer.outcome in NEVER_RAN:
+            try:
+                return answer if connection.whole() else None
+            except BROKEN:
+                return None
+        return answer
+
     async def connect(self, address: Address) -> Connection:
         if len(self.open) + self.connecting >= self.most and self.idle:
             self.close_one(next(iter(self.idle)))
@@ -134,6 +179,11 @@
                 connection = await self.open_one(address)
         finally:
             self.connecting -= 1
+        try:
+            self.unread.add(connection)
+        except OSError:
+            connection.close()
+            raise
         self.open.add(connection)
         return connection
 
@@ -153,6 +203,7 @@
 
     def drop(self, connection: Connection) -> None:
         self.open.discard(connection)
+        self.unread.discard(connection)
         connection.close()
 
     def finish(self, endpoint: str, connection: Connection) -> bool:
@@ -232,3 +283,4 @@
             task.cancel()
         for connection in list(self.idle):
             self.close_one(connection)
+        self.unread.close()
--- a/elmglade/http/daemon.py
+++ b/elmglade/http/daemon.py
@@ -47,7 +47,7 @@
     """How the descriptors that the configuration allows are shared out: all that opens one counts here."""
 
     # The standard streams, the loop's three, the listener, the journal and its copy, the configuration, the
-    # watch and the notices with their successors at a new address: 14; and a turn's accepted connections,
+    # watch and the notices with their successors at a new address, the look: 15; and a turn's accepted ones,
     # which push out others that close only after it.
     OWN: ClassVar[int] = 20 + ACCEPTS
 
--- a/elmglade/http/platform.py
+++ b/elmglade/http/platform.py
@@ -74,6 +74,9 @@
         self.dials = dict(known.dials)
         self.destinations = {each.destination for each in known.endpoints}  # all that a list ever named
         self.heard = False  # whether a line has come in this process
+        self.line: Connection | None = None  # the watch that is up
+        self.rest = b""  # of it: a line that has begun
+        self.trouble: Exception | None = None  # what a look at it met
         self.notices: dict[str, str] = {}
         self.has_notices = asyncio.Event()
 
@@ -133,19 +136,42 @@
         return bytes(body)
 
     async def read_lines(self, connection: Connection, address: Address) -> None:
-        rest = b""
-        while True:
-            async with asyncio.timeout(SILENCE):
-                event = await connection.next_event()
+        self.line, self.rest, self.trouble = connection, b"", None
+        try:
+            while not self.replaced(address):
+                self.read_ready(connection, address)
+                async with asyncio.timeout(SILENCE):
+                    await connection.receive()
+                if self.trouble:
+                    raise self.trouble
+        finally:
+            if self.line is connection:
+                self.line = None
+
+    def replaced(self, address: Address) -> bool:
+        """Whether another address has told its list."""
+        return address != self.address and self.seq is not None
+
+    def look(self) -> None:
+        """Reads what the watch has told and the loop has not come to hear yet."""
+        if (connection := self.line) and connection.look():
+            try:
+                self.read_ready(connection, connection.address)
+            except (*BROKEN, *UNREADABLE) as error:
+                self.trouble = error
+
+    def read_ready(self, connection: Connection, address: Address) -> None:
+        """The lines that have come whole."""
+        while (event := connection.read_event()) is not None:
             if isinstance(event, h11.EndOfMessage):
                 raise ConnectionError("discovery ended it")
             if not isinstance(event, h11.Data):
                 continue
-            *lines, rest = (rest + bytes(event.data)).split(b"\n")
-            if len(rest) > LINE_LIMIT:
+            *lines, self.rest = (self.rest + bytes(event.data)).split(b"\n")
+            if len(self.rest) > LINE_LIMIT:
                 raise ValueError("a line is too long")
             for line in lines:
-                if address != self.address and self.seq is not None:
+                if self.replaced(address):
                     return
                 if line.strip():
                     self.read(Listed(json.loads(line)), address)
