--- a/elmglade/adapter.py
+++ b/elmglade/adapter.py
@@ -65,10 +65,10 @@
         return value
 
     def number_of(self, field: str, default: str | None = None) -> int:
-        return self._read(field, default, int)
+        return int(self._read(field, default, int))
 
     def real(self, field: str, default: str | None = None) -> float:
-        return self._read(field, default, float)
+        return float(self._read(field, default, float))
 
     def one_of(self, field: str, choices: dict[str, Any], default: str | None = None) -> Any:  # noqa: ANN401
         return self._read(field, default, choices.__getitem__)
--- /dev/null
+++ b/elmglade/breaker.py
@@ -0,0 +1,216 @@
+"""The breaker of a destination, or of a route where its endpoints are apart: the design's heart.
+
+Its states, and what moves it between them:
+
+- **closed**: `failures` is under the threshold. Calls go, at least `gap` apart. A served call zeroes the
+  count and takes a share off the gap; a refusal as full doubles the gap; a failure adds to the count.
+- **open**: the threshold is reached. Nothing goes until `trial_at`, the reset timeout after the last
+  failure.
+- **half-open**: one call is out as `trial`. Served, it closes the breaker, with a gap from its small step;
+  anything that speaks against it restarts the timeout.
+
+Across these lie a told wait (`wait_until`: nothing goes before, in any state) and the warm-up of one that
+may have been out (`cold_since`: calls go at most at a stated multiple of what a cold destination can do).
+Pure: times are whole microseconds that the caller tells.
+"""
+
+import math
+import random
+from dataclasses import dataclass
+
+from elmglade import interface as face
+from elmglade.interface import Effect, Outcome
+
+FAILURE_THRESHOLD = 3  # failures in a row; a small destination would take too long to show the paper's five
+RESET_TIMEOUT = 2_000_000  # us from the last failure to the trial; the design page's figure
+GAP_STEP = 100_000  # us, the smallest gap: about one call's time at a destination of usual pace
+TOLD_STEP = 0.5  # of the time between calls at this sender's part of the told rate: the step at the most
+TOLD_MOST = 4  # times that: the gap at the most; a cold destination takes a fifth, and has its own gap
+GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
+GAP_SHRINK = 0.15  # share of the gap that a served call takes off: five serve to undo most of a doubling
+SICK_SHARE = 0.4  # recent failures among calls from which a destination is doubtful: far above stray errors
+MEMORY = 0.125  # weight of the newest call in that share and in the usual time; as TCP smooths round trips
+OVERDUE_SPREADS = 4  # mean deviations above the usual time from which a call is overdue; TCP's time-out rule
+COLD_PUSH = 0.75  # of fall_multiple: a returning destination is paced at that times its warm share
+ANSWERED = frozenset({Outcome.ERROR, Outcome.SPOILT})
+#: Of a failure: an error is an answer, also a spoilt one; the paper allows a threshold for each kind.
+ERROR_WEIGHT = 1 / 3
+NEVER = math.inf
+
+
+class Endpoint:
+    __slots__ = ("bad_until", "breaker", "last_sent", "listed", "out")
+
+    def __init__(self, listed: face.Endpoint) -> None:
+        self.listed, self.out = listed, 0
+        self.bad_until, self.last_sent = 0.0, -NEVER
+        self.breaker: Breaker | None = None  # while its destination is asleep
+
+
+class Message:
+    __slots__ = (
+        "attempts", "born", "destination", "ended", "id", "key", "kind", "number", "out", "queued",
+        "risky_since", "risky_zone", "share", "until",
+    )  # fmt: skip
+
+    def __init__(self, taken: face.MessageTaken, kind: face.MessageClass, now: int, share: float) -> None:
+        self.id, self.kind, self.destination = taken.message, kind, taken.destination
+        self.key = taken.key if kind.in_order else ""
+        self.until, self.born = now + taken.time_left, now + taken.time_left - kind.deadline
+        self.share = share  # 1, or what is left of its worth over its tenant's share
+        self.attempts, self.out, self.ended = 0, False, False
+        self.risky_since: int | None = None  # sending of the first attempt that may have run
+        self.risky_zone = ""
+        self.number = 0  # the order in which it came to be held
+        self.queued = False  # among those of its destination that may go next
+
+
+class Call:
+    """One call at a destination; several messages share it where they travel as a batch."""
+
+    __slots__ = ("breaker", "called_off", "endpoint", "messages", "number", "overdue", "sent", "settled")
+
+    def __init__(self, breaker: "Breaker", endpoint: Endpoint, now: int, number: int) -> None:
+        self.breaker, self.endpoint, self.sent, self.number = breaker, endpoint, now, number
+        self.messages: dict[str, Message] = {}
+        self.settled = self.overdue = self.called_off = False  # settled: its result has been counted
+
+    def risks(self) -> bool:
+        return any(each.kind.effect is not Effect.SAFE for each in self.messages.values())
+
+
+@dataclass(frozen=True, slots=True)
+class Pace:
+    """What is the same for all breakers of a sender."""
+
+    settings: face.Settings
+    chance: random.Random
+    crowd: float  # as many times more senders share a limit than the gap reckons with
+    least_aim: int
+
+    @classmethod
+    def of(cls, settings: face.Settings, chance: random.Random) -> "Pace":
+        crowd = max(settings.fleet_size / GAP_SENDERS, 1)
+        return cls(settings, chance, crowd, min(each.aim for each in settings.classes))
+
+
+class Breaker:
+    """The paper's breaker, with the gap, told waits and the warm-up after an outage."""
+
+    __slots__ = (
+        "calls", "cold_since", "destination", "failures", "fresh", "gap", "gap_changed", "known", "last_sent",
+        "last_served", "most_gap", "out", "pace", "served_sent", "sick", "span", "spread", "step", "stuck",
+        "told_gap", "took", "trial", "trial_at", "unserved", "wait_until",
+    )  # fmt: skip
+
+    def __init__(self, pace: Pace, destination: int) -> None:
+        self.pace, self.destination = pace, destination
+        self.failures, self.trial_at, self.trial = 0.0, -NEVER, None  # type: float, float, Call | None
+        self.most_gap = RESET_TIMEOUT * pace.crowd
+        self.step, self.gap, self.gap_changed = GAP_STEP * pace.crowd, 0.0, -NEVER
+        self.out, self.last_sent, self.wait_until = 0, -NEVER, 0
+        self.unserved, self.sick, self.cold_since = 0, 0.0, -NEVER  # unserved: calls since the last served
+        self.served_sent = -NEVER  # sending of the newest call that was served
+        self.took, self.spread, self.known = pace.least_aim / 4, pace.least_aim / 8, 1
+        self.calls, self.span, self.last_served = 0.1, RESET_TIMEOUT / 20 * pace.crowd, NEVER
+        self.told_gap = NEVER  # between own calls at this sender's part of the rate that the list tells
+        self.fresh: dict[Call, None] = {}  # out and not overdue, oldest first
+        self.stuck: dict[Call, None] = {}  # out and overdue
+
+    def told_rate(self, rate: float) -> None:
+        """Guards busy destinations from gaps made for small ones: both ends follow the told rate."""
+        crowd = self.pace.crowd
+        self.told_gap = 1e6 * self.pace.settings.fleet_size / rate
+        self.step = min(GAP_STEP * crowd, TOLD_STEP * self.told_gap)
+        self.most_gap = min(RESET_TIMEOUT * crowd, TOLD_MOST * self.told_gap)
+
+    def is_open(self) -> bool:
+        return self.failures >= FAILURE_THRESHOLD
+
+    def ready_at(self, now: int) -> float:
+        """When the next call may go, as seen now; NEVER while a trial's result decides it."""
+        if self.is_open():
+            return NEVER if self.trial else max(self.wait_until, self.trial_at)
+        return max(self.wait_until, self.last_sent + max(self.gap, self.cold_gap(now)))
+
+    def free_at(self, now: int) -> float:
+        """The same, and right: where the gap shrinks while a destination warms up, `ready_at` comes nearer as
+        time goes. The first microsecond from which the call may go, if nothing happens until then."""
+        late = self.ready_at(now)
+        if late <= now or late == NEVER or self.is_open() or self.cold_gap(now) <= self.gap:
+            return late
+        early, most = now, math.ceil(late)
+        while most - early > 1:
+            middle = (early + most) // 2
+            early, most = (early, middle) if self.ready_at(middle) <= middle else (middle, most)
+        return float(most)
+
+    def restart(self, now: int) -> None:
+        """Guards a destination that is down from a crowd: a failed trial waits out the gap of a cold one."""
+        timeout: float = RESET_TIMEOUT
+        if self.trial and self.pace.crowd > 1:
+            self.cold_since = now
+            timeout = max(timeout, self.cold_gap(now) * self.pace.chance.uniform(0.5, 1.5))
+        self.trial, self.trial_at = None, now + timeout
+
+    def cold_gap(self, now: int) -> float:
+        """Rule: a returning destination is not pushed over. Own usual rate times the share that is warm; a
+        sender that was started again knows no usual rate, only its part of the told one."""
+        settings = self.pace.settings
+        if (warm := (now - self.cold_since) / settings.cold) >= 1:
+            return 0.0
+        share = settings.cold_from + (1 - settings.cold_from) * max(warm, 0.0)
+        push = settings.fall_multiple * COLD_PUSH * share
+        return min(min(self.span / self.calls, self.told_gap) / push, 2 * self.most_gap)
+
+    def overdue_at(self) -> float:
+        """When the oldest call that is not overdue is; NEVER with none out. The patience is one for all."""
+        oldest = next(iter(self.fresh), None)
+        return oldest.sent + self.patience() if oldest else NEVER
+
+    def patience(self) -> float:
+        """How long a call may take before it is overdue."""
+        return max(self.took + OVERDUE_SPREADS * self.spread, self.pace.least_aim / 4)
+
+    def failed(self, now: int, weight: float = 1, run: float = FAILURE_THRESHOLD) -> None:
+        self.failures += weight
+        self.restart(now)
+        self.sick += (1 - self.sick) * MEMORY
+        self.doubt(now, run)
+
+    def count_failure(self, now: int, outcome: Outcome) -> None:
+        weight = ERROR_WEIGHT if outcome in ANSWERED else 1
+        self.failed(now, weight, max(FAILURE_THRESHOLD / self.pace.crowd, 2))
+
+    def refused(self, now: int, call: Call) -> None:
+        if call is self.trial:
+            self.restart(now)
+        if call.sent >= self.gap_changed:  # calls sent before the gap last grew say nothing of it
+            self.gap, self.gap_changed = min(max(2 * self.gap, self.step), self.most_gap), now
+            self.doubt(now, max(FAILURE_THRESHOLD / self.pace.crowd, 2))
+            # Told alike, back apart.
+            late = self.pace.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.pace.crowd)
+            self.wait_until = max(self.wait_until, now) + math.ceil(late)
+
+    def doubt(self, now: int, run: float) -> None:
+        """What may be an outage restarts the warm-up: a run of unserved calls, or many failures of late."""
+        self.unserved += 1
+        if self.unserved >= run or self.sick >= SICK_SHARE:
+            self.cold_since = now
+
+    def served(self, now: int, call: Call) -> None:
+        took = now - call.sent
+        self.served_sent = max(self.served_sent, call.sent)
+        self.known += 1
+        weight = max(MEMORY, 1 / self.known)  # the first guess counts as one call
+        self.spread += (abs(took - self.took) - self.spread) * weight
+        self.took += (took - self.took) * weight
+        passed = now - self.last_served
+        if self.unserved == 0 and self.cold_gap(now) == 0 and passed >= 0:
+            fade = math.exp(-passed / self.pace.settings.cold)
+            self.calls, self.span = self.calls * fade + 1, self.span * fade + passed
+        self.last_served = now
+        self.gap = max(self.gap, self.step if self.is_open() else 0) * (1 - GAP_SHRINK)
+        self.gap *= self.gap >= self.step / 2
+        self.failures, self.unserved, self.trial = 0, 0, None
+        self.sick *= 1 - MEMORY
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -1,224 +1,105 @@
 """Every decision of a sender. Its types, events and actions are in elmglade/interface.py.
 
-A circuit breaker per destination (per endpoint where routes are apart) decides the ordinary path: failures in
-a row open it, messages are held, one trial after the reset timeout closes it or restarts the timeout, a gap
-paces calls while closed. The rest guards the six rules or picks the held message that goes next.
+A circuit breaker per destination (per endpoint where routes are apart, elmglade/breaker.py) decides the
+ordinary path: failures in a row open it, messages are held, one trial after the reset timeout closes it or
+restarts the timeout, a gap paces calls while closed. The rest guards the six rules or picks the held
+message that goes next.
+
+A turn costs what changed (elmglade/schedule.py). What something happened to is noted where it happens:
+
+- `open`: destinations that may take a call now, as far as is known; looked at while slots are free. One
+  that takes none leaves, and stands in `freed` for when its gap, wait or timeout ends.
+- `examined`: held messages whose turn within their key may have come; `quiet`: when a key has rested.
+- `changed`: breakers that something happened to; `overdue`: when the oldest call of one is overdue.
+- `deadlines`: when a message may have to end; `ages`: when a destination may have been silent for long
+  enough.
 """
 
 import heapq
 import itertools
 import math
 import random
-from collections import defaultdict
+from bisect import insort
+from collections import OrderedDict, defaultdict
 from collections.abc import Iterable
+from itertools import islice
 
 from elmglade import interface as face
+from elmglade.breaker import NEVER, RESET_TIMEOUT, Breaker, Call, Endpoint, Message, Pace
 from elmglade.interface import Effect, EndpointState, Listing, Outcome
+from elmglade.schedule import Agenda, Destination, Rank, worth
 
-FAILURE_THRESHOLD = 3  # failures in a row; a small destination would take too long to show the paper's five
-RESET_TIMEOUT = 2_000_000  # us from the last failure to the trial; the design page's figure
-GAP_STEP = 100_000  # us, the smallest gap: about one call's time at a destination of usual pace
-TOLD_STEP = 0.5  # of the time between calls at this sender's part of the told rate: the step at the most
-TOLD_MOST = 4  # times that: the gap at the most; a cold destination takes a fifth, and has its own gap
-GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
-GAP_SHRINK = 0.15  # share of the gap that a served call takes off: five serve to undo most of a doubling
-SICK_SHARE = 0.4  # recent failures among calls from which a destination is doubtful: far above stray errors
-MEMORY = 0.125  # weight of the newest call in that share and in the usual time; as TCP smooths round trips
-OVERDUE_SPREADS = 4  # mean deviations above the usual time from which a call is overdue; TCP's time-out rule
 DESTINATION_SLOTS = 0.5  # share of the slots that calls to one destination may hold
-PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
 # May still be running:
 UNSETTLED = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.STALE, Outcome.SPOILT, Outcome.CANCELLED})
-COLD_PUSH = 0.75  # of fall_multiple: a returning destination is paced at that times its warm share
-ANSWERED = frozenset({Outcome.ERROR, Outcome.SPOILT})
-ERROR_WEIGHT = (
-    1 / 3
-)  # of a failure: an error is an answer, also a spoilt one; the paper allows a threshold for each kind
 SCARCE_TIMES = 3  # idle times for which a refused connect makes a crowd close its connections after use
-IDLE_AGE = 60_000_000  # us after which what stands unused is forgotten: far above any outage's length
-AGE_CHECK = 5_000_000  # us between looks for that
+IDLE_AGE = 60_000_000  # us after which what is unused and unlisted is forgotten: above any outage's length
+QUIET_AGE = 3_600_000_000  # us of silence after which a listed destination is not judged by old figures
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
-NEVER = math.inf
-
-
-class Endpoint:
-    def __init__(self, listed: face.Endpoint) -> None:
-        self.listed, self.out = listed, 0
-        self.bad_until, self.last_sent = 0.0, -NEVER
-        self.breaker: Breaker
-
-
-class Message:
-    def __init__(self, taken: face.MessageTaken, kind: face.MessageClass, now: int, share: float) -> None:
-        self.id, self.kind, self.destination = taken.message, kind, taken.destination
-        self.key = taken.key if kind.in_order else ""
-        self.until, self.born = now + taken.time_left, now + taken.time_left - kind.deadline
-        self.share = share  # 1, or what is left of its worth over its tenant's share
-        self.attempts, self.out, self.ended = 0, False, False
-        self.risky_since: int | None = None  # sending of the first attempt that may have run
-        self.risky_zone = ""
-
-
-class Call:
-    """One call at a destination; several messages share it where they travel as a batch."""
-
-    def __init__(self, breaker: "Breaker", endpoint: Endpoint, now: int) -> None:
-        self.breaker, self.endpoint, self.sent = breaker, endpoint, now
-        self.messages: dict[str, Message] = {}
-        self.settled = self.overdue = self.called_off = False  # settled: its result has been counted
-
-    def risks(self) -> bool:
-        return any(each.kind.effect is not Effect.SAFE for each in self.messages.values())
-
-
-class Breaker:
-    """The paper's breaker, with the gap, told waits and the warm-up after an outage."""
-
-    def __init__(self, settings: face.Settings, chance: random.Random) -> None:
-        self.settings, self.chance = settings, chance
-        self.failures, self.trial_at, self.trial = 0, -NEVER, None
-        self.crowd = max(settings.fleet_size / GAP_SENDERS, 1)
-        self.most_gap = RESET_TIMEOUT * self.crowd
-        self.step, self.gap, self.gap_changed = GAP_STEP * self.crowd, 0.0, -NEVER
-        self.out, self.last_sent, self.wait_until = 0, -NEVER, 0
-        self.unserved, self.sick, self.cold_since = 0, 0.0, -NEVER  # unserved: calls since the last served
-        self.served_sent = -NEVER  # sending of the newest call that was served
-        self.least_aim = min(each.aim for each in settings.classes)
-        self.took, self.spread, self.known = self.least_aim / 4, self.least_aim / 8, 1
-        self.calls, self.span, self.last_served = 0.1, RESET_TIMEOUT / 20 * self.crowd, NEVER
-        self.told_gap = NEVER  # between own calls at this sender's part of the rate that the list tells
-
-    def told_rate(self, rate: float) -> None:
-        """Guards busy destinations from gaps made for small ones: both ends follow the told rate."""
-        self.told_gap = 1e6 * self.settings.fleet_size / rate
-        self.step = min(GAP_STEP * self.crowd, TOLD_STEP * self.told_gap)
-        self.most_gap = min(RESET_TIMEOUT * self.crowd, TOLD_MOST * self.told_gap)
-
-    def ready_at(self, now: int) -> float:
-        """When the next call may go; NEVER while a trial's result decides it."""
-        if self.failures >= FAILURE_THRESHOLD:
-            return NEVER if self.trial else max(self.wait_until, self.trial_at)
-        return max(self.wait_until, self.last_sent + max(self.gap, self.cold_gap(now)))
-
-    def restart(self, now: int) -> None:
-        """Guards a destination that is down from a crowd: a failed trial waits out the gap of a cold one."""
-        timeout: float = RESET_TIMEOUT
-        if self.trial and self.crowd > 1:
-            self.cold_since = now
-            timeout = max(timeout, self.cold_gap(now) * self.chance.uniform(0.5, 1.5))
-        self.trial, self.trial_at = None, now + timeout
-
-    def cold_gap(self, now: int) -> float:
-        """Rule: a returning destination is not pushed over. Own usual rate times the share that is warm; a
-        sender that was started again knows no usual rate, only its part of the told one."""
-        if (warm := (now - self.cold_since) / self.settings.cold) >= 1:
-            return 0.0
-        share = self.settings.cold_from + (1 - self.settings.cold_from) * max(warm, 0.0)
-        push = self.settings.fall_multiple * COLD_PUSH * share
-        return min(min(self.span / self.calls, self.told_gap) / push, 2 * self.most_gap)
-
-    def overdue_at(self, call: Call) -> float:
-        return call.sent + self.patience()
-
-    def patience(self) -> float:
-        """How long a call may take before it is overdue."""
-        return max(self.took + OVERDUE_SPREADS * self.spread, self.least_aim / 4)
-
-    def failed(self, now: int, weight: float = 1, run: float = FAILURE_THRESHOLD) -> None:
-        self.failures += weight
-        self.restart(now)
-        self.sick += (1 - self.sick) * MEMORY
-        self.doubt(now, run)
-
-    def refused(self, now: int, call: Call) -> None:
-        if call is self.trial:
-            self.restart(now)
-        if call.sent >= self.gap_changed:  # calls sent before the gap last grew say nothing of it
-            self.gap, self.gap_changed = min(max(2 * self.gap, self.step), self.most_gap), now
-            self.doubt(now, max(FAILURE_THRESHOLD / self.crowd, 2))
-            late = self.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.crowd)  # told alike, back apart
-            self.wait_until = max(self.wait_until, now) + math.ceil(late)
-
-    def doubt(self, now: int, run: float) -> None:
-        """What may be an outage restarts the warm-up: a run of unserved calls, or many failures of late."""
-        self.unserved += 1
-        if self.unserved >= run or self.sick >= SICK_SHARE:
-            self.cold_since = now
-
-    def served(self, now: int, call: Call) -> None:
-        took = now - call.sent
-        self.served_sent = max(self.served_sent, call.sent)
-        self.known += 1
-        weight = max(MEMORY, 1 / self.known)  # the first guess counts as one call
-        self.spread += (abs(took - self.took) - self.spread) * weight
-        self.took += (took - self.took) * weight
-        passed = now - self.last_served
-        if self.unserved == 0 and self.cold_gap(now) == 0 and passed >= 0:
-            fade = math.exp(-passed / self.settings.cold)
-            self.calls, self.span = self.calls * fade + 1, self.span * fade + passed
-        self.last_served = now
-        self.gap = max(self.gap, self.step if self.failures >= FAILURE_THRESHOLD else 0) * (1 - GAP_SHRINK)
-        self.gap *= self.gap >= self.step / 2
-        self.failures, self.unserved, self.trial = 0, 0, None
-        self.sick *= 1 - MEMORY
+LOOKS = 256  # destinations looked at in a turn; where more wait for a slot, the next turn begins with those
+PROSPECT_AGE = 25  # us for each message held that their order, once made, serves: a bound on what it costs
 
 
 class KeyLine:
     """Rule: messages of one key go one at a time, as taken, and rest after an attempt left unsettled."""
 
+    __slots__ = ("queue", "quiet_until")
+
     def __init__(self) -> None:
-        self.queue: list[Message] = []
+        self.queue: OrderedDict[str, Message] = OrderedDict()
         self.quiet_until = 0
 
+    def head(self) -> Message:
+        return next(iter(self.queue.values()))
+
 
 class Dispatcher:
     def __init__(self, settings: face.Settings, seed: int) -> None:
+        """One sender's decisions; `seed` is that of its chance, which is used for spreading alone."""
         self.settings, self.random = settings, random.Random(seed)
+        self.pace = Pace.of(settings, self.random)
         self.classes = {each.name: each for each in settings.classes}
         self.kinds = defaultdict(face.Kind, settings.kinds)
         self.fees = dict(settings.zone_fees)
         self.quotas = {name: rate / settings.fleet_size for name, rate in settings.tenants if rate > 0}
-        self.credit, self.credited = dict(self.quotas), 0  # one second's share may be saved up
+        # One second's share may be saved up.
+        self.credit = {name: (rate, 0) for name, rate in self.quotas.items()}  # left, as of when
         self.endpoints: dict[str, Endpoint] = {}
-        self.by_destination: dict[int, list[Endpoint]] = {}
-        self.breakers: dict[tuple[int, str], Breaker] = {}
-        self.breakers_at: dict[int, list[Breaker]] = {}  # of the endpoints that are listed
+        self.destinations: dict[int, Destination] = {}
         self.batches = any(kind.batch > 1 for _, kind in settings.kinds)
         self.messages: dict[str, Message] = {}
-        self.waiting: dict[int, dict[str, Message]] = {}
         self.unanswered: dict[str, Message] = {}  # ended, but not over yet
         self.keys: dict[str, KeyLine] = {}
         self.calls: dict[tuple[str, int], Call] = {}
         self.idle: dict[str, Endpoint] = {}  # with a call just ended
         self.scarce_until = 0  # connects were refused of late
         self.out: dict[Call, None] = {}  # distinct calls, oldest first
+        self.stuck: dict[Call, None] = {}  # of these, the overdue ones
         self.deadlines: list[tuple[float, int, Message]] = []  # a heap: when a message may have to end
         self.quiet: list[tuple[int, str]] = []  # a heap: when a key has rested
-        self.now, self.wake_at, self.count = -NEVER, NEVER, itertools.count()
-        self.stops_at, self.aged = NEVER, -NEVER
+        self.open: dict[int, None] = {}
+        self.freed: Agenda[int] = Agenda()
+        self.overdue: Agenda[Breaker] = Agenda()
+        self.ages: Agenda[int] = Agenda()
+        self.changed: dict[Breaker, None] = {}
+        self.examined: list[Message] = []
+        self.room: list[tuple[float, int, Message]] = []  # what makes room, the least promising first
+        self.room_until = -NEVER  # when that order is too old
+        self.now, self.wake_at = -NEVER, NEVER
+        self.count = itertools.count()
+        self.stops_at = NEVER
         self.subscribe_at, self.subscribe_tries = (-NEVER if settings.must_ask else NEVER), 0
         self.actions: list[face.Action] = []
+        self.looks = 0  # items looked at, ever: what a turn costs is counted by it
 
     def handle(self, now_us: int, events: Iterable[face.Event]) -> list[face.Action]:
+        """What follows from these events at that time. Raises ValueError for a clock that went back, a class
+        that is not in the settings and a message that was taken before."""
         if now_us < self.now:
             raise ValueError(f"the clock went back from {self.now} to {now_us}")
         self.now, self.actions = now_us, []
         for event in events:
-            match event:
-                case face.MessageTaken():
-                    self.take(event)
-                case face.MessageRestored():
-                    self.restore(event)
-                case face.AttemptEnded():
-                    self.attempt_ended(event)
-                case face.EndpointsListed():
-                    self.list_endpoints(event)
-                case face.MessageWithdrawn(message) if message in self.messages:
-                    self.finish(self.messages[message])
-                case face.EndAnswered(message) if message in self.unanswered:
-                    self.finish(self.unanswered.pop(message))
-                case face.Stopping(left):
-                    self.stops_at = now_us + left
+            self.hear(event)
         self.find_overdue()
         self.end_due()
         self.send_next()
@@ -229,18 +110,60 @@
 
     # What happened.
 
+    def hear(self, event: face.Event) -> None:
+        match event:
+            case face.MessageTaken():
+                self.take(event)
+            case face.MessageRestored():
+                self.restore(event)
+            case face.AttemptEnded():
+                self.attempt_ended(event)
+            case face.EndpointsListed():
+                self.list_endpoints(event)
+            case face.MessageWithdrawn(message) if message in self.messages:
+                self.finish(self.messages[message])
+            case face.EndAnswered(message) if message in self.unanswered:
+                self.finish(self.unanswered.pop(message))
+            case face.Stopping(left):
+                self.stops_at = self.now + left
+
     def take(self, taken: face.MessageTaken) -> None:
         if taken.message_class not in self.classes:
             raise ValueError(f"unknown class {taken.message_class}")
         if taken.message in self.messages:
             raise ValueError(f"message {taken.message} was taken before")
         share = self.within_share(taken.tenant)
-        message = Message(taken, self.classes[taken.message_class], self.now, share)
+        message = Message(taken, self.classes[taken.message_class], int(self.now), share)
         self.messages[message.id] = message
-        self.waiting.setdefault(message.destination, {})[message.id] = message
         heapq.heappush(self.deadlines, (message.until, next(self.count), message))
         if message.key:
-            self.keys.setdefault(message.key, KeyLine()).queue.append(message)
+            self.keys.setdefault(message.key, KeyLine()).queue[message.id] = message
+        self.hold(message)
+
+    def hold(self, message: Message) -> None:
+        at = self.arouse(message.destination)
+        message.number = next(self.count)
+        at.hold(message)
+        self.examined.append(message)
+        if self.room_until > self.now and self.may_refuse(message):
+            turns = len(self.keys[message.key].queue) - 1 if message.key and not message.attempts else 0
+            insort(self.room, self.prospect(message, at, turns))
+
+    def arouse(self, number: int) -> Destination:
+        """A destination that is needed. One that was silent for long is warmed like one that was out."""
+        if (at := self.destinations.get(number)) is None:
+            at = self.destinations[number] = Destination(number)
+        if at.own is None:
+            at.own = {}
+            self.set_breakers(at)
+            for each in at.breakers if at.silent_since is not None else ():
+                each.cold_since = self.now
+            self.ages.set(number, self.now + IDLE_AGE)
+        return at
+
+    def all_breakers(self) -> list[Breaker]:
+        """Of the destinations that are awake."""
+        return [each for at in self.destinations.values() for each in (at.own or {}).values()]
 
     def restore(self, kept: face.MessageRestored) -> None:
         """Rules: a call that was out at the end may have run, and may still; its key rests."""
@@ -253,26 +176,20 @@
         if not self.may_send_again(message):
             self.end(message)
         for name, outcome in kept.outcomes:
-            endpoint = self.endpoints.get(name)
+            breaker = endpoint.breaker if (endpoint := self.endpoints.get(name)) else None
             # Guards a destination that came back meanwhile, cold. What is called off was far overdue.
-            if endpoint and (outcome in face.FAILURES or outcome is Outcome.CANCELLED):
-                breaker = endpoint.breaker
-                self.count_failure(breaker, outcome)
+            if breaker and (outcome in face.FAILURES or outcome is Outcome.CANCELLED):
+                breaker.count_failure(int(self.now), outcome)
                 breaker.trial_at = self.now
-
-    def count_failure(self, breaker: Breaker, outcome: Outcome) -> None:
-        weight = ERROR_WEIGHT if outcome in ANSWERED else 1
-        breaker.failed(self.now, weight, max(FAILURE_THRESHOLD / breaker.crowd, 2))
+                self.touch(breaker)
 
     def within_share(self, tenant: str) -> float:
-        passed = (self.now - self.credited) / 1e6
-        self.credited = self.now
-        for name, rate in self.quotas.items():
-            self.credit[name] = min(self.credit[name] + rate * passed, max(rate, 1.0))
-        if tenant not in self.credit:
+        if tenant not in self.quotas:
             return 1.0  # no share is told; nothing is kept by a name that any client may make up
-        within = self.credit[tenant] >= 1
-        self.credit[tenant] -= within
+        rate, (left, since) = self.quotas[tenant], self.credit[tenant]
+        left = min(left + rate * (self.now - since) / 1e6, max(rate, 1.0))
+        within = left >= 1
+        self.credit[tenant] = left - within, int(self.now)
         return 1.0 if within else self.settings.over_share_worth
 
     def attempt_ended(self, ended: face.AttemptEnded) -> None:
@@ -290,12 +207,12 @@
         elif self.now + self.settings.tick >= message.until or not self.may_send_again(message):
             self.end(message)
         else:
-            self.waiting.setdefault(message.destination, {})[message.id] = message
+            self.hold(message)
             self.watch_window(message)
 
     def rest(self, key: str) -> None:
         if line := self.keys.get(key):
-            line.quiet_until = self.now + self.settings.key_quiet
+            line.quiet_until = int(self.now) + self.settings.key_quiet
             heapq.heappush(self.quiet, (line.quiet_until, key))
 
     def watch_window(self, message: Message) -> None:
@@ -311,30 +228,40 @@
 
     def settle(self, call: Call, ended: face.AttemptEnded) -> None:
         """The first result of a call speaks for all its messages."""
-        breaker, endpoint = call.breaker, call.endpoint
+        breaker, endpoint, now = call.breaker, call.endpoint, int(self.now)
+        self.touch(breaker)
         if ended.wait:  # rule: told waits are heeded, from each answer that tells one
-            breaker.wait_until = max(breaker.wait_until, self.now + ended.wait)
+            breaker.wait_until = max(breaker.wait_until, now + ended.wait)
         if not call.messages:
             breaker.out -= 1
             endpoint.out -= 1
             self.idle[endpoint.listed.id] = endpoint
             if ended.outcome is Outcome.CONNECT_FAILED and not call.overdue:
-                self.scarce_until = self.now + SCARCE_TIMES * self.settings.conn_idle
-            del self.out[call]
+                self.scarce_until = now + SCARCE_TIMES * self.settings.conn_idle
+            for kind in (self.out, self.stuck, breaker.fresh, breaker.stuck):
+                kind.pop(call, None)
         if call.settled:
             return  # a batch has one fate
         call.settled = True
+        breaker.fresh.pop(call, None)
         if ended.outcome is Outcome.OK:
-            breaker.served(self.now, call)
+            breaker.served(now, call)
             endpoint.bad_until = 0.0
         elif ended.outcome is Outcome.FULL:
-            breaker.refused(self.now, call)
+            breaker.refused(now, call)
         elif ended.outcome in face.FAILURES and not call.overdue:
-            self.count_failure(breaker, ended.outcome)
-            endpoint.bad_until = self.now + RESET_TIMEOUT
+            breaker.count_failure(now, ended.outcome)
+            endpoint.bad_until = now + RESET_TIMEOUT
         elif call is breaker.trial:
             breaker.trial = None
 
+    def touch(self, breaker: Breaker) -> None:
+        """Something happened to it: it may be free now, and its calls may be overdue at another time."""
+        self.changed[breaker] = None
+        self.open[breaker.destination] = None
+
+    # Who is there.
+
     def list_endpoints(self, listed: face.EndpointsListed) -> None:
         """Rule: drains are kept, from the moment they are told: only ready endpoints are known here."""
         if listed.listing is Listing.FAILED:
@@ -343,62 +270,113 @@
             self.subscribe_at = self.now + span * self.random.uniform(0.5, 1)
             return
         self.subscribe_tries, known = 0, self.endpoints
+        touched: dict[int, None] = {}  # destinations, in the order in which they were named
         if listed.listing is not Listing.CHANGES:
-            self.endpoints, self.by_destination, self.breakers_at = {}, {}, {}
-        touched = {}  # destinations, in the order in which they were named
-        for each in listed.endpoints:
-            endpoint = known.get(each.id) or self.endpoints.get(each.id) or Endpoint(each)
-            if endpoint.listed.destination != each.destination and each.id in self.endpoints:
-                self.unlist(endpoint)
-                touched[endpoint.listed.destination] = None
-            touched[each.destination] = None
-            endpoint.listed = each
-            if each.state is not EndpointState.READY:
-                self.unlist(endpoint)
-            elif each.id not in self.endpoints:
-                self.endpoints[each.id] = endpoint
-                self.by_destination.setdefault(each.destination, []).append(endpoint)
+            self.endpoints = {}
+            for each in known.values():
+                self.destinations[each.listed.destination].endpoints.clear()
+                each.breaker = None
+                touched[each.listed.destination] = None
+        for told in listed.endpoints:
+            self.list_one(told, known, touched)
         for destination in touched:
-            self.relist(destination)
+            self.relist(self.destinations[destination])
+
+    def list_one(self, told: face.Endpoint, known: dict[str, Endpoint], touched: dict[int, None]) -> None:
+        endpoint = known.get(told.id) or self.endpoints.get(told.id) or Endpoint(told)
+        if endpoint.listed.destination != told.destination and told.id in self.endpoints:
+            self.unlist(endpoint)
+            touched[endpoint.listed.destination] = None
+        endpoint.listed = told
+        if told.state is not EndpointState.READY:
+            if told.id in self.endpoints:
+                self.unlist(endpoint)
+                touched[told.destination] = None
+            return
+        touched[told.destination] = None
+        if told.id not in self.endpoints:
+            self.endpoints[told.id] = endpoint
+            if told.destination not in self.destinations:
+                self.destinations[told.destination] = Destination(told.destination)
+            self.destinations[told.destination].endpoints.append(endpoint)
 
     def unlist(self, endpoint: Endpoint) -> None:
-        if self.endpoints.pop(endpoint.listed.id, None):
-            self.by_destination[endpoint.listed.destination].remove(endpoint)
+        del self.endpoints[endpoint.listed.id]
+        self.destinations[endpoint.listed.destination].endpoints.remove(endpoint)
+        endpoint.breaker = None
 
-    def relist(self, destination: int) -> None:
+    def relist(self, at: Destination) -> None:
         """What follows from a destination's endpoints; the others cost nothing."""
-        self.breakers_at.pop(destination, None)
-        if not self.by_destination.get(destination):
-            self.by_destination.pop(destination, None)
-            return
-        at = self.breakers_at[destination] = []
-        for endpoint in self.by_destination[destination]:
-            endpoint.breaker = breaker = self.breaker_of(endpoint)
+        if at.own is not None:
+            self.set_breakers(at)
+        elif not at.endpoints:
+            del self.destinations[at.number]
+
+    def set_breakers(self, at: Destination) -> None:
+        for endpoint in at.endpoints:
+            endpoint.breaker = breaker = self.breaker_of(at, endpoint.listed)
             if self.settings.rates_told and endpoint.listed.scale > 0:
                 breaker.told_rate(endpoint.listed.scale)
-            if breaker not in at:
-                at.append(breaker)
+        at.breakers = tuple(dict.fromkeys(each.breaker for each in at.endpoints if each.breaker))
+        self.open[at.number] = None
+
+    def breaker_of(self, at: Destination, listed: face.Endpoint) -> Breaker:
+        assert at.own is not None
+        key = listed.id if self.kinds[listed.kind].apart else ""
+        if key not in at.own:
+            at.own[key] = Breaker(self.pace, at.number)
+        return at.own[key]
+
+    # Calls that take too long.
 
     def find_overdue(self) -> None:
         """Guards against hangs, silence and slowness: a call far too slow counts as a failure at once; with
         no slot free the oldest far overdue is called off, harmless first. May lose a heavy message. Where
         calls sent later have been served, it is not the destination that is slow: the call or its
         connection is lost, and what may be sent again is called off and sent again."""
-        for call in [each for each in self.out if not (each.overdue or each.settled)]:
-            if self.now >= call.breaker.overdue_at(call):
-                call.overdue = True
-                call.breaker.failed(self.now)
-                call.endpoint.bad_until = self.now + RESET_TIMEOUT
+        changed = self.set_overdue()
+        late: list[Call] = []
+        for breaker in self.overdue.due(self.now):
+            self.touch(breaker)
+            patience = breaker.patience()
+            late += itertools.takewhile(lambda call, p=patience: self.now >= call.sent + p, breaker.fresh)  # type: ignore[misc]
+        for call in sorted(late, key=lambda each: each.number):
+            self.is_overdue(call)
+        if not self.settings.may_cancel:
+            return
+        changed |= self.set_overdue()
         short = len(self.out) >= self.settings.slots
-        stuck = [each for each in self.out if each.overdue and not each.called_off]
-        for call in sorted(stuck, key=Call.risks) if self.settings.may_cancel else ():
-            lost = self.now - call.sent > 1.5 * (call.breaker.overdue_at(call) - call.sent)
-            alone = call.breaker.served_sent > call.sent and self.may_repeat(call)
-            harmless = not call.risks() and call.breaker.failures >= FAILURE_THRESHOLD
-            if alone or harmless or (short and lost):
+        # Nothing else can have become hopeless; but where slots are short, time alone tells.
+        stuck = self.stuck if short else [call for breaker in changed for call in breaker.stuck]
+        for call in sorted(stuck, key=lambda each: (each.risks(), each.number)):
+            self.looks += 1
+            if not call.called_off and self.is_hopeless(call, short):
                 call.called_off, short = True, False
                 self.actions += [face.CancelAttempt(x.id, x.attempts - 1) for x in call.messages.values()]
 
+    def set_overdue(self) -> dict[Breaker, None]:
+        """The breakers that something happened to since, each due again when its oldest call is overdue."""
+        changed, self.changed = self.changed, {}
+        for breaker in changed:
+            self.overdue.set(breaker, breaker.overdue_at())
+        return changed
+
+    def is_overdue(self, call: Call) -> None:
+        self.looks += 1
+        call.overdue = True
+        del call.breaker.fresh[call]
+        call.breaker.stuck[call] = self.stuck[call] = None
+        call.breaker.failed(int(self.now))
+        call.endpoint.bad_until = self.now + RESET_TIMEOUT
+        self.touch(call.breaker)
+
+    def is_hopeless(self, call: Call, short: bool) -> bool:
+        """Whether an overdue call is called off."""
+        lost = self.now - call.sent > 1.5 * call.breaker.patience()
+        alone = call.breaker.served_sent > call.sent and self.may_repeat(call)
+        harmless = not call.risks() and call.breaker.is_open()
+        return alone or harmless or (short and lost)
+
     def may_repeat(self, call: Call) -> bool:
         """Whether all its messages may go once more, though this call may have run."""
         return all(
@@ -441,12 +419,14 @@
         if not message.ended:
             message.ended = True
             del self.messages[message.id]
-            self.waiting.get(message.destination, {}).pop(message.id, None)
+            self.destinations[message.destination].release(message)
         if message.id in self.unanswered:
             return  # rule: order; nothing for its key goes before its notice is answered
-        if (line := self.keys.get(message.key)) and not message.out and message in line.queue:
-            line.queue.remove(message)
-            if not line.queue and line.quiet_until <= self.now:
+        if (line := self.keys.get(message.key)) and not message.out and message.id in line.queue:
+            del line.queue[message.id]
+            if line.queue:
+                self.examined.append(line.head())
+            elif line.quiet_until <= self.now:
                 del self.keys[message.key]
 
     def end_due(self) -> None:
@@ -454,6 +434,7 @@
         is allowed them; one that is out is looked at again when its attempt ends."""
         soon = self.now + self.settings.tick
         while self.deadlines and self.deadlines[0][0] <= soon:
+            self.looks += 1
             message = heapq.heappop(self.deadlines)[2]
             over = message.until <= soon or not self.may_send_again(message)
             if over and not message.ended and not message.out:
@@ -461,78 +442,104 @@
 
     def in_turn(self, message: Message) -> bool:
         """Rule: order per key. A message's own further attempts need no rest."""
-        row = self.keys.get(message.key)
-        return not row or (row.queue[0] is message and (message.attempts > 0 or self.now >= row.quiet_until))
+        line = self.keys.get(message.key)
+        return not line or (line.head() is message and (message.attempts > 0 or self.now >= line.quiet_until))
 
-    # Preferences: which message goes next, and where.
+    def is_held(self, message: Message) -> bool:
+        return not (message.ended or message.out)
 
-    def worth(self, message: Message, at: float) -> float:
-        kind, late = message.kind, max(at - message.born - message.kind.aim, 0)
-        even = 1 - (1 - kind.late_worth) * late / max(kind.deadline - kind.aim, 1)
-        left = max(0.5 ** (late / kind.aim), kind.late_worth) if self.settings.halves else even
-        return kind.worth * message.share * left if at < message.until else 0.0
+    # Which message goes next, and where.
 
-    def urgency(self, message: Message) -> float:
-        """What is lost by passing the message over now."""
-        return self.worth(message, self.now) - PASSED_OVER * self.worth(message, self.now + message.kind.aim)
-
-    def prospect(self, message: Message, ready_at: float) -> float:
-        """Worth when its turn comes; guards new messages against a room full of what cannot go soon."""
-        turns = self.keys[message.key].queue.index(message) if message.key else 0
-        at = max(ready_at, self.now)
-        return self.worth(message, at + message.kind.aim * (0.5 + turns * CALL_SHARE))
-
-    def keep_room(self) -> None:
-        if (excess := len(self.messages) - self.settings.max_open + 1) <= 0:
-            return
-        held = []
-        for destination, line in self.waiting.items():
-            ready_at = self.ready_at(destination)
-            held += [(self.prospect(x, ready_at), len(held), x) for x in line.values() if self.may_refuse(x)]
-        for _, _, message in heapq.nsmallest(excess, held, key=lambda each: each[0]):
-            self.end(message)
-
-    def breaker_of(self, endpoint: Endpoint) -> Breaker:
-        listed = endpoint.listed
-        key = (listed.destination, listed.id if self.kinds[listed.kind].apart else "")
-        if key not in self.breakers:
-            self.breakers[key] = Breaker(self.settings, self.random)
-        return self.breakers[key]
-
-    def ready_at(self, destination: int) -> float:
-        at = self.breakers_at.get(destination, ())
-        return min((each.ready_at(self.now) for each in at), default=NEVER)
+    def find_in_turn(self) -> None:
+        """What may go since its key has rested, or since it or the one before it came or went."""
+        while self.quiet and self.quiet[0][0] <= self.now:
+            self.looks += 1
+            key = heapq.heappop(self.quiet)[1]
+            if (line := self.keys.get(key)) and line.quiet_until <= self.now:
+                if line.queue:
+                    self.examined.append(line.head())
+                else:
+                    del self.keys[key]
+        for message in self.examined:
+            self.looks += 1
+            if self.is_held(message) and not message.queued and self.in_turn(message):
+                self.destinations[message.destination].queue(message, self.settings.halves)
+                self.open[message.destination] = None
+        self.examined = []
+
+    def find_open(self) -> list[Destination]:
+        """Destinations that take a call now and have a message for it."""
+        for number in self.freed.due(self.now):
+            self.open[number] = None
+        found = []
+        for number in list(islice(self.open, LOOKS)) if len(self.out) < self.settings.slots else ():
+            self.looks += 1
+            at = self.destinations.get(number)
+            if at is None or not at.groups:
+                del self.open[number]
+            elif any(map(self.may_call, at.breakers)):
+                found.append(at)
+            else:
+                self.shut(at)
+        if len(self.open) > LOOKS:
+            for at in found:  # those behind them come first in the next turn
+                self.open[at.number] = self.open.pop(at.number)
+        return found
+
+    def shut(self, at: Destination) -> None:
+        """It takes no call before its time, or before something happens to it."""
+        self.open.pop(at.number, None)
+        free = at.free_at(int(self.now))
+        self.freed.set(at.number, free if free > self.now else NEVER)
 
     def send_next(self) -> None:
-        """The one ordered pass: what goes next, over all destinations."""
-        ready = []
-        for destination, held in self.waiting.items() if len(self.out) < self.settings.slots else ():
-            if held and any(map(self.may_call, self.breakers_at.get(destination, ()))):
-                ready += [each for each in held.values() if self.in_turn(each)]
-        if len(ready) > 1:
-            ready.sort(key=lambda each: (-self.urgency(each), each.born))
+        """The one ordered pass: what goes next, over all destinations that take a call now."""
+        self.find_in_turn()
+        self.send_best(self.find_open())
+        # Guards against a crowd's idle connections that fill what endpoints accept.
+        if self.pace.crowd > 1 and self.now < self.scarce_until:
+            self.actions += [face.CloseIdle(name) for name, each in self.idle.items() if not each.out]
+        self.idle = {}
+
+    def send_best(self, found: list[Destination]) -> None:
+        heap: list[tuple[Rank, Message, Destination]] = []
+        aside: list[Message] = []  # may go to one zone alone, which takes nothing now
         batches: dict[str, Call] = {}
-        shut = set()  # destinations that take no more in this pass
-        for message in ready:
-            if message.destination in shut:
-                continue
+        for at in found:
+            self.push_best(heap, at)
+        while heap:
+            self.looks += 1
+            _, message, at = heapq.heappop(heap)
             if not self.may_send_again(message):
                 self.end(message)
+            elif not self.in_turn(message):
+                at.leave(message)  # its key rests after all; `quiet` brings it back
             elif endpoint := self.choose(message, batches):
                 self.send(message, endpoint, batches)
-            elif not message.risky_zone:
-                shut.add(message.destination)
+            elif message.risky_zone:
+                at.leave(message)
+                aside.append(message)
+            elif len(self.out) < self.settings.slots:
+                self.shut(at)
+                continue
+            else:
+                continue  # only a slot is missing: it stays open
             if len(self.out) >= self.settings.slots and not self.batches:
                 break
-        # Guards against a crowd's idle connections that fill what endpoints accept.
-        if self.settings.fleet_size > GAP_SENDERS and self.now < self.scarce_until:
-            self.actions += [face.CloseIdle(name) for name, each in self.idle.items() if not each.out]
-        self.idle = {}
+            self.push_best(heap, at)
+        for message in aside:
+            self.destinations[message.destination].queue(message, self.settings.halves)
+
+    def push_best(self, heap: list[tuple[Rank, Message, Destination]], at: Destination) -> None:
+        if best := at.best(int(self.now)):
+            heapq.heappush(heap, (*best, at))
 
     def wait_told(self, endpoint: str, until: int) -> None:
         """Rule: waits. It binds calls that are about to go before their turn of events comes."""
         told = {call.breaker for call in self.out if call.endpoint.listed.id == endpoint}
         if known := self.endpoints.get(endpoint):  # else it drains or has gone, and its destination waits on
+            self.arouse(known.listed.destination)
+            assert known.breaker is not None
             told.add(known.breaker)
         for breaker in told:
             breaker.wait_until = max(breaker.wait_until, until)
@@ -540,16 +547,17 @@
     def may_still_go(self, endpoint: str, now: int) -> bool:
         """Rules: drains and waits, asked again as a call's first byte goes: its connection took a while."""
         known = self.endpoints.get(endpoint)
-        return known is not None and known.breaker.wait_until <= now
+        return known is not None and (known.breaker is None or known.breaker.wait_until <= now)
 
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
-        options = []
-        for endpoint in self.by_destination.get(message.destination, ()):
-            if message.kind.window_by_zone and message.risky_zone not in ("", endpoint.listed.zone):
+        options: list[tuple[tuple[float, float, bool, int, bool, float], int, Endpoint]] = []
+        for endpoint in self.destinations[message.destination].endpoints:
+            listed = endpoint.listed
+            if message.kind.window_by_zone and message.risky_zone not in ("", listed.zone):
                 continue  # rule: no effect twice; only that zone drops the repeat
-            breaker, listed = endpoint.breaker, endpoint.listed
+            assert endpoint.breaker is not None
             joins = self.may_join(batches.get(listed.id), listed)
-            if not (joins or self.may_call(breaker)):
+            if not (joins or self.may_call(endpoint.breaker)):
                 continue
             fee = self.fees.get(listed.zone, 0.0) if self.kinds[listed.kind].apart else 0.0
             bad, away = max(endpoint.bad_until, self.now), listed.zone != self.settings.zone
@@ -559,57 +567,118 @@
 
     def may_join(self, call: Call | None, listed: face.Endpoint) -> bool:
         open_for_more = call and call.breaker.trial is not call
-        return bool(open_for_more) and len(call.messages) < self.kinds[listed.kind].batch
+        return bool(open_for_more) and len(call.messages) < self.kinds[listed.kind].batch  # type: ignore[union-attr]
 
     def may_call(self, breaker: Breaker) -> bool:
-        if len(self.out) >= self.settings.slots or breaker.ready_at(self.now) > self.now:
+        if len(self.out) >= self.settings.slots or breaker.ready_at(int(self.now)) > self.now:
             return False
         if self.now + breaker.patience() > self.stops_at:
             return False  # it might be out when the process ends, and then may have run
         return breaker.out < max(2, self.settings.slots * DESTINATION_SLOTS)
 
     def send(self, message: Message, endpoint: Endpoint, batches: dict[str, Call]) -> None:
-        call = batches.get(name := endpoint.listed.id)
-        breaker = endpoint.breaker
-        if not self.may_join(call, endpoint.listed):
-            call = batches[name] = Call(breaker, endpoint, self.now)
-            self.out[call] = None
+        call, breaker = batches.get(name := endpoint.listed.id), endpoint.breaker
+        assert breaker is not None
+        if call is None or not self.may_join(call, endpoint.listed):
+            call = batches[name] = Call(breaker, endpoint, int(self.now), next(self.count))
+            self.out[call] = breaker.fresh[call] = None
             breaker.out += 1
             endpoint.out += 1
             breaker.last_sent = endpoint.last_sent = self.now
-            if breaker.failures >= FAILURE_THRESHOLD:
+            if breaker.is_open():
                 breaker.trial = call
+            self.touch(breaker)
         call.messages[message.id] = message
         self.calls[message.id, message.attempts] = call
-        self.actions.append(face.Send(message.id, name, message.until - self.now, message.attempts))
+        self.actions.append(face.Send(message.id, name, message.until - int(self.now), message.attempts))
         message.attempts += 1
         message.out = True
-        del self.waiting[message.destination][message.id]
+        self.destinations[message.destination].release(message)
+
+    # Room, age, and when to look again.
+
+    def prospect(self, message: Message, at: Destination, turns: int) -> tuple[float, int, Message]:
+        """Worth when its turn comes, behind `turns` others of its key; of equal ones the first held goes.
+        Guards new messages against a room full of what cannot go soon."""
+        kind = message.kind
+        then = max(at.ready_at(int(self.now)), self.now) + kind.aim * (0.5 + turns * CALL_SHARE)
+        value = worth(kind, message.share, then - message.born, self.settings.halves)
+        return value, message.number, message
+
+    def keep_room(self) -> None:
+        """Ends the least promising of what is held where no room is left for one more. Their order is made
+        anew only now and then: a walk over all that is held costs so much of a core at the most."""
+        excess = len(self.messages) - self.settings.max_open + 1
+        if excess <= 0 and self.now >= self.room_until:
+            self.room = []
+        while excess > 0 and (self.room or self.now >= self.room_until):
+            if self.now >= self.room_until:
+                self.order_room()
+            while excess > 0 and self.room:
+                message = self.room.pop(0)[-1]
+                if self.is_held(message) and self.may_refuse(message):
+                    self.end(message)
+                    excess -= 1
+
+    def order_room(self) -> None:
+        places: dict[str, int] = {}
+        for line in self.keys.values():
+            places |= {name: place for place, name in enumerate(line.queue)}
+        self.looks += len(self.messages) + len(places)
+        self.room = sorted(
+            self.prospect(each, self.destinations[each.destination], places.get(each.id, 0))
+            for each in self.messages.values()
+            if self.is_held(each) and self.may_refuse(each)
+        )
+        self.room_until = self.now + max(PROSPECT_AGE * len(self.messages), 1)
 
     def age_out(self) -> None:
-        """Guards a process that lasts from what past keys, routes and destinations leave behind."""
-        while self.quiet and self.quiet[0][0] <= self.now:
-            key = heapq.heappop(self.quiet)[1]
-            if (line := self.keys.get(key)) and not line.queue and line.quiet_until <= self.now:
-                del self.keys[key]
-        if self.now < self.aged + AGE_CHECK:
-            return
-        self.aged = self.now
-        self.waiting = {name: held for name, held in self.waiting.items() if held}
-        listed = {breaker for at in self.breakers_at.values() for breaker in at}
-        for key, each in list(self.breakers.items()):
-            unused = not each.out and max(each.last_sent, each.wait_until) + IDLE_AGE <= self.now
-            if unused and each not in listed:
-                del self.breakers[key]
+        """Guards a process that lasts from what past destinations leave behind, and quiet ones from being
+        judged by old figures."""
+        for number in self.ages.due(self.now):
+            self.looks += 1
+            if (at := self.destinations.get(number)) is None or at.own is None:
+                continue
+            self.looks += len(at.own)
+            for key, each in list(at.own.items()):
+                if each not in at.breakers and self.is_unused(each, IDLE_AGE):
+                    self.forget(at, key)
+            if at.held or not all(self.is_unused(each, QUIET_AGE) for each in at.own.values()):
+                self.ages.set(number, self.now + IDLE_AGE)
+            else:
+                self.fall_asleep(at)
+
+    def is_unused(self, breaker: Breaker, age: int) -> bool:
+        return not breaker.out and max(breaker.last_sent, breaker.wait_until) + age <= self.now
+
+    def forget(self, at: Destination, key: str) -> None:
+        """A breaker that was not used for so long; when that was is all that is kept of it."""
+        assert at.own is not None
+        breaker = at.own.pop(key)
+        if breaker.last_sent > -NEVER:
+            at.silent_since = max(breaker.last_sent, at.silent_since or 0)
+        self.overdue.set(breaker, NEVER)
+        self.changed.pop(breaker, None)
+
+    def fall_asleep(self, at: Destination) -> None:
+        for key in list(at.own or ()):
+            self.forget(at, key)
+        self.freed.set(at.number, NEVER)
+        self.open.pop(at.number, None)
+        at.own, at.breakers = None, ()
+        for endpoint in at.endpoints:
+            endpoint.breaker = None
+        if not at.endpoints:
+            del self.destinations[at.number]
 
     def set_wake(self) -> None:
         if self.subscribe_at <= self.now:
             self.subscribe_at = NEVER
             self.actions.append(face.Subscribe())
-        due = [self.subscribe_at, *(each[0] - self.settings.tick for each in self.deadlines[:1])]
+        self.set_overdue()
+        due = [self.subscribe_at, self.overdue.next(), self.freed.next()]
+        due += [each[0] - self.settings.tick for each in self.deadlines[:1]]
         due += [each[0] for each in self.quiet[:1]]
-        due += [call.breaker.overdue_at(call) for call in self.out if not call.overdue]
-        due += [self.ready_at(destination) for destination, held in self.waiting.items() if held]
         at = min((each for each in due if each > self.now), default=NEVER)
         if at < self.wake_at or self.wake_at <= self.now < at < NEVER:
             self.wake_at = at
--- /dev/null
+++ b/elmglade/schedule.py
@@ -0,0 +1,188 @@
+"""What is due, and which message goes next, found from what changed: nothing here walks over everything.
+
+- `Agenda`: items with one time each; what is due comes out, and nothing else is looked at.
+- `Destination`: its endpoints, its breakers while it is awake, and what is held for it.
+- `Group`: messages of one destination, class and share that may go next, by age. All of them lose worth by
+  one curve, which rises and falls between a few known ages (`cuts`): the most urgent one stands at an end
+  of such a stretch, whatever the number of messages.
+
+Pure: times are whole microseconds that the caller tells.
+"""
+
+import itertools
+import math
+from bisect import bisect_left, bisect_right, insort
+from collections.abc import Hashable, Iterator
+from heapq import heapify, heappop, heappush
+from typing import Generic, NamedTuple, TypeVar
+
+from elmglade.breaker import NEVER, Breaker, Endpoint, Message
+from elmglade.interface import MessageClass
+
+PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
+STALE = 64  # entries of an agenda that may be stale, above one for each that is not
+FEW = 8  # messages that are compared one by one
+
+Item = TypeVar("Item", bound=Hashable)
+
+
+class Agenda(Generic[Item]):
+    """A heap in which an item has one time at most; entries that were overtaken are passed over."""
+
+    def __init__(self) -> None:
+        self.times: dict[Item, float] = {}
+        self.heap: list[tuple[float, int, Item]] = []
+        self.count = itertools.count()
+
+    def set(self, item: Item, at: float) -> None:
+        """From now on the item is due at `at`; NEVER takes it out."""
+        if at == NEVER:
+            self.times.pop(item, None)
+        elif self.times.get(item) != at:
+            self.times[item] = at
+            heappush(self.heap, (at, next(self.count), item))
+        if len(self.heap) > 2 * len(self.times) + STALE:
+            self.heap = [each for each in self.heap if self.times.get(each[2]) == each[0]]
+            heapify(self.heap)
+
+    def next(self) -> float:
+        """When the next item is due; NEVER with none."""
+        while self.heap and self.times.get(self.heap[0][2]) != self.heap[0][0]:
+            heappop(self.heap)
+        return self.heap[0][0] if self.heap else NEVER
+
+    def due(self, now: float) -> Iterator[Item]:
+        """Takes out what is due, the earliest first."""
+        while self.next() <= now:
+            item = heappop(self.heap)[2]
+            del self.times[item]
+            yield item
+
+
+def worth(kind: MessageClass, share: float, age: float, halves: bool) -> float:
+    """What a message is worth at that age, in us since its full deadline began to run."""
+    if age >= kind.deadline:
+        return 0.0
+    late = max(age - kind.aim, 0)
+    even = 1 - (1 - kind.late_worth) * late / max(kind.deadline - kind.aim, 1)
+    left = max(0.5 ** (late / kind.aim), kind.late_worth) if halves else even
+    return kind.worth * share * left
+
+
+def urgency(kind: MessageClass, share: float, age: float, halves: bool) -> float:
+    """What is lost by passing a message over now."""
+    return worth(kind, share, age, halves) - PASSED_OVER * worth(kind, share, age + kind.aim, halves)
+
+
+def cuts(kind: MessageClass, halves: bool) -> tuple[float, ...]:
+    """The ages between which `urgency` only rises, only falls or stays. Worth begins to fall at the aim and
+    ends at the deadline, halving worth stops at its least; one aim ahead the same holds."""
+    ends = [float(kind.aim), float(kind.deadline)]
+    if halves and 0 < kind.late_worth < 1:
+        ends.append(kind.aim * (1 - math.log2(kind.late_worth)))
+    return tuple(sorted({cut for each in ends for cut in (each, each - kind.aim) if cut >= 0}))
+
+
+class Rank(NamedTuple):
+    """How messages are ordered: the most urgent, then the oldest, then as they came to be held."""
+
+    urgency: float  # negative
+    born: int
+    number: int
+
+
+class Group:
+    __slots__ = ("curve", "cuts", "line")
+
+    def __init__(self, kind: MessageClass, share: float, halves: bool) -> None:
+        self.curve, self.cuts = (kind, share, halves), cuts(kind, halves)
+        self.line: list[tuple[int, int, Message]] = []  # born and number, the oldest first
+
+    def add(self, message: Message) -> None:
+        insort(self.line, (message.born, message.number, message))
+
+    def remove(self, message: Message) -> None:
+        del self.line[bisect_left(self.line, (message.born, message.number))]
+
+    def best(self, now: int) -> tuple[Rank, Message]:
+        """The message that goes first. There is one at least."""
+        if len(self.line) <= FEW:
+            return min(self.ranked(now, range(len(self.line))))
+        return min(self.ranked(now, self.ends(now)))
+
+    def ranked(self, now: int, places: "range | set[int]") -> Iterator[tuple[Rank, Message]]:
+        kind, share, halves = self.curve
+        for place in places:
+            born, number, message = self.line[place]
+            yield Rank(-urgency(kind, share, now - born, halves), born, number), message
+
+    def ends(self, now: int) -> set[int]:
+        """Where a best one can stand: the first of each stretch, and the first of its youngest."""
+        found, last = set(), len(self.line)
+        for cut in (*self.cuts, NEVER):
+            first = bisect_right(self.line, (now - cut, NEVER)) if cut < NEVER else 0
+            if first < last:
+                youngest = bisect_left(self.line, (self.line[last - 1][0], -1))
+                found |= {first, max(first, youngest)}
+            last = min(first, last)
+        return found
+
+
+class Destination:
+    """What is known of one. It is *listed only* until a message comes for it, *awake* from then on, and
+    *asleep* after a long silence: then its breakers are gone, and only when it was last used is kept."""
+
+    __slots__ = ("breakers", "endpoints", "groups", "held", "number", "own", "silent_since")
+
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.endpoints: list[Endpoint] = []
+        #: By route where its endpoints are apart, else one under "". None while asleep.
+        self.own: dict[str, Breaker] | None = None
+        self.breakers: tuple[Breaker, ...] = ()  # of the endpoints that are listed
+        self.held: dict[str, Message] | None = None  # none as long as nothing is
+        self.groups: dict[tuple[str, float], Group] | None = None
+        self.silent_since: float | None = None  # the last call before it fell asleep
+
+    def hold(self, message: Message) -> None:
+        if self.held is None:
+            self.held = {}
+        self.held[message.id] = message
+
+    def release(self, message: Message) -> None:
+        """It is held no more, or never was."""
+        self.leave(message)
+        if self.held and self.held.pop(message.id, None) and not self.held:
+            self.held = None
+
+    def queue(self, message: Message, halves: bool) -> None:
+        """Its turn has come."""
+        if self.groups is None:
+            self.groups = {}
+        name = message.kind.name, message.share
+        if name not in self.groups:
+            self.groups[name] = Group(message.kind, message.share, halves)
+        self.groups[name].add(message)
+        message.queued = True
+
+    def leave(self, message: Message) -> None:
+        """It may not go next, or has gone."""
+        if not message.queued:
+            return
+        assert self.groups is not None
+        name = message.kind.name, message.share
+        self.groups[name].remove(message)
+        message.queued = False
+        if not self.groups[name].line:
+            del self.groups[name]
+        if not self.groups:
+            self.groups = None
+
+    def best(self, now: int) -> tuple[Rank, Message] | None:
+        return min((each.best(now) for each in self.groups.values()), default=None) if self.groups else None
+
+    def ready_at(self, now: int) -> float:
+        return min((each.ready_at(now) for each in self.breakers), default=NEVER)
+
+    def free_at(self, now: int) -> float:
+        return min((each.free_at(now) for each in self.breakers), default=NEVER)
