A tenant's share that is whole but for rounding counts as whole

A recorded stream showed why: rates of a few messages a second on a grid of 5 ms reach a whole message exactly, and the last bits of a float, summed in other steps now, decided which message was within its tenant's share.

Change: a share that is whole to a billionth is whole.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -35,6 +35,7 @@
 SCARCE_TIMES = 3  # idle times for which a refused connect makes a crowd close its connections after use
 IDLE_AGE = 60_000_000  # us after which what is unused and unlisted is forgotten: above any outage's length
 QUIET_AGE = 3_600_000_000  # us of silence after which a listed destination is not judged by old figures
+ROUNDING = 1e-9  # of a message: a share that is whole but for the last bits of a float is whole
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
 LOOKS = 256  # destinations looked at in a turn; where more wait for a slot, the next turn begins with those
 PROSPECT_AGE = 25  # us for each message held that their order, once made, serves: a bound on what it costs
@@ -188,7 +189,7 @@
             return 1.0  # no share is told; nothing is kept by a name that any client may make up
         rate, (left, since) = self.quotas[tenant], self.credit[tenant]
         left = min(left + rate * (self.now - since) / 1e6, max(rate, 1.0))
-        within = left >= 1
+        within = left >= 1 - ROUNDING
         self.credit[tenant] = left - within, int(self.now)
         return 1.0 if within else self.settings.over_share_worth
 
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -398,3 +398,18 @@
     assert {each.effect for each in CLASSES} == set(face.Effect) and len(set(Mood)) == 6
     assert {each.in_order for each in CLASSES} == {True, False} == {each.window_by_zone for each in CLASSES}
     assert list(itertools.islice(iter(Listing), 2))
+
+
+def test_a_share_that_is_whole_but_for_rounding_is_whole() -> None:
+    """Seen: rates of 3 a second on a grid of 5 ms hit a whole message exactly, and the last bit decided."""
+    for steps in range(1, 400):
+        world = World(tenants=(("t", 3.0),), over_share_worth=0.1, slots=1)
+        for _ in range(3):
+            world.take(tenant="t")
+        passed = 0
+        for each in range(steps):
+            passed = SECOND * (each + 1) // steps // 3 - world.now
+            world.dispatcher.within_share("other")
+            world.step(face.WakeUp(), after=max(passed, 0))
+        world.take(tenant="t", after=SECOND // 3 + 1 - world.now)
+        assert world.dispatcher.messages["m4"].share == 1.0
