--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -240,6 +240,10 @@
         else:
             caller.ended(End(State.FAILED, status="it is over, and its answer was given before"))
 
+    def is_known(self, name: str) -> bool:
+        """Whether it is taken on, was of late, or is about to be."""
+        return name in self.arrived or self.known_as(name) is not None
+
     def known_as(self, name: str) -> int | None:
         if entry := self.journal.entries.get(name):
             return content(entry.message)
--- a/elmglade/http/daemon.py
+++ b/elmglade/http/daemon.py
@@ -72,7 +72,10 @@
         settings = engine.settings
         share = Descriptors.of(sockets, settings.slots)
         classes = {each.name: each for each in settings.classes}
-        self.server = Server(classes, engine.take, engine.now, share.clients, share.lingering, self.is_named)
+        self.server = Server(
+            classes, engine.take, engine.now, share.clients, share.lingering, self.is_named,
+            engine.is_known, settings.max_retry_after,
+        )  # fmt: skip
         self.courier = HttpCourier(
             settings.conn_idle / 1e6,
             settings.connect_timeout / 1e6,
--- a/elmglade/http/door.py
+++ b/elmglade/http/door.py
@@ -12,6 +12,7 @@
 
 import h11
 
+from elmglade.admission.backlog import Backlog
 from elmglade.core.peer import Cause, Reports, cause_of
 from elmglade.core.ports import End, TurnedAway, Why
 from elmglade.http.codec import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, close, decimal, header
@@ -129,6 +130,9 @@
             if self.dropped > LINGER_BYTES:
                 self.transport.pause_reading()
             return
+        if self.began is None and not self.answering and self.server.turns_away(self, data):
+            self.turn_away_unread()
+            return
         if self.began is None:
             self.began = self.server.now()
             if self in self.server.silent:
@@ -143,6 +147,21 @@
         else:
             self.server.read_on(self)
 
+    def turn_away_unread(self) -> None:
+        """The codec has not seen this request, and the connection stands as it did before."""
+        self.handed_in = self.proven = True
+        self.since = self.server.loop.time()
+        for kind in (self.server.silent, self.server.strangers, self.server.idle):
+            kind.pop(self, None)
+        self.server.idle[self] = None
+        self.server.backlog.turned_one_away(self.since)
+        try:
+            self.transport.write(self.server.unread_answer())
+            if self.transport.get_write_buffer_size() > UNREAD_LIMIT:
+                self.transport.abort()
+        except Exception as error:
+            self.broke(error, "turning away")
+
     def advance(self) -> None:
         """Reads on; whatever a client sends ends in an answer, never in an exception through the loop."""
         try:
@@ -327,6 +346,31 @@
             self.refuse(408, "the request did not come in time")
 
 
+def whole_request(data: bytes) -> bytes | None:
+    """The id in one plain POST that has come whole and alone; None for anything else, which the codec reads.
+    What is turned away by this is never passed on, so a head that the codec would refuse does no harm."""
+    end = data.find(b"\r\n\r\n", 0, HEADER_LIMIT)
+    if end < 0 or not data.startswith(b"POST /"):
+        return None
+    head = data[: end + 2].lower()
+    if b"\r\ntransfer-encoding" in head or b"\r\nexpect" in head or b"\r\nconnection" in head:
+        return None
+    length = field_of(head, b"\r\ncontent-length:")
+    name = field_of(data[: end + 2], b"\r\nx-correlation-id:", head)
+    if not length or not name or not length.isdigit() or len(length) > 6:
+        return None
+    return name if end + 4 + int(length) == len(data) else None
+
+
+def field_of(head: bytes, name: bytes, lower: bytes = b"") -> bytes | None:
+    """The value of a field that stands there once; `lower` is the head in small letters, if it is not."""
+    lower = lower or head
+    at = lower.find(name)
+    if at < 0 or lower.find(name, at + 1) >= 0:
+        return None
+    return head[at + len(name) : lower.index(b"\r\n", at + 2)].strip()
+
+
 class Server:
     """`most` connections are held at once, and up to `lingering` more that only hear that they are turned
     away. One more makes room by closing what serves nobody."""
@@ -339,8 +383,13 @@
         most: int,
         lingering: int = 16,
         named: Callable[[int], bool] = lambda destination: True,
+        known: Callable[[str], bool] = lambda message: False,
+        most_wait: int = 0,
     ) -> None:
+        """`known` tells whether a message is taken on, `most_wait` (us) how long a client may be told to stay
+        away; 0: it is told nothing."""
         self.classes, self.take, self.now, self.named = classes, take, now, named
+        self.known, self.most_wait = known, most_wait
         self.most, self.lingering = most, lingering
         self.loop = asyncio.get_running_loop()
         self.buffer = bytearray(READ_SIZE)  # one for all: what came is copied before another one reads
@@ -351,6 +400,7 @@
         self.idle: dict[Connection, None] = {}  # between requests
         self.leaving: dict[Connection, None] = {}  # have had their last answer
         self.to_read: tuple[deque[Connection], deque[Connection]] = (deque(), deque())  # proven first
+        self.backlog = Backlog(self.loop.time())
         self.ready = self.stopping = False
         self.accepted = 0  # ever
         self.reports = Reports()
@@ -372,6 +422,7 @@
             connection.queued = True
             if not any(self.to_read):
                 self.loop.call_soon(self.read_some)
+            self.backlog.came(self.loop.time())
             self.to_read[not connection.proven].append(connection)
 
     def read_some(self) -> None:
@@ -380,19 +431,35 @@
         until = self.loop.time() + READ_SHARE
         proven, others = self.to_read
         while proven or others:
-            connection = (proven or others).popleft()
-            connection.queued = False
-            connection.advance()
+            self.read_first(proven or others)
             if self.loop.time() >= until:
                 break
         else:
             return
         if proven and others:
-            others[0].queued = False
-            others.popleft().advance()
+            self.read_first(others)
         if proven or others:
             self.loop.call_soon(self.read_some)
 
+    def read_first(self, line: deque[Connection]) -> None:
+        connection = line.popleft()
+        connection.queued = False
+        self.backlog.taken_up(self.loop.time())
+        connection.advance()
+
+    def turns_away(self, connection: Connection, data: memoryview) -> bool:
+        """Whether what has come is a whole request that is refused unread, as the backlog decides. One that
+        is taken on already hears so: a refusal would say that it may be handed in elsewhere."""
+        if not (self.ready and self.backlog.refuses(self.loop.time())):
+            return False
+        name = whole_request(bytes(data))
+        return name is not None and not self.known(name.decode("latin-1"))
+
+    def unread_answer(self) -> bytes:
+        after = self.backlog.come_again(self.most_wait / 1e6)
+        told = f"Retry-After: {after:.3f}\r\n" if after else ""
+        return f"HTTP/1.1 503 \r\nContent-Length: 0\r\n{told}\r\n".encode()
+
     def accept(self) -> None:
         for _ in range(ACCEPTS):
             if self.listener is None:
