Name sockets to the loop by their number

Need: the profile shows two texts made of a socket for each call: the selector's look-up words its error before it is dropped. Change: readers and writers are added by descriptor.

--- a/elmglade/http/codec.py
+++ b/elmglade/http/codec.py
@@ -141,7 +141,7 @@
     async def writable(self) -> None:
         loop = asyncio.get_running_loop()
         ready: asyncio.Future[None] = loop.create_future()
-        loop.add_writer(self.sock, wake, ready)
+        loop.add_writer(self.sock.fileno(), wake, ready)
         try:
             await ready
         finally:
@@ -151,7 +151,8 @@
         """Returns when there is something to read, or when a look has read it."""
         loop = asyncio.get_running_loop()
         self.reading = loop.create_future()
-        loop.add_reader(self.sock, wake, self.reading)
+        # By its number: the selector would write a socket out in words each time, for an error nobody sees.
+        loop.add_reader(self.sock.fileno(), wake, self.reading)
         try:
             await self.reading
         finally:
