--- a/elmglade/cli.py
+++ b/elmglade/cli.py
@@ -1,10 +1,16 @@
-"""The command line: `elmglade serve|check|demo`. Without arguments `python -m elmglade` is the platform's."""
+"""The command line: `elmglade serve|check|destinations|demo`.
+
+Without arguments `python -m elmglade` is the platform's.
+"""
 
 import argparse
 import asyncio
+import json
 import logging
 import sys
+from collections import Counter
 from collections.abc import Sequence
+from datetime import UTC, datetime
 from pathlib import Path
 
 from elmglade.config import ConfigError, load
@@ -20,6 +26,12 @@
     serve.add_argument("--answers", type=Path, metavar="FILE", help="final answers go there; else to stdout")
     check = commands.add_parser("check", help="name every fault of a configuration")
     check.add_argument("file", type=Path, metavar="FILE")
+    kept = commands.add_parser("destinations", help="what a sender keeps for each destination")
+    kept.add_argument("path", type=Path, metavar="PATH", help="its state folder, or a file from there")
+    states = "only those: open, half-open, waits, warming, closed, asleep, listed"
+    kept.add_argument("--state", metavar="STATE", help=states)
+    kept.add_argument("--most", type=int, default=50, help="rows at the most, the most troubled first")
+    kept.add_argument("--json", action="store_true", help="all of it as JSON lines")
     demo = commands.add_parser("demo", help="stand-ins and one sender, through an outage and back")
     demo.add_argument("--pace", type=float, default=1.0, help="of its usual length of 30 s; 0.1 to 1.2")
     demo.add_argument("--rate", type=float, default=40.0, help="commands a second, 1 to 200")
@@ -68,6 +80,41 @@
     return 1
 
 
+def destinations(options: argparse.Namespace) -> int:
+    """Prints what a sender wrote on SIGUSR1."""
+    from dataclasses import asdict
+
+    from elmglade.core.inventory import ORDER, read
+
+    try:
+        at, kept = read(options.path)
+    except (OSError, ValueError) as error:
+        print(f"elmglade: {error}", file=sys.stderr)
+        return 1
+    states = Counter(each.state for each in kept)
+    kept = [each for each in kept if options.state in (None, each.state)]
+    if options.json:
+        for each in kept:
+            print(json.dumps(asdict(each)))
+        return 0
+    rank = {state: place for place, state in enumerate(ORDER)}
+    kept.sort(key=lambda each: (rank.get(each.state, len(rank)), -each.held, each.number))
+    when = datetime.fromtimestamp(at, UTC).isoformat(timespec="seconds")
+    told = ", ".join(f"{count} {state}" for state, count in sorted(states.items()))
+    size = sum(each.bytes for each in kept)
+    count = sum(states.values())
+    print(f"{when}: {count} destinations ({told or 'none'}); {size:,} bytes of those asked for")
+    names = ("number", "state", "endpoints", "held", "out", "silent s", "gap ms", "bytes")
+    print("{:>9} {:<10} {:>9} {:>6} {:>4} {:>10} {:>8} {:>7}".format(*names))
+    for each in kept[: max(options.most, 0)]:
+        silent = "never" if each.silent_s is None else f"{each.silent_s:,.1f}"
+        state = f"{each.number:>9} {each.state:<10} {each.endpoints:>9} {each.held:>6} {each.out:>4}"
+        print(f"{state} {silent:>10} {each.gap_ms:>8.1f} {each.bytes:>7}")
+    if (more := len(kept) - options.most) > 0:
+        print(f"and {more} more; --most shows them")
+    return 0
+
+
 def main(words: Sequence[str] | None = None) -> int:
     """Runs a command; the answer is the exit code: 0 well, 1 not, 2 misused."""
     options = parser().parse_args(words)
@@ -75,6 +122,8 @@
         return check(options.file)
     if options.command == "serve":
         return serve(options)
+    if options.command == "destinations":
+        return destinations(options)
     from elmglade.lab.demo import demo
 
     if not 0.1 <= options.pace <= 1.2 or not 1 <= options.rate <= 200:
--- /dev/null
+++ b/elmglade/core/inventory.py
@@ -0,0 +1,107 @@
+"""What a sender keeps for each destination: its state, age and size. For people; nothing is decided by it.
+
+A file of it is one JSON object: `at` (Unix seconds), `destinations` (objects as `Kept`, in the order of their
+numbers). It is replaced in one step, so that who reads it never sees half of one.
+"""
+
+import json
+import os
+import sys
+from collections.abc import Iterator
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+from elmglade.breaker import NEVER, Breaker
+from elmglade.rules import Dispatcher
+from elmglade.schedule import Destination
+
+FILE = "destinations.json"
+
+
+@dataclass(frozen=True, slots=True)
+class Kept:
+    number: int
+    state: str  # listed, asleep, or awake: closed, open, half-open, waits, warming
+    endpoints: int
+    held: int
+    out: int
+    silent_s: float | None  # since the last call; none if there was none
+    gap_ms: float  # between calls, the widest of its routes'
+    bytes: int  # of the objects kept for it alone, by sys.getsizeof; texts and what is shared are not counted
+
+
+def inventory(dispatcher: Dispatcher, now: int) -> list[Kept]:
+    """`now` in us, on the module's clock."""
+    return [kept(each, now) for _, each in sorted(dispatcher.destinations.items())]
+
+
+def kept(at: Destination, now: int) -> Kept:
+    own = list((at.own or {}).values())
+    used = max((each.last_sent for each in own), default=-NEVER)
+    if used == -NEVER and at.silent_since is not None:
+        used = at.silent_since
+    gaps = [max(each.gap, each.cold_gap(now)) for each in own]
+    return Kept(
+        number=at.number,
+        state=state_of(at, now),
+        endpoints=len(at.endpoints),
+        held=len(at.held or ()),
+        out=sum(each.out for each in own),
+        silent_s=None if used == -NEVER else round((now - used) / 1e6, 3),
+        gap_ms=round(max(gaps, default=0.0) / 1e3, 1),
+        bytes=sum(sys.getsizeof(each) for each in objects(at)),
+    )
+
+
+def state_of(at: Destination, now: int) -> str:
+    """Of several routes the most troubled speaks."""
+    if at.own is None:
+        return "listed" if at.silent_since is None else "asleep"
+    states = [breaker_state(each, now) for each in at.own.values()]
+    return min(states, key=ORDER.index, default="closed")
+
+
+ORDER = ("open", "half-open", "waits", "warming", "closed")
+
+
+def breaker_state(breaker: Breaker, now: int) -> str:
+    if breaker.is_open():
+        return "half-open" if breaker.trial else "open"
+    if breaker.wait_until > now:
+        return "waits"
+    return "warming" if breaker.cold_gap(now) else "closed"
+
+
+def objects(at: Destination) -> Iterator[object]:
+    yield at
+    for part in (at.endpoints, at.own, at.breakers, at.held, at.groups):
+        if part is not None:
+            yield part
+    for endpoint in at.endpoints:
+        yield from (endpoint, endpoint.listed)
+    for breaker in (at.own or {}).values():
+        yield from (breaker, breaker.fresh, breaker.stuck)
+    yield from (at.held or {}).values()
+    for group in (at.groups or {}).values():
+        yield from (group, group.line)
+
+
+def write(dispatcher: Dispatcher, now: int, folder: Path) -> Path:
+    """Writes the file into the folder and gives its path. Raises OSError."""
+    path, fresh = folder / FILE, folder / (FILE + ".new")
+    told = {"at": now / 1e6, "destinations": [asdict(each) for each in inventory(dispatcher, now)]}
+    fresh.write_text(json.dumps(told))
+    os.replace(fresh, path)
+    return path
+
+
+def read(path: Path) -> tuple[float, list[Kept]]:
+    """When it was written, and what it says; `path` is the file or its folder. Raises OSError where it cannot
+    be read, and ValueError, in one line, where it is something else."""
+    file = path / FILE if path.is_dir() else path
+    try:
+        told: dict[str, Any] = json.loads(file.read_text())
+        return float(told["at"]), [Kept(**each) for each in told["destinations"]]
+    except (KeyError, TypeError, AttributeError, ValueError) as error:
+        raise ValueError(f"{file} is no file of destinations: {' '.join(str(error).split())}") from None
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -11,6 +11,7 @@
 from typing import TextIO
 
 from elmglade.config import ConfigError, General, load
+from elmglade.core import inventory
 from elmglade.core.engine import Config as EngineConfig
 from elmglade.core.engine import Engine
 from elmglade.core.lock import Lock
@@ -76,8 +77,20 @@
         log.error("the new configuration is not used: %s", error)
 
 
+def tell_destinations(sender: PlainSender) -> None:
+    """SIGUSR1: what is kept for each destination, as a file in the state folder."""
+    engine = sender.engine
+    try:
+        path = inventory.write(engine.dispatcher, engine.now(), engine.config.state)
+        log.info("what is kept for each destination is in %s", path)
+    except OSError as error:
+        log.error("what is kept for each destination is not told: %s", error)
+
+
 async def serve(path: Path, config: General, state: Path, out: TextIO) -> int:
     sender = PlainSender(config, state, LineTeller(out))
-    asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, sender, path)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reread, sender, path)
+    loop.add_signal_handler(signal.SIGUSR1, tell_destinations, sender)
     await sender.start()
     return await sender.run()
--- a/elmglade/lab/referee.py
+++ b/elmglade/lab/referee.py
@@ -1,5 +1,6 @@
-"""The referee: judges a history of what went over the sockets by the six rules. Pure; it trusts no sender's
-word.
+"""The referee: judges a history of what went over the sockets by the six rules.
+
+Pure; it trusts no sender's word.
 
 The rules, as the project's terms have them:
 
@@ -10,13 +11,11 @@
 3. *one at a time*: never two calls of one message at once.
 4. *drains*: no new call to an endpoint `grace` after the sender was told.
 5. *cold*: after an outage a destination gets no more than `push` times what it can take while it warms up,
-for
-   no longer than `push_for`.
-6. *order*: calls of one key go in the order in which their messages were taken, one message after the
-other, and
-   `quiet` after a call that may have run without an answer.
+   for no longer than `push_for`.
+6. *order*: calls of one key go in the order in which their messages were taken, one message after the other,
+   and `quiet` after a call that may have run without an answer.
 7. *waits*: no call to a destination while a wait lasts that it told, but for those within `crossing` of the
-word.
+   word.
 """
 
 import itertools
