--- a/elmglade/cli.py
+++ b/elmglade/cli.py
@@ -1,4 +1,4 @@
-"""The command line: `elmglade serve|check|destinations|demo`.
+"""The command line: `elmglade serve|check|destinations|emulate|demo`.
 
 Without arguments `python -m elmglade` is the platform's.
 """
@@ -32,6 +32,12 @@
     kept.add_argument("--state", metavar="STATE", help=states)
     kept.add_argument("--most", type=int, default=50, help="rows at the most, the most troubled first")
     kept.add_argument("--json", action="store_true", help="all of it as JSON lines")
+    lives = commands.add_parser("emulate", help="lives of a sender in simulated time; exit 1 if a rule broke")
+    lives.add_argument("--lives", type=int, default=100, help="how many, one a seed")
+    lives.add_argument("--seed", type=int, default=0, help="of the first one")
+    lives.add_argument("--processes", type=int, default=1)
+    lives.add_argument("--json", action="store_true", help="a JSON object for each broken life and the sums")
+    lives.add_argument("--trace", type=Path, metavar="FILE", help="only the life of --seed, event by event")
     demo = commands.add_parser("demo", help="stand-ins and one sender, through an outage and back")
     demo.add_argument("--pace", type=float, default=1.0, help="of its usual length of 30 s; 0.1 to 1.2")
     demo.add_argument("--rate", type=float, default=40.0, help="commands a second, 1 to 200")
@@ -115,6 +121,18 @@
     return 0
 
 
+def emulate(options: argparse.Namespace) -> int:
+    """Prints what came of the lives; 1 if a rule broke."""
+    from elmglade.emulator.search import search, show
+
+    if options.lives < 1 or options.processes < 1:
+        print("elmglade: --lives and --processes are 1 at least", file=sys.stderr)
+        return 2
+    if options.trace:
+        return show(options.seed, options.trace)
+    return search(options.seed, options.lives, options.processes, json_lines=options.json)
+
+
 def main(words: Sequence[str] | None = None) -> int:
     """Runs a command; the answer is the exit code: 0 well, 1 not, 2 misused."""
     options = parser().parse_args(words)
@@ -122,6 +140,8 @@
         return check(options.file)
     if options.command == "serve":
         return serve(options)
+    if options.command == "emulate":
+        return emulate(options)
     if options.command == "destinations":
         return destinations(options)
     from elmglade.lab.demo import demo
--- /dev/null
+++ b/elmglade/emulator/life.py
@@ -0,0 +1,402 @@
+"""One life of a sender at its ports: the real engine, module and journal between models of everything else.
+
+A life is decided by its seed alone: what clients hand in, what each destination does and for how long,
+which endpoints drain, and when the process is killed (at an instant, or between two writes to its disk). It
+ends when every message's time is up; then the referee judges what the models saw. A kill ends the loop with
+all that was on it, as SIGKILL ends a process; the next one starts on the same folder, and the world goes on
+where it was.
+"""
+
+import asyncio
+import gc
+import json
+import logging
+import os
+import random
+import tempfile
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+from enum import Enum
+from pathlib import Path
+
+from elmglade import interface as face
+from elmglade.core.engine import Config, Engine
+from elmglade.core.ports import Answer, End, TurnedAway
+from elmglade.directory.static import Place, StaticDirectory
+from elmglade.emulator.loop import VirtualLoop
+from elmglade.emulator.seal import sealed
+from elmglade.interface import Effect, Outcome
+from elmglade.lab import history as seen
+from elmglade.lab.history import History, Ran
+from elmglade.lab.referee import Breach, Kind, Referee, Rules
+from elmglade.lab.stream import Mood
+from elmglade.message import HandedIn
+
+SECOND = 1_000_000
+EPOCH = 1_700_000_000 * SECOND  # us; wall time at the beginning of every life
+QUIET, WINDOW, DEADLINE, COLD = 0.1, 3.0, 6.0, 5.0  # s
+WAY = (0.001, 0.02)  # s, one way to an endpoint
+SLOWLY = 0.15  # share of connections and answers that take up to SLOW longer: a drain or a wait may cross
+SLOW = 0.4  # s
+DISK = 2_000_000  # bytes
+KINDS = {
+    "safe": Kind(),
+    "keyed": Kind(Effect.KEYED, WINDOW),
+    "zoned": Kind(Effect.KEYED, WINDOW, by_zone=True),
+    "unsafe": Kind(Effect.UNSAFE),
+    "ordered": Kind(Effect.KEYED, WINDOW, in_order=True),
+    "ordered-unsafe": Kind(Effect.UNSAFE, in_order=True),
+}
+
+
+class Killed(SystemExit):
+    """SIGKILL: the loop ends here and now. Only SystemExit is let through by tasks and handles."""
+
+
+@dataclass(frozen=True)
+class Spec:
+    """A life's size. Everything else is drawn from the seed."""
+
+    seconds: float = 2.0  # in which messages come
+    rate: float = 30.0  # messages a second
+    destinations: int = 4
+    keys: int = 4
+    trouble: float = 0.5  # chance that a destination is in trouble for a while
+    drains: int = 1
+    kills: int = 1
+
+
+@dataclass
+class Outcomes:
+    """What came of a life."""
+
+    breaches: list[Breach]
+    trace: list[str]  # JSON lines
+    ends: dict[str, int] = field(default_factory=dict)
+    calls: int = 0
+    kills: int = 0
+    told_again: int = 0  # ends that a later process told once more
+
+
+def settings() -> face.Settings:
+    classes = tuple(
+        face.MessageClass(
+            name, 2 * SECOND, int(DEADLINE * SECOND), 1.0, 0.3, kind.effect, int(kind.window * SECOND),
+            kind.by_zone, kind.in_order,
+        )
+        for name, kind in KINDS.items()
+    )  # fmt: skip
+    return face.Settings(
+        classes=classes, kinds=(("plain", face.Kind()), ("apart", face.Kind(apart=True))), slots=12,
+        max_open=200, max_attempts=6, zone="x", tick=5_000, max_retry_after=SECOND, cold=int(COLD * SECOND),
+        key_quiet=int(QUIET * SECOND), drain_grace=SECOND // 2, ends_answered=True,
+    )  # fmt: skip
+
+
+class Caller:
+    """Who handed a message in: hears that it is taken on, and its end as long as the process lives."""
+
+    def __init__(self, life: "Life", message: HandedIn) -> None:
+        self.life, self.message = life, message
+
+    def gone(self) -> bool:
+        return False
+
+    def taken(self) -> bool:
+        told = self.message
+        until = (told.until - EPOCH) / SECOND
+        now = self.life.time()
+        self.life.history.note(
+            seen.Taken(now, told.id, told.message_class, told.destination, until, told.key)
+        )
+        return True
+
+    def turned_away(self, told: TurnedAway) -> None:
+        self.life.history.note(seen.Refused(self.life.time(), self.message.id))
+
+    def given_up(self) -> None:
+        raise AssertionError("it is never gone")
+
+    def ended(self, end: End) -> None:
+        self.life.ended(self.message.id, end)
+
+
+class Courier:
+    """Calls to modelled endpoints: a way there, a mood, a way back."""
+
+    late_reader = False
+
+    def __init__(self, life: "Life") -> None:
+        self.life = life
+
+    async def call(
+        self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
+    ) -> Answer:
+        life, loop = self.life, asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        await asyncio.sleep(life.way())
+        mood = life.mood(endpoint)
+        if mood is Mood.SHUT:
+            return Answer(Outcome.CONNECT_FAILED)
+        if not may_go():
+            return Answer(Outcome.NOT_SENT)
+        call = life.history.began(message.id, endpoint)
+        took, outcome, wait = life.fate(mood)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.sleep(took)
+        except TimeoutError:
+            life.history.over(call, Ran.MAYBE)
+            return Answer(Outcome.TIMEOUT)
+        except asyncio.CancelledError:
+            life.history.over(call, Ran.MAYBE)
+            raise
+        life.history.over(call, RAN[outcome], wait)
+        await asyncio.sleep(life.chance.uniform(*WAY))
+        told = int(wait * SECOND)
+        if told:
+            life.engine.wait_told(endpoint, told)
+            await asyncio.sleep(life.way())  # the head is here, the rest comes
+        return Answer(outcome, finished=outcome is Outcome.OK, wait=told)
+
+    def look(self) -> None:
+        """What has come is heard at once."""
+
+    def close_idle(self, endpoint: str) -> None: ...
+    def tidy(self) -> None: ...
+    def list_changed(self) -> None: ...
+    def close(self) -> None: ...
+
+
+RAN = {
+    Outcome.OK: Ran.YES, Outcome.ERROR: Ran.YES, Outcome.SPOILT: Ran.YES, Outcome.RESET: Ran.MAYBE,
+    Outcome.FULL: Ran.NEVER,
+}  # fmt: skip
+
+
+class Teller:
+    """Hears ends that nobody waits for, and says so a little later."""
+
+    def __init__(self, life: "Life") -> None:
+        self.life = life
+
+    def tell(self, message: str, end: End) -> bool:
+        self.life.ended(message, end)
+        if end.state.value == "delivered":
+            return False
+        self.life.loop.call_later(0.004, self.life.engine.end_answered, message)
+        return True
+
+    async def run(self) -> None:
+        await asyncio.get_running_loop().create_future()
+
+
+class Life:
+    def __init__(self, seed: int, spec: Spec, state: Path) -> None:
+        self.seed, self.spec, self.state = seed, spec, state
+        self.chance = random.Random(seed)
+        self.loop = VirtualLoop()
+        self.history = History(self.time)
+        self.places = [place for number in range(spec.destinations) for place in places_of(number)]
+        self.moods = {number: self.drawn_moods() for number in range(spec.destinations)}
+        self.plan = sorted(self.drawn_plan(), key=lambda each: each[0])
+        self.ends: dict[str, tuple[str, int]] = {}  # of each message: its state, and which process told it
+        self.spans = self.told_again = 0
+        self.until = spec.seconds + DEADLINE + 1.0
+        self.writes, self.kill_at_write = 0, self.drawn_kill()
+
+    def time(self) -> float:
+        return self.loop.time()
+
+    # What the seed decides.
+
+    def drawn_moods(self) -> list[tuple[float, float, Mood]]:
+        """When, until when, and which trouble."""
+        found, at = [], 0.0
+        while self.chance.random() < self.spec.trouble and at < self.spec.seconds + 2:
+            at += self.chance.uniform(0, 1.5)
+            until = at + self.chance.uniform(0.1, 3.0)
+            found.append((at, until, self.chance.choice(list(Mood)[1:])))
+            at = until
+        return found
+
+    def drawn_plan(self) -> list[tuple[float, Callable[[], None]]]:
+        spec, chance, at = self.spec, self.chance, 0.0
+        plan: list[tuple[float, Callable[[], None]]] = []
+        for number in range(int(spec.seconds * spec.rate)):
+            at += chance.expovariate(spec.rate)
+            message = self.drawn_message(number, at)
+            plan.append((at, lambda message=message: self.engine.take(message, Caller(self, message))))  # type: ignore[misc]
+        for _ in range(spec.drains):
+            place = chance.choice(self.places)
+            plan.append((chance.uniform(0, spec.seconds), lambda place=place: self.drain(place)))  # type: ignore[misc]
+        for _ in range(spec.kills if chance.random() < 0.5 else 0):
+            plan.append((chance.uniform(0, spec.seconds + 3), self.kill))
+        return plan
+
+    def drawn_message(self, number: int, at: float) -> HandedIn:
+        chance, kind = self.chance, self.chance.choice(list(KINDS))
+        left = chance.choice((DEADLINE, chance.uniform(0.05, DEADLINE)))
+        key = f"k{chance.randrange(self.spec.keys)}" if KINDS[kind].in_order else ""
+        until = EPOCH + int((at + left) * SECOND)
+        place = chance.randrange(self.spec.destinations)
+        return HandedIn(f"m{number}", kind, place, until, "", key, "i", False, b"body")
+
+    def drawn_kill(self) -> int:
+        """Just before which write to the disk the process is killed; 0: none."""
+        if not self.spec.kills or self.chance.random() < 0.5:
+            return 0
+        return self.chance.randrange(1, int(4 * self.spec.seconds * self.spec.rate))
+
+    def way(self) -> float:
+        slow = SLOW if self.chance.random() < SLOWLY else 0.0
+        return self.chance.uniform(*WAY) + self.chance.uniform(0, slow)
+
+    def mood(self, endpoint: str) -> Mood:
+        number, now = int(endpoint[1:].partition("-")[0]), self.time()
+        return next((mood for at, until, mood in self.moods[number] if at <= now < until), Mood.SERVES)
+
+    def fate(self, mood: Mood) -> tuple[float, Outcome, float]:
+        """How long a call takes, how it ends, and the wait that it tells, in s."""
+        chance = self.chance
+        took = chance.uniform(0.01, 0.15)
+        if mood is Mood.REFUSES:
+            return 0.005, Outcome.FULL, chance.choice((0.0, 0.15, 0.6))
+        if mood is Mood.ERRS:
+            return took, chance.choice((Outcome.ERROR, Outcome.RESET, Outcome.SPOILT, Outcome.OK)), 0.0
+        if mood is Mood.SILENT:
+            return 60.0, Outcome.RESET, 0.0
+        return took * (12 if mood is Mood.SLOW else 1), Outcome.OK, 0.0
+
+    # What happens.
+
+    def ended(self, name: str, end: End) -> None:
+        """The same end told again by a later process is the same answer: the one before may have been killed
+        between telling it and its record."""
+        state, before = end.state.value, self.ends.get(name)
+        self.ends[name] = state, self.spans
+        if before and before[0] == state and before[1] < self.spans:
+            self.told_again += 1
+            return
+        self.history.note(seen.Ended(self.time(), name, state))
+
+    def drain(self, place: Place) -> None:
+        self.directory.drain(place.endpoint.id)
+        self.history.note(seen.Drained(self.time(), place.endpoint.id))
+
+    def kill(self) -> None:
+        raise Killed
+
+    def start(self) -> None:
+        """A process begins, on whatever is in the folder."""
+        known = tuple(each.endpoint for each in self.places)
+        config = Config("n", self.state, self.seed, DISK, settings(), known)
+        self.engine = Engine(config, lambda: EPOCH + round(self.time() * SECOND))
+        append = self.engine.journal.append
+
+        def counted(record: bytes) -> bool:
+            self.writes += 1
+            if self.writes == self.kill_at_write:
+                raise Killed
+            return append(record)
+
+        self.engine.journal.append = counted  # type: ignore[method-assign]
+        self.directory = getattr(self, "directory", None) or StaticDirectory(self.places)
+        self.directory.told = self.engine.list_told
+        self.engine.plug(Courier(self), self.directory, Teller(self))
+        self.engine.start()
+        self.engine.list_told(face.EndpointsListed(face.Listing.FULL, self.directory.endpoints()))
+
+    async def live(self) -> None:
+        self.start()
+        while self.plan:
+            at, act = self.plan[0]
+            if at > self.time():
+                await asyncio.sleep(at - self.time())
+                continue
+            del self.plan[0]
+            act()
+        await asyncio.sleep(max(self.until - self.time(), 0.0))
+        if self.engine.defect:
+            raise RuntimeError(self.engine.defect)
+
+    def run(self) -> Outcomes:
+        try:
+            while not self.lived():
+                self.history.note(seen.Restarted(self.time()))
+        finally:
+            self.bury()
+        return self.judged()
+
+    def lived(self) -> bool:
+        """To the end, or to a kill; then a new loop goes on at the same instant."""
+        try:
+            self.loop.run_until_complete(self.live())
+        except Killed:
+            self.bury()
+            self.loop, self.spans = VirtualLoop(self.time()), self.spans + 1
+            return False
+        return True
+
+    def bury(self) -> None:
+        """What a killed process leaves to the system: descriptors close, and nothing of it runs any more."""
+        os.close(self.engine.journal.file)
+        self.engine.over = True
+        self.loop.set_exception_handler(lambda *_: None)  # the kill itself is no task's own trouble
+        for task in asyncio.all_tasks(self.loop):
+            task._log_destroy_pending = False  # type: ignore[attr-defined]  # it is meant to be
+        self.loop.close()
+
+    def judged(self) -> Outcomes:
+        rules = Rules(
+            KINDS,
+            zones={each.endpoint.id: each.endpoint.zone for each in self.places},
+            # Where routes are apart, a wait binds one route alone.
+            destinations={
+                each.endpoint.id: -number if each.endpoint.kind == "apart" else each.endpoint.destination
+                for number, each in enumerate(self.places, 1)
+            },
+            quiet=QUIET,
+        )
+        breaches = Referee(rules).judge(self.history.events)
+        ends: dict[str, int] = {}
+        for each in self.history.events:
+            if isinstance(each, seen.Ended):
+                ends[each.state] = ends.get(each.state, 0) + 1
+        trace = [json.dumps(told(each), sort_keys=True) for each in self.history.events]
+        return Outcomes(breaches, trace, ends, self.history.calls, self.spans, self.told_again)
+
+
+def told(event: seen.Event) -> dict[str, object]:
+    return {"event": type(event).__name__} | {name: plain(value) for name, value in asdict(event).items()}
+
+
+def plain(value: object) -> object:
+    if isinstance(value, Enum):
+        return value.value
+    return round(value, 6) if isinstance(value, float) else value
+
+
+def places_of(number: int) -> list[Place]:
+    kind = "apart" if number % 3 == 2 else "plain"
+    return [
+        Place(
+            face.Endpoint(f"e{number}-{each}", number, face.EndpointState.READY, kind, "xy"[each % 2]),
+            ("0.0.0.0", 9),
+        )
+        for each in range(1 + number % 2)
+    ]
+
+
+def live(seed: int, spec: Spec | None = None) -> Outcomes:
+    """One life, from its seed. Raises EmulationError where the engine reaches out of it."""
+    quiet = logging.root.manager.disable
+    logging.disable(logging.CRITICAL)
+    # What a killed loop leaves is collected after it, not in the middle of the next one.
+    gc.disable()
+    try:
+        with tempfile.TemporaryDirectory() as folder, sealed():
+            return Life(seed, spec or Spec(), Path(folder)).run()
+    finally:
+        gc.enable()
+        logging.disable(quiet)
--- a/elmglade/lab/referee.py
+++ b/elmglade/lab/referee.py
@@ -15,7 +15,7 @@
 6. *order*: calls of one key go in the order in which their messages were taken, one message after the other,
    and `quiet` after a call that may have run without an answer.
 7. *waits*: no call to a destination while a wait lasts that it told, but for those within `crossing` of the
-   word.
+   word; a restart ends it.
 """
 
 import itertools
@@ -88,6 +88,7 @@
         self.of: dict[str, list[Call]] = defaultdict(list)
         self.drains: dict[str, float] = {}
         self.outages: list[Outage] = []
+        self.restarts: list[float] = []
 
     def judge(self, events: Iterable[Event], until: float | None = None) -> list[Breach]:
         """All breaches, in the order of the rules. `until` is when the history ends, its last event's time
@@ -124,6 +125,7 @@
             case Outage():
                 self.outages.append(event)
             case Restarted():
+                self.restarts.append(event.at)
                 for each in self.calls.values():
                     if each.over is None and each.cut is None:
                         each.cut = event.at
@@ -233,7 +235,9 @@
         for each in self.calls.values():
             if each.over and each.over.wait:
                 where = self.rules.destinations.get(each.began.endpoint, 0)
-                told[where].append((each.over.at, each.over.at + each.over.wait))
+                until = each.over.at + each.over.wait
+                cuts = (restart for restart in self.restarts if restart >= each.over.at)
+                told[where].append((each.over.at, min(until, next(cuts, until))))
         for each in self.calls.values():
             at = each.began.at
             for since, until in told[self.rules.destinations.get(each.began.endpoint, 0)]:
