A destination that refused what is still owed is warmed after a restart

Need: 2 of the first 200 lives in simulated time pushed a returning destination over after a kill: what was held for one that had been shut went to it at once (22 calls in 1.5 s at a capacity of 10 a second), as refusals were forgotten with the process.

Change: two refusals of messages that are still owed make their destination doubtful at the start. Lives judge the rule on a cold return, where the sender saw a call fail in an outage of half a second or more.

--- a/elmglade/emulator/life.py
+++ b/elmglade/emulator/life.py
@@ -14,6 +14,7 @@
 import os
 import random
 import tempfile
+import warnings
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from enum import Enum
@@ -38,6 +39,9 @@
 WAY = (0.001, 0.02)  # s, one way to an endpoint
 SLOWLY = 0.15  # share of connections and answers that take up to SLOW longer: a drain or a wait may cross
 SLOW = 0.4  # s
+CAPACITY = 10.0  # calls a second that a warm destination takes; above what is offered to one on the average
+OUTAGES = frozenset({Mood.SHUT, Mood.SILENT, Mood.REFUSES, Mood.ERRS})
+SHORTEST = 0.5  # s; what is over sooner is no outage that a sender could tell from a stray failure
 DISK = 2_000_000  # bytes
 KINDS = {
     "safe": Kind(),
@@ -137,11 +141,14 @@
         await asyncio.sleep(life.way())
         mood = life.mood(endpoint)
         if mood is Mood.SHUT:
+            life.saw_trouble(endpoint)
             return Answer(Outcome.CONNECT_FAILED)
         if not may_go():
             return Answer(Outcome.NOT_SENT)
         call = life.history.began(message.id, endpoint)
         took, outcome, wait = life.fate(mood)
+        if outcome is not Outcome.OK:
+            life.saw_trouble(endpoint)
         try:
             async with asyncio.timeout_at(deadline):
                 await asyncio.sleep(took)
@@ -202,6 +209,7 @@
         self.plan = sorted(self.drawn_plan(), key=lambda each: each[0])
         self.ends: dict[str, tuple[str, int]] = {}  # of each message: its state, and which process told it
         self.spans = self.told_again = 0
+        self.troubles: list[tuple[int, float]] = []  # destination and time of each failure that was seen
         self.until = spec.seconds + DEADLINE + 1.0
         self.writes, self.kill_at_write = 0, self.drawn_kill()
 
@@ -248,6 +256,20 @@
             return 0
         return self.chance.randrange(1, int(4 * self.spec.seconds * self.spec.rate))
 
+    def saw_trouble(self, endpoint: str) -> None:
+        """A call failed, or was refused: from here on the sender may know of the outage."""
+        self.troubles.append((int(endpoint[1:].partition("-")[0]), self.time()))
+
+    def outages(self) -> list[seen.Outage]:
+        """Those in which the sender saw a call fail: for the others it cannot be blamed."""
+        return [
+            seen.Outage(at, until, number)
+            for number, moods in self.moods.items()
+            for at, until, mood in moods
+            if mood in OUTAGES and until - at >= SHORTEST
+            if any(place == number and at <= when < until for place, when in self.troubles)
+        ]
+
     def way(self) -> float:
         slow = SLOW if self.chance.random() < SLOWLY else 0.0
         return self.chance.uniform(*WAY) + self.chance.uniform(0, slow)
@@ -359,6 +381,12 @@
             quiet=QUIET,
         )
         breaches = Referee(rules).judge(self.history.events)
+        whole = {each.endpoint.id: each.endpoint.destination for each in self.places}
+        cold = Rules(
+            KINDS, destinations=whole, capacity=dict.fromkeys(self.moods, CAPACITY), cold=COLD, cold_from=0.2
+        )
+        judged = Referee(cold).judge([*self.outages(), *self.history.events])
+        breaches += [each for each in judged if each.rule == "cold"]
         ends: dict[str, int] = {}
         for each in self.history.events:
             if isinstance(each, seen.Ended):
@@ -398,5 +426,8 @@
         with tempfile.TemporaryDirectory() as folder, sealed():
             return Life(seed, spec or Spec(), Path(folder)).run()
     finally:
+        with warnings.catch_warnings():
+            warnings.simplefilter("ignore", RuntimeWarning)  # coroutines that a kill left unbegun
+            gc.collect()
         gc.enable()
         logging.disable(quiet)
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -37,6 +37,7 @@
 QUIET_AGE = 3_600_000_000  # us of silence after which a listed destination is not judged by old figures
 ROUNDING = 1e-9  # of a message: a share that is whole but for the last bits of a float is whole
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
+REFUSALS_KEPT = 2  # of messages still owed, from which a destination is doubtful after a restart
 LOOKS = 256  # destinations looked at in a turn; where more wait for a slot, the next turn begins with those
 PROSPECT_AGE = 25  # us for each message held that their order, once made, serves: a bound on what it costs
 
@@ -182,7 +183,8 @@
             if breaker and (outcome in face.FAILURES or outcome is Outcome.CANCELLED):
                 breaker.count_failure(int(self.now), outcome)
                 breaker.trial_at = self.now
-                self.touch(breaker)
+            elif breaker and outcome is Outcome.FULL:
+                breaker.doubt(int(self.now), REFUSALS_KEPT)
 
     def within_share(self, tenant: str) -> float:
         if tenant not in self.quotas:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,6 +1,7 @@
 """Lives in simulated time: the same to the byte, sealed off from the real world, and a search that finds."""
 
 import asyncio
+import dataclasses
 import json
 import os
 import subprocess
@@ -12,6 +13,7 @@
 
 import pytest
 
+from elmglade.breaker import Breaker
 from elmglade.cli import main
 from elmglade.core.engine import Engine
 from elmglade.emulator import life, search
@@ -99,6 +101,17 @@
     pass
 
 
+def no_gap(self: Breaker, now: int) -> float:
+    return 0.0
+
+
+restored = Dispatcher.restore
+
+
+def restore_alone(self: Dispatcher, kept: Any) -> None:  # noqa: ANN401
+    restored(self, dataclasses.replace(kept, outcomes=()))
+
+
 def nothing_is_due(self: Dispatcher) -> None:
     pass
 
@@ -113,6 +126,8 @@
     "an attempt is not on record": (Journal, "sent", no_record_of_the_attempt, {"no effect twice", "order"}),
     "a message is not on record": (Journal, "taken", no_record_of_the_message, {"one end"}),
     "a wait binds only with the fate": (Engine, "wait_told", wait_binds_with_the_fate, {"waits"}),
+    "one that is back is taken for warm": (Breaker, "cold_gap", no_gap, {"cold"}),
+    "refusals are forgotten with the process": (Dispatcher, "restore", restore_alone, {"cold"}),
     "what is over is not forgotten": (Engine, "message_over", remember, {"one end", "no effect twice"}),
     "nothing ends when its time is up": (Dispatcher, "end_due", nothing_is_due, {"one end"}),
 }
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -264,3 +264,15 @@
     world.dispatcher.wait_told("a", world.now + SECOND)
     assert not world.dispatcher.may_still_go("a", world.now) and sent(world.take()) == []
     assert sent(world.step(face.WakeUp(), after=SECOND)) == ["m1"]
+
+
+def test_refusals_of_what_is_owed_make_a_destination_doubtful_after_a_restart() -> None:
+    """Found by lives in simulated time: after a kill all that was held for a destination that had been shut
+    went to it at once, as refusals were forgotten with the process."""
+    for refusals, cold in ((1, False), (2, True)):
+        world = World()
+        taken = face.MessageTaken("m1", "safe", 1, 20 * SECOND)
+        outcomes = (("a", Outcome.FULL),) * refusals
+        world.step(face.MessageRestored(taken, refusals, None, "", outcomes))
+        (breaker,) = world.dispatcher.all_breakers()
+        assert (breaker.cold_gap(world.now) > 0) == cold
