--- a/elmglade/cli.py
+++ b/elmglade/cli.py
@@ -38,6 +38,8 @@
     lives.add_argument("--processes", type=int, default=1)
     lives.add_argument("--json", action="store_true", help="a JSON object for each broken life and the sums")
     lives.add_argument("--trace", type=Path, metavar="FILE", help="only the life of --seed, event by event")
+    lives.add_argument("--shrink", type=Path, metavar="FILE", help="cut the broken life of --seed to a case")
+    lives.add_argument("--case", type=Path, metavar="FILE", help="with --trace: the life of a case")
     demo = commands.add_parser("demo", help="stand-ins and one sender, through an outage and back")
     demo.add_argument("--pace", type=float, default=1.0, help="of its usual length of 30 s; 0.1 to 1.2")
     demo.add_argument("--rate", type=float, default=40.0, help="commands a second, 1 to 200")
@@ -123,13 +125,21 @@
 
 def emulate(options: argparse.Namespace) -> int:
     """Prints what came of the lives; 1 if a rule broke."""
-    from elmglade.emulator.search import search, show
+    from elmglade.emulator.search import cut_down, search, show
+    from elmglade.emulator.shrink import Case
 
     if options.lives < 1 or options.processes < 1:
         print("elmglade: --lives and --processes are 1 at least", file=sys.stderr)
         return 2
-    if options.trace:
-        return show(options.seed, options.trace)
+    try:
+        if options.shrink:
+            return cut_down(options.seed, options.shrink)
+        case = Case.read(options.case) if options.case else Case(options.seed)
+        if options.trace:
+            return show(case, options.trace)
+    except (OSError, ValueError) as error:
+        print(f"elmglade: {error}", file=sys.stderr)
+        return 1
     return search(options.seed, options.lives, options.processes, json_lines=options.json)
 
 
--- a/elmglade/emulator/life.py
+++ b/elmglade/emulator/life.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from enum import Enum
+from functools import partial
 from pathlib import Path
 
 from elmglade import interface as face
@@ -80,6 +81,7 @@
     calls: int = 0
     kills: int = 0
     told_again: int = 0  # ends that a later process told once more
+    happenings: list["Happening"] = field(default_factory=list)  # what the seed decided, less what is left out
 
 
 def settings() -> face.Settings:
@@ -198,49 +200,76 @@
         await asyncio.get_running_loop().create_future()
 
 
+@dataclass(frozen=True)
+class Happening:
+    """One thing that a seed decides. `number` is its own, the same in every run of that seed."""
+
+    number: int
+    at: float
+    text: str
+    act: Callable[["Life"], None] | None = None  # none: a mood, or a kill before some write to the disk
+
+
 class Life:
-    def __init__(self, seed: int, spec: Spec, state: Path) -> None:
-        self.seed, self.spec, self.state = seed, spec, state
+    """`without` names happenings that are left out, by their numbers."""
+
+    def __init__(self, seed: int, spec: Spec, state: Path, without: frozenset[int] = frozenset()) -> None:
+        self.seed, self.spec, self.state, self.without = seed, spec, state, without
         self.chance = random.Random(seed)
-        self.loop = VirtualLoop()
+        self.loop, self.drawn = VirtualLoop(), 0
         self.history = History(self.time)
         self.places = [place for number in range(spec.destinations) for place in places_of(number)]
-        self.moods = {number: self.drawn_moods() for number in range(spec.destinations)}
-        self.plan = sorted(self.drawn_plan(), key=lambda each: each[0])
+        self.happenings: list[Happening] = []
+        self.moods = {number: self.drawn_moods(number) for number in range(spec.destinations)}
+        self.draw_plan()
         self.ends: dict[str, tuple[str, int]] = {}  # of each message: its state, and which process told it
         self.spans = self.told_again = 0
         self.troubles: list[tuple[int, float]] = []  # destination and time of each failure that was seen
         self.until = spec.seconds + DEADLINE + 1.0
         self.writes, self.kill_at_write = 0, self.drawn_kill()
+        kept = [each for each in self.happenings if each.act]
+        self.plan = sorted(kept, key=lambda each: each.at)
 
     def time(self) -> float:
         return self.loop.time()
 
     # What the seed decides.
 
-    def drawn_moods(self) -> list[tuple[float, float, Mood]]:
+    def happens(self, at: float, text: str, act: Callable[["Life"], None] | None = None) -> bool:
+        """Numbers what the seed decides; False if it is left out."""
+        self.drawn += 1
+        if self.drawn in self.without:
+            return False
+        self.happenings.append(Happening(self.drawn, at, text, act))
+        return True
+
+    def drawn_moods(self, number: int) -> list[tuple[float, float, Mood]]:
         """When, until when, and which trouble."""
         found, at = [], 0.0
         while self.chance.random() < self.spec.trouble and at < self.spec.seconds + 2:
             at += self.chance.uniform(0, 1.5)
             until = at + self.chance.uniform(0.1, 3.0)
-            found.append((at, until, self.chance.choice(list(Mood)[1:])))
+            mood = self.chance.choice(list(Mood)[1:])
+            if self.happens(at, f"destination {number}: {mood.value} until {until:.3f}"):
+                found.append((at, until, mood))
             at = until
         return found
 
-    def drawn_plan(self) -> list[tuple[float, Callable[[], None]]]:
+    def draw_plan(self) -> None:
         spec, chance, at = self.spec, self.chance, 0.0
-        plan: list[tuple[float, Callable[[], None]]] = []
         for number in range(int(spec.seconds * spec.rate)):
             at += chance.expovariate(spec.rate)
             message = self.drawn_message(number, at)
-            plan.append((at, lambda message=message: self.engine.take(message, Caller(self, message))))  # type: ignore[misc]
+            key = f" of key {message.key}" if message.key else ""
+            left = (message.until - EPOCH) / SECOND - at
+            text = f"{message.id}, {message.message_class}{key}, for {message.destination}, {left:.3f} s left"
+            self.happens(at, text, partial(Life.hand_in, message=message))
         for _ in range(spec.drains):
             place = chance.choice(self.places)
-            plan.append((chance.uniform(0, spec.seconds), lambda place=place: self.drain(place)))  # type: ignore[misc]
+            text = f"{place.endpoint.id} drains"
+            self.happens(chance.uniform(0, spec.seconds), text, partial(Life.drain, place=place))
         for _ in range(spec.kills if chance.random() < 0.5 else 0):
-            plan.append((chance.uniform(0, spec.seconds + 3), self.kill))
-        return plan
+            self.happens(chance.uniform(0, spec.seconds + 3), "a kill", Life.kill)
 
     def drawn_message(self, number: int, at: float) -> HandedIn:
         chance, kind = self.chance, self.chance.choice(list(KINDS))
@@ -254,7 +283,8 @@
         """Just before which write to the disk the process is killed; 0: none."""
         if not self.spec.kills or self.chance.random() < 0.5:
             return 0
-        return self.chance.randrange(1, int(4 * self.spec.seconds * self.spec.rate))
+        write = self.chance.randrange(1, int(4 * self.spec.seconds * self.spec.rate))
+        return write if self.happens(0.0, f"a kill before write {write} to the disk") else 0
 
     def saw_trouble(self, endpoint: str) -> None:
         """A call failed, or was refused: from here on the sender may know of the outage."""
@@ -302,6 +332,9 @@
             return
         self.history.note(seen.Ended(self.time(), name, state))
 
+    def hand_in(self, message: HandedIn) -> None:
+        self.engine.take(message, Caller(self, message))
+
     def drain(self, place: Place) -> None:
         self.directory.drain(place.endpoint.id)
         self.history.note(seen.Drained(self.time(), place.endpoint.id))
@@ -332,12 +365,13 @@
     async def live(self) -> None:
         self.start()
         while self.plan:
-            at, act = self.plan[0]
-            if at > self.time():
-                await asyncio.sleep(at - self.time())
+            first = self.plan[0]
+            if first.at > self.time():
+                await asyncio.sleep(first.at - self.time())
                 continue
             del self.plan[0]
-            act()
+            if first.act:
+                first.act(self)
         await asyncio.sleep(max(self.until - self.time(), 0.0))
         if self.engine.defect:
             raise RuntimeError(self.engine.defect)
@@ -392,7 +426,8 @@
             if isinstance(each, seen.Ended):
                 ends[each.state] = ends.get(each.state, 0) + 1
         trace = [json.dumps(told(each), sort_keys=True) for each in self.history.events]
-        return Outcomes(breaches, trace, ends, self.history.calls, self.spans, self.told_again)
+        counts = self.history.calls, self.spans, self.told_again
+        return Outcomes(breaches, trace, ends, *counts, self.happenings)
 
 
 def told(event: seen.Event) -> dict[str, object]:
@@ -416,7 +451,7 @@
     ]
 
 
-def live(seed: int, spec: Spec | None = None) -> Outcomes:
+def live(seed: int, spec: Spec | None = None, without: frozenset[int] = frozenset()) -> Outcomes:
     """One life, from its seed. Raises EmulationError where the engine reaches out of it."""
     quiet = logging.root.manager.disable
     logging.disable(logging.CRITICAL)
@@ -424,7 +459,7 @@
     gc.disable()
     try:
         with tempfile.TemporaryDirectory() as folder, sealed():
-            return Life(seed, spec or Spec(), Path(folder)).run()
+            return Life(seed, spec or Spec(), Path(folder), without).run()
     finally:
         with warnings.catch_warnings():
             warnings.simplefilter("ignore", RuntimeWarning)  # coroutines that a kill left unbegun
--- a/elmglade/emulator/search.py
+++ b/elmglade/emulator/search.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from elmglade.emulator.life import live
+from elmglade.emulator.shrink import Case, shrink, told
 from elmglade.lab.referee import Breach
 
 CHUNK = 20  # lives that a process is handed at once
@@ -37,8 +38,8 @@
         outcomes = live(seed)
     except Exception as error:
         return Found(seed, error=f"{type(error).__name__}: {error}")
-    told = outcomes.ends, outcomes.calls, outcomes.kills, outcomes.told_again
-    return Found(seed, outcomes.breaches, "", *told)
+    counts = outcomes.ends, outcomes.calls, outcomes.kills, outcomes.told_again
+    return Found(seed, outcomes.breaches, "", *counts)
 
 
 def lives(first: int, count: int, processes: int) -> Iterator[Found]:
@@ -60,11 +61,11 @@
             broken += 1
             tell_one(found, json_lines)
     passed = time.monotonic() - began
-    told = {"lives": count, "broken": broken, **dict(sorted(sums.items())), "seconds": round(passed, 1)}
+    total = {"lives": count, "broken": broken, **dict(sorted(sums.items())), "seconds": round(passed, 1)}
     if json_lines:
-        print(json.dumps(told))
+        print(json.dumps(total))
     else:
-        print(", ".join(f"{name} {value}" for name, value in told.items()))
+        print(", ".join(f"{name} {value}" for name, value in total.items()))
     return 1 if broken else 0
 
 
@@ -77,14 +78,26 @@
         print(f"  {each.at:.3f} s, {each.rule}: {each.text}")
 
 
-def show(seed: int, file: Path) -> int:
+def show(case: Case, file: Path) -> int:
     """Writes the life's events, JSON lines, the same bytes each time."""
-    outcomes = live(seed)
-    try:
-        file.write_text("".join(line + "\n" for line in outcomes.trace))
-    except OSError as error:
-        print(f"elmglade: {error}", file=sys.stderr)
-        return 1
-    tell_one(Found(seed, outcomes.breaches), json_lines=False) if outcomes.breaches else None
+    outcomes = case.live()
+    file.write_text("".join(line + "\n" for line in outcomes.trace))
+    if outcomes.breaches:
+        tell_one(Found(case.seed, outcomes.breaches), json_lines=False)
     print(f"{len(outcomes.trace)} events in {file}")
     return 1 if outcomes.breaches else 0
+
+
+def cut_down(seed: int, file: Path) -> int:
+    """Shrinks the life of that seed by the first rule that it breaks, and writes the case."""
+    found = one(seed)
+    if not found.breaches:
+        print(f"seed {seed}: {found.error or 'no rule breaks'}", file=sys.stderr)
+        return 1
+    case = shrink(seed, found.breaches[0].rule)
+    case.write(file)
+    left = case.live()
+    print(f"seed {seed}, rule {case.rule!r}: {len(left.happenings)} happenings left, in {file}")
+    for line in told(left.happenings):
+        print(f"  {line}")
+    return 1
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import json
 import os
 import subprocess
@@ -16,7 +17,7 @@
 from elmglade.breaker import Breaker
 from elmglade.cli import main
 from elmglade.core.engine import Engine
-from elmglade.emulator import life, search
+from elmglade.emulator import life, search, shrink
 from elmglade.emulator.loop import LIVELOCK, DeadlockError, EmulationError, LivelockError, VirtualLoop
 from elmglade.emulator.seal import sealed
 from elmglade.journal.file import Journal
@@ -232,6 +233,30 @@
     assert main(["emulate", "--trace", str(tmp_path / "no" / "folder")]) == 1
 
 
+def test_a_defect_is_cut_to_a_few_happenings_that_break_the_same_rule_again(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    monkeypatch.setattr(Dispatcher, "rest", no_rest)
+    (broken,) = itertools.islice((each for each in search.lives(0, WITHIN, 1) if each.broken()), 1)
+    file, trace = tmp_path / "case.json", tmp_path / "trace"
+    assert main(["emulate", "--seed", str(broken.seed), "--shrink", str(file)]) == 1
+    case = shrink.Case.read(file)
+    left = case.live()
+    assert case.rule == "order" and {each.rule for each in left.breaches} == {"order"}
+    assert 2 <= len(left.happenings) < 20 and "happenings left" in capsys.readouterr().out
+    for each in left.happenings:  # none can be spared
+        assert not shrink.breaks(case.seed, case.rule, case.without | {each.number})
+    assert main(["emulate", "--case", str(file), "--trace", str(trace)]) == 1
+    assert trace.read_text().splitlines() == left.trace
+    monkeypatch.undo()
+    assert main(["emulate", "--case", str(file), "--trace", str(trace)]) == 0
+    assert main(["emulate", "--seed", str(broken.seed), "--shrink", str(file)]) == 1
+    assert "no rule breaks" in capsys.readouterr().err
+    for text in ("", "{}", '{"seed": 1, "rule": "order", "without": 3}'):
+        file.write_text(text)
+        assert main(["emulate", "--case", str(file), "--trace", str(trace)]) == 1
+
+
 def test_a_broken_life_and_one_that_fails_are_told_and_counted(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
