--- a/elmglade/emulator/life.py
+++ b/elmglade/emulator/life.py
@@ -81,7 +81,7 @@
     calls: int = 0
     kills: int = 0
     told_again: int = 0  # ends that a later process told once more
-    happenings: list["Happening"] = field(default_factory=list)  # what the seed decided, less what is left out
+    happenings: list["Happening"] = field(default_factory=list)  # what the seed decided and was kept
 
 
 def settings() -> face.Settings:
