--- a/elmglade/emulator/shrink.py
+++ b/elmglade/emulator/shrink.py
@@ -1,8 +1,8 @@
 """Cuts a broken life down: leaves out what the seed decided, as long as the same rule still breaks.
 
 Delta debugging after Zeller and Hildebrandt, "Simplifying and isolating failure-inducing input" (2002), in
-its simple form: parts are tried from the half of all down to single happenings, until none can be spared. What
-is left is written as a case: the seed and the numbers that are left out, which give the same bytes again.
+its simple form: parts are tried from the half of all down to single happenings, until none can be spared.
+What is left is written as a case: the seed and the numbers left out, which give the same bytes again.
 """
 
 import json
