A repeat does not go after its window, however long its connection took

Need: 3 of 10,000 lives in simulated time sent a keyed message again after the time for which its destination drops repeats: it was within it when the attempt was decided, and the connection took 0.3 s. On the platform one may take 1.5 s.

Change: as a call's first byte goes, the module is asked for drains, waits and the repeat's window. Emulated connections and answers end with the attempt's time.

--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -193,10 +193,11 @@
         self.directory.look()
         self.courier.look()
 
-    def may_go(self, endpoint: str) -> bool:
-        """Rules: drains and waits bind until an attempt's first byte goes, also those that lie unread."""
+    def may_go(self, endpoint: str, name: str) -> bool:
+        """Rules: drains, waits and a repeat's window bind until an attempt's first byte goes, also what lies
+        unread of them."""
         self.look()
-        return endpoint not in self.leaving and self.dispatcher.may_still_go(endpoint, self.now())
+        return endpoint not in self.leaving and self.dispatcher.may_still_go(endpoint, self.now(), name)
 
     async def hear(self, since: float) -> None:
         """Guards against what a courier that cannot look has yet to hear after a late pass."""
@@ -445,7 +446,7 @@
             endpoint,
             self.journal.entries[name].message,
             action.timeout / 1e6,
-            partial(self.may_go, endpoint),
+            partial(self.may_go, endpoint, name),
         )
         work = self.attempt(name, number, call, self.since)
         task = self.calls[name, number] = self.loop.create_task(work)
--- a/elmglade/emulator/life.py
+++ b/elmglade/emulator/life.py
@@ -140,9 +140,9 @@
     ) -> Answer:
         life, loop = self.life, asyncio.get_running_loop()
         deadline = loop.time() + timeout
-        await asyncio.sleep(life.way())
+        await asyncio.sleep(min(life.way(), timeout))
         mood = life.mood(endpoint)
-        if mood is Mood.SHUT:
+        if mood is Mood.SHUT or loop.time() >= deadline:
             life.saw_trouble(endpoint)
             return Answer(Outcome.CONNECT_FAILED)
         if not may_go():
@@ -165,7 +165,8 @@
         told = int(wait * SECOND)
         if told:
             life.engine.wait_told(endpoint, told)
-            await asyncio.sleep(life.way())  # the head is here, the rest comes
+            # The head is here, the rest comes, or its time is up.
+            await asyncio.sleep(min(life.way(), max(deadline - loop.time(), 0.0)))
         return Answer(outcome, finished=outcome is Outcome.OK, wait=told)
 
     def look(self) -> None:
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -547,10 +547,15 @@
         for breaker in told:
             breaker.wait_until = max(breaker.wait_until, until)
 
-    def may_still_go(self, endpoint: str, now: int) -> bool:
-        """Rules: drains and waits, asked again as a call's first byte goes: its connection took a while."""
-        known = self.endpoints.get(endpoint)
-        return known is not None and (known.breaker is None or known.breaker.wait_until <= now)
+    def may_still_go(self, endpoint: str, now: int, message: str = "") -> bool:
+        """Rules: drains, waits and the time for which a repeat does no harm, asked again as a call's first
+        byte goes: its connection took a while."""
+        known, sent = self.endpoints.get(endpoint), self.messages.get(message)
+        if known is None or (known.breaker and known.breaker.wait_until > now):
+            return False
+        if sent is None or sent.risky_since is None or sent.kind.effect is not Effect.KEYED:
+            return True
+        return now < self.repeat_until(sent, sent.risky_since)
 
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
         options: list[tuple[tuple[float, float, bool, int, bool, float], int, Endpoint]] = []
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -75,7 +75,7 @@
     return True
 
 
-def go_anyway(self: Engine, endpoint: str) -> bool:
+def go_anyway(self: Engine, endpoint: str, name: str) -> bool:
     return True
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -276,3 +276,16 @@
         world.step(face.MessageRestored(taken, refusals, None, "", outcomes))
         (breaker,) = world.dispatcher.all_breakers()
         assert (breaker.cold_gap(world.now) > 0) == cold
+
+
+def test_a_repeat_whose_connection_took_too_long_does_not_go_after_its_window() -> None:
+    """Found by lives in simulated time: within its window when it was sent, 0.3 s later when it was up."""
+    world = World()
+    world.take("keyed")
+    world.answer("m1", Outcome.ERROR)
+    message = world.dispatcher.messages["m1"]
+    assert message.out and message.risky_since is not None
+    last = int(world.dispatcher.repeat_until(message, message.risky_since))
+    assert world.dispatcher.may_still_go("a", last - 1, "m1")
+    assert not world.dispatcher.may_still_go("a", last, "m1")
+    assert world.dispatcher.may_still_go("a", last, "another")
