One question on whether a repeat does harm, and less state on the way to an answer

Change: may_repeat_at serves may_send_again, may_repeat and may_still_go; a usual answer that is whole reads nothing behind it, so the flag is gone; keep_room is one loop; Lateness.begin; one table of destinations in a life; shrink and its case use the outcomes they have. Two tests of the virtual loop wait on a timer and a callback, and the planted defect that forgets a risk is planted where the rule stands now.

--- a/elmglade/core/lateness.py
+++ b/elmglade/core/lateness.py
@@ -24,6 +24,9 @@
     would do the same; the platform's daemon imports none."""
 
     def __init__(self, now: float) -> None:
+        self.begin(now)
+
+    def begin(self, now: float) -> None:
         self.began, self.count, self.longest = now, 0, 0.0
         self.buckets = [0] * BUCKETS
 
@@ -51,5 +54,4 @@
             most, usual = self.longest * 1e3, self.percentile(0.999) * 1e3
             text = "the loop was late: %.0f ms at most, 99.9%% within %.0f ms of %d samples; held %d, out %d"
             log.warning(text, most, usual, self.count, held, out)
-        self.began, self.count, self.longest = now, 0, 0.0
-        self.buckets = [0] * BUCKETS
+        self.begin(now)
--- a/elmglade/emulator/life.py
+++ b/elmglade/emulator/life.py
@@ -227,6 +227,7 @@
         self.loop, self.drawn = VirtualLoop(), 0
         self.history = History(self.time)
         self.places = [place for number in range(spec.destinations) for place in places_of(number)]
+        self.destinations = {each.endpoint.id: each.endpoint.destination for each in self.places}
         self.happenings: list[Happening] = []
         self.moods = {number: self.drawn_moods(number) for number in range(spec.destinations)}
         self.draw_plan()
@@ -296,7 +297,7 @@
 
     def saw_trouble(self, endpoint: str) -> None:
         """A call failed, or was refused: from here on the sender may know of the outage."""
-        self.troubles.append((int(endpoint[1:].partition("-")[0]), self.time()))
+        self.troubles.append((self.destinations[endpoint], self.time()))
 
     def outages(self) -> list[seen.Outage]:
         """Those in which the sender saw a call fail: for the others it cannot be blamed."""
@@ -313,8 +314,8 @@
         return self.chance.uniform(*WAY) + self.chance.uniform(0, slow)
 
     def mood(self, endpoint: str) -> Mood:
-        number, now = int(endpoint[1:].partition("-")[0]), self.time()
-        return next((mood for at, until, mood in self.moods[number] if at <= now < until), Mood.SERVES)
+        moods, now = self.moods[self.destinations[endpoint]], self.time()
+        return next((mood for at, until, mood in moods if at <= now < until), Mood.SERVES)
 
     def fate(self, mood: Mood) -> tuple[float, Outcome, float]:
         """How long a call takes, how it ends, and the wait that it tells, in s."""
@@ -423,10 +424,8 @@
             quiet=QUIET,
         )
         breaches = Referee(rules).judge(self.history.events)
-        whole = {each.endpoint.id: each.endpoint.destination for each in self.places}
-        cold = Rules(
-            KINDS, destinations=whole, capacity=dict.fromkeys(self.moods, CAPACITY), cold=COLD, cold_from=0.2
-        )
+        capacity = dict.fromkeys(self.moods, CAPACITY)
+        cold = Rules(KINDS, destinations=self.destinations, capacity=capacity, cold=COLD, cold_from=0.2)
         judged = Referee(cold).judge([*self.outages(), *self.history.events])
         breaches += [each for each in judged if each.rule == "cold"]
         ends: dict[str, int] = {}
--- a/elmglade/emulator/search.py
+++ b/elmglade/emulator/search.py
@@ -95,8 +95,8 @@
         print(f"seed {seed}: {found.error or 'no rule breaks'}", file=sys.stderr)
         return 1
     case = shrink(seed, found.breaches[0].rule)
-    case.write(file)
     left = case.live()
+    case.write(file, left)
     print(f"seed {seed}, rule {case.rule!r}: {len(left.happenings)} happenings left, in {file}")
     for line in told(left.happenings):
         print(f"  {line}")
--- a/elmglade/emulator/shrink.py
+++ b/elmglade/emulator/shrink.py
@@ -23,9 +23,8 @@
     def live(self) -> Outcomes:
         return live(self.seed, without=self.without)
 
-    def write(self, file: Path) -> None:
-        """Raises OSError."""
-        outcomes = self.live()
+    def write(self, file: Path, outcomes: Outcomes) -> None:
+        """`outcomes` are those of its life. Raises OSError."""
         left = [f"{each.at:.3f} s: {each.text}" for each in outcomes.happenings]
         told = {"seed": self.seed, "rule": self.rule, "without": sorted(self.without), "left": left}
         file.write_text(json.dumps(told, indent=1) + "\n")
@@ -52,9 +51,10 @@
 def shrink(seed: int, rule: str, tried: Callable[[int], None] = lambda left: None) -> Case:
     """The case with as little left as this finds. `tried` is told how much is, after each part that could be
     spared. Raises ValueError if that rule does not break in that life."""
-    if not breaks(seed, rule, frozenset()):
+    whole = live(seed)
+    if not any(each.rule == rule for each in whole.breaches):
         raise ValueError(f"the life of seed {seed} does not break the rule {rule!r}")
-    left = [each.number for each in live(seed).happenings]
+    left = [each.number for each in whole.happenings]
     without: frozenset[int] = frozenset()
     size = max(len(left) // 2, 1)
     while True:
--- a/elmglade/http/codec.py
+++ b/elmglade/http/codec.py
@@ -79,7 +79,6 @@
         #: The head of the answer, or why there is none.
         self.found: usual.Head | Spoilt | ConnectionResetError | None = None
         self.quick = False  # requests are written, and usual answers read, without the codec
-        self.spare = False  # more came than one answer
 
     @classmethod
     async def open(cls, address: Address) -> "Connection":
@@ -118,14 +117,10 @@
         if not self.quick:
             self.codec.receive_data(data)
             return
-        head = None if self.found else usual.answer(data, BODY_LIMIT)
-        if head:
-            self.found, self.size = head, 0
+        if head := usual.answer(data, BODY_LIMIT):
+            self.found = head
             return
         self.quick = False
-        if self.found:  # more than belongs to the answer; it is whole, and nothing may follow it here
-            self.spare = True
-            return
         self.tell_codec("POST", "/", [(b"Host", b"x"), (b"Content-Length", b"0")], b"")
         self.codec.receive_data(data)
 
@@ -169,6 +164,8 @@
 
     def read_some(self) -> bool:
         """What lies in the socket goes to the codec now. False: nothing does."""
+        if self.quick and self.found:
+            return False  # a usual answer is whole: what lies behind it belongs to nobody
         try:
             data = self.sock.recv(READ_SIZE)
         except (BlockingIOError, InterruptedError):
@@ -260,7 +257,7 @@
 
     def whole(self) -> bool:
         """Whether the answer, whose head has been read, is here to its end."""
-        if self.quick or self.spare:
+        if self.quick:
             return True
         while (event := self.read_event()) is not None:
             if isinstance(event, h11.EndOfMessage):
@@ -281,7 +278,7 @@
         if self.quick:
             self.found = None
             return True
-        if self.spare or self.codec.our_state is not h11.DONE or self.codec.their_state is not h11.DONE:
+        if self.codec.our_state is not h11.DONE or self.codec.their_state is not h11.DONE:
             return False
         if self.codec.trailing_data != (b"", False):
             return False
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -383,24 +383,22 @@
     def may_repeat(self, call: Call) -> bool:
         """Whether all its messages may go once more, though this call may have run."""
         return all(
-            each.attempts < self.settings.max_attempts
-            and (
-                each.kind.effect is Effect.SAFE
-                or (each.kind.effect is Effect.KEYED and self.now < self.repeat_until(each, call.sent))
-            )
+            each.attempts < self.settings.max_attempts and self.may_repeat_at(self.now, each, call.sent)
             for each in call.messages.values()
         )
 
+    def may_repeat_at(self, now: float, message: Message, sent: int | None) -> bool:
+        """Rule: no effect twice. `sent` is when an attempt went that may have run; None: none has."""
+        if sent is None or message.kind.effect is Effect.SAFE:
+            return True
+        return message.kind.effect is Effect.KEYED and now < self.repeat_until(message, sent)
+
     # The rules: what a message may still do, and its one final answer.
 
     def may_send_again(self, message: Message) -> bool:
         """Rule: no effect twice."""
-        if message.attempts >= self.settings.max_attempts:
-            return False
-        if message.risky_since is None or message.kind.effect is Effect.SAFE:
-            return True
-        until = self.repeat_until(message, message.risky_since)
-        return message.kind.effect is Effect.KEYED and self.now < until
+        left = message.attempts < self.settings.max_attempts
+        return left and self.may_repeat_at(self.now, message, message.risky_since)
 
     def may_refuse(self, message: Message) -> bool:
         """Rule: no effect twice; a refusal tells the client that trying again is harmless."""
@@ -553,9 +551,7 @@
         known, sent = self.endpoints.get(endpoint), self.messages.get(message)
         if known is None or (known.breaker and known.breaker.wait_until > now):
             return False
-        if sent is None or sent.risky_since is None or sent.kind.effect is not Effect.KEYED:
-            return True
-        return now < self.repeat_until(sent, sent.risky_since)
+        return sent is None or self.may_repeat_at(now, sent, sent.risky_since)
 
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
         options: list[tuple[tuple[float, float, bool, int, bool, float], int, Endpoint]] = []
@@ -574,8 +570,9 @@
         return min(options)[-1] if options else None
 
     def may_join(self, call: Call | None, listed: face.Endpoint) -> bool:
-        open_for_more = call and call.breaker.trial is not call
-        return bool(open_for_more) and len(call.messages) < self.kinds[listed.kind].batch  # type: ignore[union-attr]
+        if call is None or call.breaker.trial is call:
+            return False
+        return len(call.messages) < self.kinds[listed.kind].batch
 
     def may_call(self, breaker: Breaker) -> bool:
         if len(self.out) >= self.settings.slots or breaker.ready_at(int(self.now)) > self.now:
@@ -617,16 +614,15 @@
         """Ends the least promising of what is held where no room is left for one more. Their order is made
         anew only now and then: a walk over all that is held costs so much of a core at the most."""
         excess = len(self.messages) - self.settings.max_open + 1
-        if excess <= 0 and self.now >= self.room_until:
+        if self.now >= self.room_until:
             self.room = []
-        while excess > 0 and (self.room or self.now >= self.room_until):
-            if self.now >= self.room_until:
+            if excess > 0:
                 self.order_room()
-            while excess > 0 and self.room:
-                message = self.room.pop(0)[-1]
-                if self.is_held(message) and self.may_refuse(message):
-                    self.end(message)
-                    excess -= 1
+        while excess > 0 and self.room:
+            message = self.room.pop(0)[-1]
+            if self.is_held(message) and self.may_refuse(message):
+                self.end(message)
+                excess -= 1
 
     def order_room(self) -> None:
         places: dict[str, int] = {}
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -59,8 +59,8 @@
 # Planted defects: each is one that a guard in the code is there for.
 
 
-def forget_the_risk(self: Dispatcher, message: Any) -> bool:  # noqa: ANN401
-    return bool(message.attempts < self.settings.max_attempts)
+def forget_the_risk(self: Dispatcher, now: float, message: Any, sent: Any) -> bool:  # noqa: ANN401
+    return True
 
 
 def refuse_anything(self: Dispatcher, message: Any) -> bool:  # noqa: ANN401
@@ -114,7 +114,7 @@
 
 
 DEFECTS: dict[str, tuple[Any, str, Callable[..., Any], set[str]]] = {
-    "what may have run is sent again": (Dispatcher, "may_send_again", forget_the_risk, {"no effect twice"}),
+    "what may have run is sent again": (Dispatcher, "may_repeat_at", forget_the_risk, {"no effect twice"}),
     "what may have run is refused": (Dispatcher, "may_refuse", refuse_anything, {"no effect twice"}),
     "a key does not rest": (Dispatcher, "rest", no_rest, {"order"}),
     "a key's messages go at once": (Dispatcher, "in_turn", any_turn, {"order"}),
@@ -159,7 +159,9 @@
         seen: list[Any] = []
         for each in range(5):
             loop.call_later(86_400.0, seen.append, each)
-        await asyncio.sleep(30 * 86_400.0)
+        passed = loop.create_future()
+        loop.call_later(30 * 86_400.0, passed.set_result, None)
+        await passed
         return [*seen, loop.time()]
 
     first = run(work)
@@ -174,8 +176,11 @@
         run(forever)
 
     async def spin(loop: VirtualLoop) -> None:
-        while True:
-            await asyncio.sleep(0)
+        def again() -> None:
+            loop.call_soon(again)
+
+        again()
+        await loop.create_future()
 
     with pytest.raises(LivelockError, match=str(LIVELOCK + 1)):
         run(spin)
