The list is watched also where it is pushed to an agent beside the sender

Examined: the logs show no line of the list after the start; rules.py asks for a watch only where membership_mode is on_request, and on sockets nobody else begins one.

A sender on sockets now watches in any mode. What an agent holds counts as told while nobody listens too, so a watch that ended there is begun again after 50 ms in place of 0.5 to 2.5 s: the grace is 250 ms, and asking costs nothing.

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -36,7 +36,7 @@
             disk_bytes=int(limits["disk_mb"] * MEGABYTE),
             sockets=int(limits["sockets"]),
             known=Listed(told["known"]),
-            settings=settings_from(told["settings"], ends_answered=True),
+            settings=settings_from(told["settings"], on_sockets=True),
         )
     except KeyError as error:
         raise BadConfig(f"{error.args[0]} is missing or unknown") from None
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -88,6 +88,7 @@
     halves: bool = False  # late worth falls by half with each further aim, else evenly
     zone_fees: tuple[tuple[str, float], ...] = ()  # zone, worth lost per message on a route apart there
     must_ask: bool = False  # the list of endpoints comes only when asked for
+    list_at_hand: bool = False  # asking costs nobody anything, and what could be asked for counts as told
     ask_within: int = 10_000_000
     rates_told: bool = False  # Endpoint.scale is the rate in calls a second that its destination takes
     may_cancel: bool = True
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -38,6 +38,7 @@
 ROUNDING = 1e-9  # of a message: a share that is whole but for the last bits of a float is whole
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
 REFUSALS_KEPT = 2  # of messages still owed, from which a destination is doubtful after a restart
+AT_HAND_AGAIN = 50_000  # us until a list at hand is asked for again: well within the grace of a drain
 LOOKS = 256  # destinations looked at in a turn; where more wait for a slot, the next turn begins with those
 PROSPECT_AGE = 25  # us for each message held that their order, once made, serves: a bound on what it costs
 
@@ -270,7 +271,8 @@
         if listed.listing is Listing.FAILED:
             self.subscribe_tries += 1
             span = min(self.settings.ask_within, RESET_TIMEOUT * 2**self.subscribe_tries) / 4
-            self.subscribe_at = self.now + span * self.random.uniform(0.5, 1)
+            later = span * self.random.uniform(0.5, 1)  # guards discovery from all senders at once
+            self.subscribe_at = self.now + (AT_HAND_AGAIN if self.settings.list_at_hand else later)
             return
         self.subscribe_tries, known = 0, self.endpoints
         touched: dict[int, None] = {}  # destinations, in the order in which they were named
--- a/elmglade/settings.py
+++ b/elmglade/settings.py
@@ -7,8 +7,9 @@
 EFFECTS = {"repeatable": face.Effect.SAFE, "by_key": face.Effect.KEYED, "once": face.Effect.UNSAFE}
 
 
-def settings_from(info: dict[str, Any], ends_answered: bool = False) -> face.Settings:
-    """The named values of `info`; `ends_answered` says that this sender tells of each answered notice."""
+def settings_from(info: dict[str, Any], on_sockets: bool = False) -> face.Settings:
+    """The named values of `info`. A sender on sockets tells the module of each answered notice, and hears of
+    the list only by a watch that it keeps itself, also where lists are pushed: to an agent beside it."""
     limits, safety, special = info["limits"], info["safety"], info["specifics"]
     zones = info["zones"]
     classes = tuple(
@@ -44,7 +45,8 @@
         over_share_worth=info.get("over_share_worth", 1.0),
         halves=special.get("loses_worth") == "halves",
         zone_fees=tuple(zip(zones, special.get("zone_fee") or (), strict=False)),
-        must_ask=info["membership_mode"] == "on_request",
+        must_ask=on_sockets or info["membership_mode"] == "on_request",
+        list_at_hand=info["membership_mode"] == "pushed",
         ask_within=safety["ask_within"],
         rates_told=info["weight_kind"] == "nominal",
         may_cancel=limits["cancelling"],
@@ -56,5 +58,5 @@
         connect_timeout=limits.get("connect_timeout", 1_500_000),
         key_quiet=safety.get("key_quiet", 0),
         drain_grace=safety["drain_grace"],
-        ends_answered=ends_answered,
+        ends_answered=on_sockets,
     )
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -139,8 +139,10 @@
     return told | {"born_ms": 0} | changes
 
 
-def config_json(platform: Platform, *hosts: dict[str, Any], **kind: object) -> dict[str, Any]:
-    settings = ENV | {"services": [CLASS | kind], "membership_mode": "on_request"}
+def config_json(
+    platform: Platform, *hosts: dict[str, Any], mode: str = "on_request", **kind: object
+) -> dict[str, Any]:
+    settings = ENV | {"services": [CLASS | kind], "membership_mode": mode}
     settings["safety"] = ENV["safety"] | {"key_quiet": 1000}
     return {
         "name": "n0",
@@ -177,16 +179,18 @@
 class World(AsyncExitStack):
     """A receiver, a platform and a sender that knows the receiver."""
 
-    def __init__(self, state: Path, **kind: object) -> None:
+    def __init__(self, state: Path, mode: str = "on_request", **kind: object) -> None:
         super().__init__()
-        self.state, self.kind = state, kind
+        self.state, self.mode, self.kind = state, mode, kind
 
     async def __aenter__(self) -> Self:
         await super().__aenter__()
         self.receiver = await self.enter_async_context(Peer())
         self.platform = await self.enter_async_context(Platform())
         empty = host("127.0.0.1:9", "d", block=9, health="draining")  # destination 9 has no endpoint now
-        self.told = config_json(self.platform, host(self.receiver.dial), empty, **self.kind)
+        self.told = config_json(
+            self.platform, host(self.receiver.dial), empty, mode=self.mode, **self.kind
+        )
         self.running = await self.enter_async_context(Running(self.told, self.state))
         self.sender, self.hand_in = self.running.sender, self.running.hand_in
         return self
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -1,5 +1,8 @@
 """The breaker of the ordinary path."""
 
+import math
+
+import pytest
 from helpers import MS, SECOND, World, ended, endpoint, sent
 
 from elmglade import interface as face
@@ -86,6 +89,21 @@
     assert len(sent(world.step(*events))) == 5
 
 
+@pytest.mark.parametrize("tries", [1, 5])
+def test_a_list_at_hand_is_asked_for_again_within_the_grace_of_a_drain(tries: int) -> None:
+    """What the agent beside the sender holds counts as told, also while nobody listens to it."""
+
+    def pause(**changes: object) -> int:
+        world = World(must_ask=True, **changes)
+        for _ in range(tries):
+            world.step(face.EndpointsListed(face.Listing.FAILED), after=20 * SECOND)
+        asked_at = world.dispatcher.subscribe_at
+        assert face.Subscribe() in world.step(face.WakeUp(), after=math.ceil(asked_at) - world.now)
+        return math.ceil(asked_at) - 20 * SECOND * tries
+
+    assert pause(list_at_hand=True) <= 100 * MS < pause()
+
+
 def test_same_events_give_the_same_actions() -> None:
     def run() -> list[list[face.Action]]:
         world = World(endpoint("a"), endpoint("b"), must_ask=True)
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -150,18 +150,23 @@
         assert world.receiver.requests.empty() and list(world.sender.engine.dispatcher.messages) == ["m1"]
 
 
-@play
-async def test_a_drain_is_kept_from_the_line_that_tells_it(state: Path) -> None:
-    async with World(state) as world:
-        watch = await soon(world.platform.watches.get())
-        await world.hand_in("m1")
-        (await world.receiver.next()).answer(200)
-        tell(watch, 42, host(world.receiver.dial, health="draining"))
-        while world.sender.engine.dispatcher.endpoints:
-            await loop_turn()
-        await world.hand_in("m2", **SHORT)
-        assert json.loads((await world.platform.next()).body)["id"] == "m2"
-        assert world.receiver.requests.empty()
+@pytest.mark.parametrize("mode", ["on_request", "pushed"])
+def test_a_drain_is_kept_from_the_line_that_tells_it(tmp_path: Path, mode: str) -> None:
+    """Where lists are pushed, they come to an agent on the sender's machine, which has to be asked too."""
+
+    async def test(state: Path) -> None:
+        async with World(state, mode=mode) as world:
+            watch = await soon(world.platform.watches.get())
+            await world.hand_in("m1")
+            (await world.receiver.next()).answer(200)
+            tell(watch, 42, host(world.receiver.dial, health="draining"))
+            while world.sender.engine.dispatcher.endpoints:
+                await loop_turn()
+            await world.hand_in("m2", **SHORT)
+            assert json.loads((await world.platform.next()).body)["id"] == "m2"
+            assert world.receiver.requests.empty()
+
+    play(test)(tmp_path)
 
 
 @play
