A refusal paces a destination at this sender's part of its told rate

Causes: breaker.refused took three refusals in a row for an outage and warmed the destination for 9 s; and the gap began at 100 ms, grew to four times the part and fell by 15% a served call.

--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -4,6 +4,8 @@
 
 - **closed**: `failures` is under the threshold. Calls go, at least `gap` apart. A served call zeroes the
   count and takes a share off the gap; a refusal as full doubles the gap; a failure adds to the count.
+  Where the list tells rates, a refusal brings the gap to this sender's part of the told one, and it grows
+  further only where all calls are refused for longer than a limit's span: then the destination is shut.
 - **open**: the threshold is reached. Nothing goes until `trial_at`, the reset timeout after the last
   failure.
 - **half-open**: one call is out as `trial`. Served, it closes the breaker, with a gap from its small step;
@@ -24,8 +26,12 @@
 FAILURE_THRESHOLD = 3  # failures in a row; a small destination would take too long to show the paper's five
 RESET_TIMEOUT = 2_000_000  # us from the last failure to the trial; the design page's figure
 GAP_STEP = 100_000  # us, the smallest gap: about one call's time at a destination of usual pace
-TOLD_STEP = 0.5  # of the time between calls at this sender's part of the told rate: the step at the most
+#: Times the time between calls at this sender's part of the told rate: the step there. Where refused calls
+#: use the limit up too, calls beyond it are lost twice; a sixth less makes up for an uneven split.
+TOLD_STEP = 1.2
+TOLD_SHRINK = 0.03  # GAP_SHRINK up to that: many are served before one asks for what others leave
 TOLD_MOST = 4  # times that: the gap at the most; a cold destination takes a fifth, and has its own gap
+SPAN_MOST = 2_000_000  # us, the longest span of a limit: what refuses all calls for longer is shut
 GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
 GAP_SHRINK = 0.15  # share of the gap that a served call takes off: five serve to undo most of a doubling
 SICK_SHARE = 0.4  # recent failures among calls from which a destination is doubtful: far above stray errors
@@ -98,9 +104,9 @@
     """The paper's breaker, with the gap, told waits and the warm-up after an outage."""
 
     __slots__ = (
-        "calls", "cold_since", "destination", "failures", "fresh", "gap", "gap_changed", "known", "last_sent",
-        "last_served", "most_gap", "out", "pace", "served_sent", "sick", "span", "spread", "step", "stuck",
-        "told_gap", "took", "trial", "trial_at", "unserved", "wait_until",
+        "calls", "cold_since", "destination", "failures", "fresh", "full_since", "gap", "gap_changed",
+        "known", "last_sent", "last_served", "most_gap", "out", "pace", "served_sent", "sick", "span",
+        "spread", "step", "stuck", "told_gap", "took", "trial", "trial_at", "unserved", "wait_until",
     )  # fmt: skip
 
     def __init__(self, pace: Pace, destination: int) -> None:
@@ -113,16 +119,17 @@
         self.served_sent = -NEVER  # sending of the newest call that was served
         self.took, self.spread, self.known = pace.least_aim / 4, pace.least_aim / 8, 1
         self.calls, self.span, self.last_served = 0.1, RESET_TIMEOUT / 20 * pace.crowd, NEVER
+        self.full_since = NEVER  # the first refusal since a call was served
         self.told_gap = NEVER  # between own calls at this sender's part of the rate that the list tells
         self.fresh: dict[Call, None] = {}  # out and not overdue, oldest first
         self.stuck: dict[Call, None] = {}  # out and overdue
 
     def told_rate(self, rate: float) -> None:
-        """Guards busy destinations from gaps made for small ones: both ends follow the told rate."""
-        crowd = self.pace.crowd
+        """Guards busy destinations from gaps made for small ones, and a limit from more than it can take:
+        both ends follow the told rate."""
         self.told_gap = 1e6 * self.pace.settings.fleet_size / rate
-        self.step = min(GAP_STEP * crowd, TOLD_STEP * self.told_gap)
-        self.most_gap = min(RESET_TIMEOUT * crowd, TOLD_MOST * self.told_gap)
+        self.most_gap = min(RESET_TIMEOUT * self.pace.crowd, TOLD_MOST * self.told_gap)
+        self.step = min(TOLD_STEP * self.told_gap, self.most_gap)
 
     def is_open(self) -> bool:
         return self.failures >= FAILURE_THRESHOLD
@@ -182,12 +189,17 @@
         weight = ERROR_WEIGHT if outcome in ANSWERED else 1
         self.failed(now, weight, max(FAILURE_THRESHOLD / self.pace.crowd, 2))
 
-    def refused(self, now: int, call: Call) -> None:
+    def refused(self, now: int, call: Call, wait: int = 0) -> None:
+        """`wait`: the one that it told, 0 for none."""
         if call is self.trial:
             self.restart(now)
         if call.sent >= self.gap_changed:  # calls sent before the gap last grew say nothing of it
-            self.gap, self.gap_changed = min(max(2 * self.gap, self.step), self.most_gap), now
-            self.doubt(now, max(FAILURE_THRESHOLD / self.pace.crowd, 2))
+            self.full_since = min(self.full_since, now)
+            # A limit refuses until its span ends, which is no outage; nor does it tell a longer wait.
+            shut = max(now - self.full_since, wait) > SPAN_MOST
+            most = self.most_gap if shut or self.told_gap == NEVER else self.step
+            self.gap, self.gap_changed = min(max(2 * self.gap, self.step), most), now
+            self.doubt(now, max(FAILURE_THRESHOLD / self.pace.crowd, 2) if shut else NEVER)
             # Told alike, back apart.
             late = self.pace.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.pace.crowd)
             self.wait_until = max(self.wait_until, now) + math.ceil(late)
@@ -210,7 +222,10 @@
             fade = math.exp(-passed / self.pace.settings.cold)
             self.calls, self.span = self.calls * fade + 1, self.span * fade + passed
         self.last_served = now
-        self.gap = max(self.gap, self.step if self.is_open() else 0) * (1 - GAP_SHRINK)
+        paced = self.told_gap < NEVER and self.gap <= self.step
+        self.gap = max(self.gap, self.step if self.is_open() else 0)
+        self.gap *= 1 - (TOLD_SHRINK if paced else GAP_SHRINK)
         self.gap *= self.gap >= self.step / 2
         self.failures, self.unserved, self.trial = 0, 0, None
+        self.full_since = NEVER
         self.sick *= 1 - MEMORY
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -252,7 +252,7 @@
             breaker.served(now, call)
             endpoint.bad_until = 0.0
         elif ended.outcome is Outcome.FULL:
-            breaker.refused(now, call)
+            breaker.refused(now, call, ended.wait)
         elif ended.outcome in face.FAILURES and not call.overdue:
             breaker.count_failure(now, ended.outcome)
             endpoint.bad_until = now + RESET_TIMEOUT
