Packet captures as traffic: read, compared, replayed, and written by a sender

elmglade/pcap reads pcap and pcapng as a stream, decodes link layers, IPv4 and IPv6 with fragments, puts TCP together (pure; a gap is told, never closed), and reads HTTP/1.1 with h11: each message with its first and last byte's time and what is not whole about it. elmglade pcap info|requests|replay|diff on click; the replay is open loop, with latency from the intended time. A witness port in the core lets a sender write what passes, off unless its file says so.

--- a/elmglade/cli/__init__.py
+++ b/elmglade/cli/__init__.py
@@ -1,19 +1,24 @@
-"""The command line: `elmglade serve|check|destinations|emulate|demo`.
+"""The command line: `elmglade serve|check|destinations|emulate|pcap|demo`.
 
 Without arguments `python -m elmglade` is the platform's.
 """
 
 import argparse
 import asyncio
+import contextlib
 import json
 import logging
 import sys
 from collections import Counter
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from datetime import UTC, datetime
 from pathlib import Path
+from typing import TYPE_CHECKING
 
-from elmglade.config import ConfigError, load
+from elmglade.config import ConfigError, General, load
+
+if TYPE_CHECKING:
+    from elmglade.pcap.tap import Tap
 
 
 def parser() -> argparse.ArgumentParser:
@@ -40,6 +45,7 @@
     lives.add_argument("--trace", type=Path, metavar="FILE", help="only the life of --seed, event by event")
     lives.add_argument("--shrink", type=Path, metavar="FILE", help="cut the broken life of --seed to a case")
     lives.add_argument("--case", type=Path, metavar="FILE", help="with --trace: the life of a case")
+    commands.add_parser("pcap", help="packet captures as traffic: info, requests, diff, replay")
     demo = commands.add_parser("demo", help="stand-ins and one sender, through an outage and back")
     demo.add_argument("--pace", type=float, default=1.0, help="of its usual length of 30 s; 0.1 to 1.2")
     demo.add_argument("--rate", type=float, default=40.0, help="commands a second, 1 to 200")
@@ -76,10 +82,10 @@
             print("elmglade: neither the configuration nor --state names a state folder", file=sys.stderr)
             return 1
         state.mkdir(parents=True, exist_ok=True)
-        if options.answers is None:
-            return asyncio.run(run(options.config, config, state, sys.stdout))
-        with options.answers.open("a") as out:
-            return asyncio.run(run(options.config, config, state, out))
+        with contextlib.ExitStack() as stack:
+            out = stack.enter_context(options.answers.open("a")) if options.answers else sys.stdout
+            tap = stack.enter_context(capturing(config)) if config.capture else None
+            return asyncio.run(run(options.config, config, state, out, tap))
     except ConfigError as error:
         for fault in error.faults:
             print(f"elmglade: configuration: {fault}", file=sys.stderr)
@@ -88,6 +94,20 @@
     return 1
 
 
+@contextlib.contextmanager
+def capturing(config: General) -> Iterator["Tap"]:
+    """Writes the sender's traffic as capture files while it is held."""
+    from elmglade.pcap.tap import Tap
+
+    assert config.capture
+    to = config.capture
+    tap = Tap(to.folder, to.most_bytes, to.files, to.blank)
+    try:
+        yield tap
+    finally:
+        tap.close()
+
+
 def destinations(options: argparse.Namespace) -> int:
     """Prints what a sender wrote on SIGUSR1."""
     from dataclasses import asdict
@@ -143,9 +163,26 @@
     return search(options.seed, options.lives, options.processes, json_lines=options.json)
 
 
+def run_pcap(words: list[str]) -> int:
+    """These commands stand on a library that the daemon does without."""
+    try:
+        from elmglade.cli.pcap import pcap as command
+    except ImportError as error:
+        print(f"elmglade: {error}; pip install 'elmglade[pcap]'", file=sys.stderr)
+        return 1
+    try:
+        command(words, prog_name="elmglade pcap")
+    except SystemExit as ended:
+        return int(ended.code or 0)
+    return 0
+
+
 def main(words: Sequence[str] | None = None) -> int:
     """Runs a command; the answer is the exit code: 0 well, 1 not, 2 misused."""
-    options = parser().parse_args(words)
+    told = sys.argv[1:] if words is None else list(words)
+    if told[:1] == ["pcap"]:
+        return run_pcap(told[1:])
+    options = parser().parse_args(told)
     if options.command == "check":
         return check(options.file)
     if options.command == "serve":
--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -16,6 +16,8 @@
 MS = 1000  # us
 EFFECTS = {each.value: each for each in face.Effect}
 STATES = {"ready": face.EndpointState.READY, "draining": face.EndpointState.DRAINING}
+HEADER_NAME = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}")
+BLANK = ("authorization", "proxy-authorization", "cookie", "set-cookie")
 ADDRESS = re.compile(r"(\[[0-9a-fA-F:.]+\]|[^:\s]+):([0-9]{1,5})")
 
 
@@ -38,6 +40,16 @@
         self.faults = faults
 
 
+@dataclass(frozen=True, slots=True)
+class CaptureTo:
+    """Where the traffic is written as capture files, and how much of it is kept."""
+
+    folder: Path
+    most_bytes: int  # of a file
+    files: int
+    blank: tuple[str, ...]  # headers whose values are not written
+
+
 @dataclass(frozen=True, slots=True)
 class General:
     name: str
@@ -48,6 +60,7 @@
     sockets: int
     settings: face.Settings
     places: tuple[Place, ...]
+    capture: CaptureTo | None = None
 
 
 class Reader:
@@ -216,6 +229,19 @@
         return None
 
 
+def read_capture(at: Reader, folder: Path) -> CaptureTo | None:
+    """Where what is received and sent is written; nowhere where nothing is said."""
+    if not at.told:
+        return None
+    where = at.take("folder", str, None)
+    most, files = at.number("most_mb", 16.0, 0.1, 4096), at.whole("files", 4, 1, 1000)
+    blank = at.take("blank", list, list(BLANK))
+    if not all(isinstance(each, str) and HEADER_NAME.fullmatch(each) for each in blank):
+        at.wrong("blank", "must be a list of header names")
+    at.done()
+    return CaptureTo(folder / where, int(most * 1e6), files, tuple(str(each) for each in blank))
+
+
 def read(told: Mapping[str, Any], folder: Path = Path()) -> General:
     """The configuration in `told`, paths in it relative to `folder`. Raises ConfigError with all faults."""
     faults: list[Fault] = []
@@ -237,13 +263,14 @@
     if not kinds.told:
         top.wrong("classes", "must name at least one class")
     classes = [each for each in found if each]
+    capture = read_capture(top.inside("capture"), folder)
     settings, places = read_settings(top, limits, rules, classes), read_places(top)
     for reader in (top, limits, rules):
         reader.done()
     if faults or settings is None:
         raise ConfigError(faults)
     where = folder / state if state else None
-    return General(name, listen, where, seed, int(disk * 1e6), sockets, settings, tuple(places))
+    return General(name, listen, where, seed, int(disk * 1e6), sockets, settings, tuple(places), capture)
 
 
 def load(path: Path) -> General:
--- a/elmglade/http/codec.py
+++ b/elmglade/http/codec.py
@@ -8,6 +8,7 @@
 
 import h11
 
+from elmglade.core.witness import Seen
 from elmglade.http import usual
 
 HEADER_LIMIT = 16 * 1024
@@ -78,6 +79,7 @@
         self.interim = 0  # 1xx answers ahead of this one
         #: The head of the answer, or why there is none.
         self.found: usual.Head | Spoilt | ConnectionResetError | None = None
+        self.seen: Seen | None = None  # what a witness of its traffic has of it
         self.quick = False  # requests are written, and usual answers read, without the codec
 
     @classmethod
@@ -129,7 +131,10 @@
         sock_sendall writes that byte and tells of the cancel alone; here nothing comes between the two."""
         while self.unsent:
             try:
-                self.unsent -= self.sock.send(data[len(data) - self.unsent :])
+                begun = len(data) - self.unsent
+                self.unsent -= self.sock.send(data[begun:])
+                if self.seen:
+                    self.seen.passed(0, bytes(data[begun : len(data) - self.unsent]))
             except (BlockingIOError, InterruptedError):
                 await self.writable()
 
@@ -173,6 +178,8 @@
         except TimeoutError as error:
             # The network's ETIMEDOUT; read as our own patience's end, it would pass for a call given up.
             raise ConnectionResetError(str(error)) from None
+        if self.seen:
+            self.seen.passed(1, data)
         self.take_in(data)
         return True
 
@@ -298,4 +305,6 @@
 
     def close(self) -> None:
         """Never raises: close(2) frees the descriptor, whatever else it has to say of the connection."""
+        if self.seen:
+            self.seen.ended(0, reset=False)
         close(self.sock)
--- a/elmglade/http/courier.py
+++ b/elmglade/http/courier.py
@@ -6,6 +6,7 @@
 
 from elmglade.core.peer import Cause, Reports, cause_of
 from elmglade.core.ports import Answer, told_wait
+from elmglade.core.witness import Seen, Witness
 from elmglade.http import usual
 from elmglade.http.codec import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
 from elmglade.http.unread import Unread
@@ -63,6 +64,7 @@
         self.connecting = 0
         self.draining: set[asyncio.Task[None]] = set()
         self.reports = Reports()
+        self.witness: Witness | None = None  # of connections that are opened from now on
 
     async def call(
         self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
@@ -179,6 +181,8 @@
         finally:
             self.connecting -= 1
         connection.quick = True
+        if self.witness:
+            connection.seen = Seen(self.witness, connection.sock.getsockname(), address)
         try:
             self.unread.add(connection)
         except OSError:
--- a/elmglade/http/door.py
+++ b/elmglade/http/door.py
@@ -8,13 +8,14 @@
 from collections import deque
 from collections.abc import Callable, Iterator
 from itertools import takewhile
-from typing import Any
+from typing import Any, cast
 
 import h11
 
 from elmglade.admission.backlog import Backlog
 from elmglade.core.peer import Cause, Reports, cause_of
 from elmglade.core.ports import End, TurnedAway, Why
+from elmglade.core.witness import Seen, Witness
 from elmglade.http import usual
 from elmglade.http.codec import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, close, decimal, header
 from elmglade.interface import Effect, MessageClass
@@ -87,6 +88,24 @@
     )
 
 
+class SeenTransport:
+    """A transport that tells a witness what is written. Everything else is the transport's own."""
+
+    def __init__(self, transport: asyncio.Transport, seen: Seen) -> None:
+        self.transport, self.seen = transport, seen
+
+    def write(self, data: bytes) -> None:
+        self.transport.write(data)
+        self.seen.passed(1, data)
+
+    def abort(self) -> None:
+        self.seen.ended(1, reset=True)
+        self.transport.abort()
+
+    def __getattr__(self, name: str) -> Any:  # noqa: ANN401
+        return getattr(self.transport, name)
+
+
 class Connection(asyncio.BufferedProtocol):
     """One client's connection: one request at a time."""
 
@@ -104,10 +123,15 @@
         self.answering = self.discarding = False
         self.proven = self.queued = False  # has asked for what could be given; waits to be read on
         self.handed_in = False  # ever
+        self.seen: Seen | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
+        if self.server.witness:
+            ends = transport.get_extra_info("peername"), transport.get_extra_info("sockname")
+            self.seen = Seen(self.server.witness, *ends)
+            self.transport = cast(asyncio.Transport, SeenTransport(transport, self.seen))
         if self not in self.server.connections:
             transport.abort()  # closed to make room before it was up
         elif len(self.server.connections) > self.server.most:
@@ -119,6 +143,8 @@
         self.close()
 
     def connection_lost(self, error: Exception | None) -> None:
+        if self.seen:
+            self.seen.ended(0, reset=error is not None)
         self.server.forget(self)
 
     def get_buffer(self, sizehint: int) -> bytearray:
@@ -131,6 +157,8 @@
             self.broke(error, "reading")
 
     def receive(self, data: memoryview) -> None:
+        if self.seen:
+            self.seen.passed(0, bytes(data))
         if self.discarding:
             self.dropped += len(data)
             if self.dropped > LINGER_BYTES:
@@ -421,6 +449,7 @@
         self.ready = self.stopping = False
         self.accepted = 0  # ever
         self.reports = Reports()
+        self.witness: Witness | None = None  # of connections that come from now on
         self.listener: socket.socket | None = None
         self.place: Address | None = None  # where it listens, with the port that the system gave
 
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -16,6 +16,7 @@
 from elmglade.core.engine import Engine
 from elmglade.core.lock import Lock
 from elmglade.core.ports import End
+from elmglade.core.witness import Witness
 from elmglade.directory.static import Dial, StaticDirectory
 from elmglade.http.daemon import HttpSender
 
@@ -44,7 +45,9 @@
 class PlainSender(HttpSender):
     """An HTTP sender over a static directory."""
 
-    def __init__(self, config: General, state: Path, teller: LineTeller) -> None:
+    def __init__(
+        self, config: General, state: Path, teller: LineTeller, witness: Witness | None = None
+    ) -> None:
         """Raises LockTakenError where another sender uses the state folder, OSError where it is no use."""
         self.lock = Lock(state)
         self.directory = StaticDirectory(config.places)
@@ -57,6 +60,7 @@
         self.directory.told = engine.list_told
         super().__init__(engine, config.listen, config.sockets)
         self.plug(self.directory, teller)
+        self.server.witness = self.courier.witness = witness
 
     def dials(self) -> dict[str, Dial]:
         return self.directory.dials()
@@ -87,8 +91,10 @@
         log.error("what is kept for each destination is not told: %s", error)
 
 
-async def serve(path: Path, config: General, state: Path, out: TextIO) -> int:
-    sender = PlainSender(config, state, LineTeller(out))
+async def serve(
+    path: Path, config: General, state: Path, out: TextIO, witness: Witness | None = None
+) -> int:
+    sender = PlainSender(config, state, LineTeller(out), witness)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reread, sender, path)
     loop.add_signal_handler(signal.SIGUSR1, tell_destinations, sender)
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -27,7 +27,8 @@
     "lab": {*BASE, "core", "config", "directory", "http", "grpc"},
     "adapter": {"interface", "rules", "settings"},
     "emulator": {*BASE, "core", "directory", "lab"},
-    "cli": {"config", "core", "emulator", "http", "lab"},
+    "pcap": set(),
+    "cli": {"config", "core", "emulator", "http", "lab", "pcap"},
     "__main__": {"cli", "core", "http", "settings"},
     "__init__": {"rules"},
 }
@@ -64,7 +65,7 @@
         assert not ALLOWED[name] & {"http", "grpc", "lab", "cli"}
 
 
-EXTRAS = {"grpc", "google", "rich", "hypothesis"}
+EXTRAS = {"click", "grpc", "google", "hdrh", "rich", "hypothesis"}
 
 
 @pytest.mark.parametrize("module", ["__main__", "cli", "http.serve", "adapter"])
--- /dev/null
+++ b/tests/test_replay.py
@@ -0,0 +1,266 @@
+"""Captures compared, replayed at their times, and written by a running sender."""
+
+import asyncio
+import itertools
+import json
+import re
+from pathlib import Path
+
+import pytest
+from captures import MS, T0, Made, answer, read, request, told
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from peers import World, message, play, read_reply, soon
+
+from elmglade.cli import main
+from elmglade.config import ConfigError, load
+from elmglade.emulator.loop import VirtualLoop
+from elmglade.pcap import replay as module
+from elmglade.pcap.compare import compare
+from elmglade.pcap.replay import NewIds, Planned, Replay, plan
+from elmglade.pcap.tap import Blanker, Tap
+
+IDS = {"X_Correlation_Id": "a1", "Idempotency_Key": "k1"}
+
+
+def made(*after_ms: float, **fields: str) -> Made:
+    capture = Made()
+    for number, after in enumerate(after_ms):
+        capture.says(0, after, request(f"/{number}", b"x", **fields)).says(1, after + 1, answer())
+    return capture.ends(10_000)
+
+
+def test_the_same_requests_are_the_same_and_how_far_apart() -> None:
+    one, other = made(0, 20, 40).found(), made(5, 25.25, 45).found()
+    found = compare(one[::2], other[::2])
+    assert found.same() and (found.apart, found.apart_at, found.requests) == (250_000, 1, (3, 3))
+    assert not compare(one[::2], made(0, 20).found()[::2]).same()
+    other = made(0, 20, 40, **IDS).found()
+    assert not compare(one[::2], other[::2]).same()
+    assert compare(one[::2], other[::2], ["x-correlation-id", "idempotency-key"]).same()
+
+
+class FakeLine:
+    """Answers after a while of the loop's own time."""
+
+    def __init__(self, world: "Wire") -> None:
+        self.world = world
+
+    async def ask(self, planned: Planned) -> int:
+        self.world.sent.append((asyncio.get_running_loop().time(), planned.data))
+        await asyncio.sleep(self.world.takes)
+        return 200
+
+    def usable(self) -> bool:
+        return True
+
+    def close(self) -> None:
+        self.world.closed += 1
+
+
+class Wire:
+    def __init__(self, takes: float) -> None:
+        self.takes, self.sent, self.opened, self.closed = takes, [], 0, 0  # type: float, list[tuple[float, bytes]], int, int
+        self.latencies: list[int] = []
+
+    async def open(self) -> FakeLine:
+        self.opened += 1
+        return FakeLine(self)
+
+    def record_value(self, value: int) -> bool:
+        self.latencies.append(value)
+        return True
+
+    def play(self, planned: list[Planned]) -> module.Outcome:
+        loop = VirtualLoop(100.0)
+        try:
+            return loop.run_until_complete(Replay(self.open, self).run(planned))
+        finally:
+            loop.close()
+
+
+@pytest.mark.parametrize("speed", [1.0, 0.5, 10.0])
+def test_requests_go_at_their_recorded_times_though_no_answer_comes(speed: float) -> None:
+    """Open loop: three seconds an answer, and no request waits for one."""
+    wire = Wire(takes=3.0)
+    capture = made(0, 20, 40, 1040, 1040.5)
+    outcome = wire.play(list(plan(capture.found()[::2], speed)))
+    times = [at - 100.0 for at, _ in wire.sent]
+    assert times == pytest.approx([each / 1000 / speed for each in (0, 20, 40, 1040, 1040.5)], abs=1e-5)
+    assert outcome.answers == {"200": 5} and wire.closed == wire.opened
+    assert wire.latencies == pytest.approx([3_000_000] * 5, abs=20)
+
+
+def test_a_connection_is_used_again_and_none_is_opened_beyond_the_most(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(module, "MOST_OPEN", 2)
+    wire = Wire(takes=0.001)
+    wire.play(list(plan(made(0, 20, 40).found()[::2])))
+    assert wire.opened == 1
+    wire = Wire(takes=9.0)
+    outcome = wire.play(list(plan(made(0, 20, 40).found()[::2])))
+    assert (outcome.sent, outcome.not_sent) == (2, 1)
+
+
+def test_a_clock_that_went_back_sends_with_the_one_before_and_the_spoilt_are_left_out() -> None:
+    found = made(0, 20, 40).found()[::2]
+    found[1].message.at = T0 - 60_000 * MS
+    found[0].message.whole = False
+    assert [each.due for each in plan(found)] == [0.0, pytest.approx(60.04)]
+
+
+def test_new_ids_are_the_same_for_the_same_and_for_one_seed() -> None:
+    found = [*made(0, 20, **IDS).found()[::2]]
+    first, second = (each.data for each in plan(found, new_ids=NewIds(3)))
+    ids = [re.findall(rb"X-Correlation-Id: (\S+)", each)[0] for each in (first, second)]
+    assert ids[0] == ids[1] != b"a1" and b"k1" not in first
+    assert first == next(plan(found, new_ids=NewIds(3))).data != next(plan(found, new_ids=NewIds(4))).data
+
+
+# The witness.
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.lists(st.integers(0, 130), max_size=20))
+def test_secrets_are_blanked_wherever_the_bytes_are_cut(cuts: list[int]) -> None:
+    data = b"GET / HTTP/1.1\r\nAuthorization: Bearer s3cret\r\n folded s3cret\r\nAuthor: me\r\n"
+    data += b"cookie:s3cret\r\n\r\nAuth"
+    blank, out = Blanker(["Authorization", "cookie"]), b""
+    places = sorted({0, len(data), *(min(each, len(data)) for each in cuts)})
+    for start, end in itertools.pairwise(places):
+        out += blank(data[start:end])
+    out += blank.rest()
+    assert len(out) == len(data) and b"s3cret" not in out
+    assert out.replace(b"x", b"") == re.sub(rb"(?<=n:) Bearer s3cret| folded s3cret|(?<=e:)s3cret", b"", data)
+
+
+def test_files_rotate_and_only_so_many_are_kept(tmp_path: Path) -> None:
+    tap = Tap(tmp_path, most_bytes=2000, files=3)
+    number = tap.opened(("127.0.0.1", 1), ("127.0.0.1", 2))
+    for each in range(40):
+        tap.passed(number, 0, request(f"/{each}", b"y" * 300))
+    tap.close()
+    kept = sorted(tmp_path.iterdir(), key=lambda each: int(each.stem.split("-")[1]))
+    assert len(kept) == 3 and all(each.stat().st_size < 3000 for each in kept)
+    seen = [each[0] for path in kept for each in told(read(path.read_bytes()))]
+    assert seen and seen == [f"/{each}" for each in range(40 - len(seen), 40)]  # each file can be read alone
+    assert Tap(tmp_path, 2000, 3).number == int(kept[-1].stem.split("-")[1]) + 1
+
+
+def test_a_writer_that_falls_behind_loses_records_and_counts_them(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr("elmglade.pcap.tap.WAITING", 2)
+    monkeypatch.setattr(Tap, "write_all", lambda self: None)  # never gets to it
+    tap = Tap(tmp_path, 2000)
+    for _ in range(5):
+        tap.passed(1, 0, b"x")
+    assert tap.lost == 3
+
+
+def test_a_disk_that_is_full_ends_the_capture_and_nothing_else(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def full(self: object, at: int, data: bytes) -> None:
+        raise OSError(28, "No space left on device")
+
+    tap = Tap(tmp_path, 2000)
+    monkeypatch.setattr("elmglade.pcap.files.Writer.write", full)
+    for number in range(20):
+        tap.opened(("127.0.0.1", number + 1), ("127.0.0.1", 2))
+    tap.close()
+    assert "No space" in tap.failed and tap.lost
+
+
+@play
+async def test_a_sender_s_traffic_is_written_on_both_sides(state: Path) -> None:
+    (state / "s").mkdir()
+    async with World(state / "s") as world:
+        tap = Tap(state / "c", 1_000_000, secrets=["idempotency-key"])
+        world.sender.server.witness = world.sender.courier.witness = tap
+        reader, writer = await asyncio.open_connection(*world.running.address)
+        for name in ("m1", "m2"):
+            writer.write(message(name, b"body"))
+            assert (await read_reply(reader)).status == 202
+            (await world.receiver.next()).answer(200)
+        while world.sender.engine.journal.entries:
+            await asyncio.sleep(0)
+        writer.close()
+    tap.close()
+    found = read((state / "c" / "capture-1.pcap").read_bytes())
+    assert sorted(each[0] for each in told(found) if isinstance(each[0], str)) == [
+        "/c",
+        "/c",
+        "/hook",
+        "/hook",
+    ]
+    assert sorted(each[0] for each in told(found) if isinstance(each[0], int)) == [200, 200, 202, 202]
+    secrets = {
+        value for each in found for name, value in each.message.headers if name.lower() == "idempotency-key"
+    }
+    assert len(secrets) == 1 and set(secrets.pop()) == {"x"}
+    assert all(each.message.whole for each in found)
+
+
+# The command line.
+
+
+def run(capsys: pytest.CaptureFixture[str], *words: str) -> tuple[int, str]:
+    code = main(["pcap", *words])
+    return code, capsys.readouterr().out
+
+
+def test_the_commands(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    one, other = tmp_path / "one.pcap", tmp_path / "other.pcap"
+    one.write_bytes(made(0, 20, 40).out.getvalue())
+    other.write_bytes(made(0, 22, 40).out.getvalue())
+    code, out = run(capsys, "info", str(one), "--json")
+    assert (code, json.loads(out)["requests"], json.loads(out)["connections"]) == (0, 3, 1)
+    lines = run(capsys, "requests", str(one), "--json", "--answers")[1].splitlines()
+    assert [json.loads(each).get("target") for each in lines] == ["/0", None, "/1", None, "/2", None]
+    assert run(capsys, "diff", str(one), str(other))[0] == 0
+    assert run(capsys, "diff", str(one), str(other), "--within", "1")[0] == 1
+    other.write_bytes(made(0, 22).out.getvalue())
+    assert run(capsys, "diff", str(one), str(other))[0] == 1
+    other.write_bytes(b"no capture")
+    assert run(capsys, "info", str(other))[0] == 1
+    assert run(capsys, "replay", str(one))[0] == 2
+    assert run(capsys, "replay", str(one), "--to", "nowhere")[0] == 2
+
+
+async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    while await reader.readuntil(b"\r\n\r\nx"):
+        writer.write(answer())
+
+
+def test_a_replay_over_real_sockets(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    async def test() -> tuple[int, str]:
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        path = tmp_path / "one.pcap"
+        path.write_bytes(made(0, 1, 2).out.getvalue())
+        words = ("replay", str(path), "--to", f"127.0.0.1:{port}", "--new-ids")
+        return await soon(asyncio.to_thread(run, capsys, *words))
+
+    code, out = asyncio.run(test())
+    assert code == 0 and "sent 3" in out and re.search(r"200 3", out)
+
+
+def test_the_switch_in_the_configuration(tmp_path: Path) -> None:
+    plain = '[classes.c]\neffect = "safe"\naim_ms = 1\ndeadline_ms = 2\n'
+    path = tmp_path / "f.toml"
+    path.write_text(plain + '[capture]\nfolder = "c"\nmost_mb = 2\nblank = ["X-Key"]\n')
+    found = load(path).capture
+    assert found and (found.folder, found.most_bytes, found.files, found.blank) == (
+        tmp_path / "c",
+        2_000_000,
+        4,
+        ("X-Key",),
+    )
+    path.write_text(plain + "[capture]\nmost_mb = 0\nblank = [1]\nwhat = 1\n")
+    with pytest.raises(ConfigError) as error:
+        load(path)
+    assert sorted(each.path for each in error.value.faults) == [
+        f"capture.{x}" for x in ("blank", "folder", "most_mb", "what")
+    ]
