--- /dev/null
+++ b/elmglade/directory/overrides.py
@@ -0,0 +1,301 @@
+"""Overrides: what an engineer says of endpoints for a while, over whatever the directory says. Pure.
+
+The rules:
+
+- Each has who, why, a beginning and an end, at most `MOST_SPAN` apart; none is without an end.
+- It holds on to the *name* of an endpoint, at whatever address that one is listed. An endpoint that is removed
+  and listed again under its name is overridden again; while it is not listed, the override does nothing and is
+  shown so.
+- Of two that contradict each other, *out of service* goes before a weight and before a pin; else the one
+  that was set last counts.
+- A *pin* sends all of a destination's messages to one endpoint: the others are told as draining. If that one
+  drains, is not listed or is out of service, the pin is in vain and the destination is as without it: a drain
+  binds under every override.
+- What is not listed as ready stays what it is. An override can take an endpoint out, never put one in.
+- One that has ended is gone for good: a clock that is set back does not bring it back.
+
+Times are us since the epoch, on the sender's clock.
+"""
+
+from collections.abc import Iterable, Iterator
+from dataclasses import asdict, dataclass, replace
+from enum import Enum
+from typing import Any
+
+from elmglade import interface as face
+from elmglade.interface import EndpointState, Listing
+
+SECOND = 1_000_000
+MOST_SPAN = 7 * 24 * 3600 * SECOND
+WARN_AHEAD = 15 * 60 * SECOND  # of an end; a shorter one warns at half of its span
+MOST = 2_000  # overrides at once
+MOST_TEXT = 200  # characters of who and of why
+
+
+class Kind(Enum):
+    OUT = "out"
+    WEIGHT = "weight"
+    PIN = "pin"
+
+
+class OverrideError(ValueError):
+    """It cannot be set; `faults` names all that is wrong with it."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class Override:
+    name: str  # such as o17; no other one ever has it
+    kind: Kind
+    endpoint: str
+    who: str
+    why: str
+    begins: int
+    until: int
+    order: int  # counts up with each that is set
+    weight: float = 1.0  # of kind WEIGHT: share of calls against the others', 0 to 100
+    destination: int = -1  # of kind PIN
+
+    def active(self, now: int) -> bool:
+        return self.begins <= now < self.until
+
+    def warns_at(self) -> int:
+        return self.until - min(WARN_AHEAD, (self.until - self.begins) // 2)
+
+    def as_json(self) -> dict[str, Any]:
+        return asdict(self) | {"kind": self.kind.value}
+
+    @classmethod
+    def from_json(cls, told: dict[str, Any]) -> "Override":
+        """Raises ValueError, KeyError or TypeError for what is none."""
+        found = cls(**(told | {"kind": Kind(told["kind"])}))
+        if faults := found.faults():
+            raise OverrideError(faults)
+        return found
+
+    def faults(self) -> list[str]:
+        found = []
+        for name in ("name", "endpoint", "who", "why"):
+            value = getattr(self, name)
+            if not isinstance(value, str) or not value.strip() or len(value) > MOST_TEXT:
+                found.append(f"{name} must be a text of 1 to {MOST_TEXT} characters")
+        for name in ("begins", "until", "order", "destination"):
+            if isinstance(value := getattr(self, name), bool) or not isinstance(value, int):
+                found.append(f"{name} must be a whole number, not {value!r}")
+        if (
+            isinstance(self.weight, bool)
+            or not isinstance(self.weight, int | float)
+            or not 0 < self.weight <= 100
+        ):
+            found.append(
+                f"weight must be above 0 and at most 100, not {self.weight!r}; to send nothing, set it out"
+            )
+        if self.kind is Kind.PIN and not (isinstance(self.destination, int) and self.destination >= 0):
+            found.append("a pin needs a destination")
+        if not found and not self.begins < self.until <= self.begins + MOST_SPAN:
+            found.append("it must end after it begins, at most 7 days later")
+        return found
+
+
+class Book:
+    """The overrides that have not ended."""
+
+    def __init__(self, found: Iterable[Override] = (), last: int = 0) -> None:
+        """`last`: the number of the last one that was ever set."""
+        self.overrides = {each.name: each for each in found}
+        self.last = max([last, *(each.order for each in self.overrides.values())])
+
+    def set(
+        self, kind: Kind, endpoint: str, who: str, why: str, begins: int, until: int, now: int,
+        weight: float = 1.0, destination: int = -1,
+    ) -> Override:  # fmt: skip
+        """A new one. Raises OverrideError."""
+        number = self.last + 1
+        new = Override(f"o{number}", kind, endpoint, who, why, begins, until, number, weight, destination)
+        faults = new.faults()
+        if not faults and until <= now:
+            faults.append("its end has passed")
+        if len(self.overrides) >= MOST:
+            faults.append(f"{MOST} overrides stand already")
+        if faults:
+            raise OverrideError(faults)
+        self.last, self.overrides[new.name] = number, new
+        return new
+
+    def end(self, name: str) -> Override:
+        """It ends now. Raises KeyError for one that is not there."""
+        return self.overrides.pop(name)
+
+    def extend(self, name: str, until: int, now: int) -> Override:
+        """It ends at another time. Raises KeyError, and OverrideError."""
+        longer = replace(self.overrides[name], until=until)
+        if faults := longer.faults() or (["its end has passed"] if until <= now else []):
+            raise OverrideError(faults)
+        self.overrides[name] = longer
+        return longer
+
+    def expire(self, now: int) -> list[Override]:
+        """Those that have ended; they are gone."""
+        over = [each for each in self.overrides.values() if each.until <= now]
+        for each in over:
+            del self.overrides[each.name]
+        return over
+
+    def active(self, now: int) -> Iterator[Override]:
+        """In the order in which they were set."""
+        return (each for each in self.overrides.values() if each.active(now))
+
+    def next_change(self, now: int) -> int | None:
+        """When the next one begins, warns or ends; None where nothing will."""
+        times = (at for each in self.overrides.values() for at in (each.begins, each.warns_at(), each.until))
+        return min((at for at in times if at > now), default=None)
+
+
+@dataclass(slots=True)
+class InForce:
+    """What counts at one moment."""
+
+    out: dict[str, Override]
+    weights: dict[str, Override]
+    pins: dict[int, Override]
+
+    @classmethod
+    def of(cls, active: Iterable[Override]) -> "InForce":
+        found = cls({}, {}, {})
+        for each in active:  # in the order in which they were set: the last one stands
+            if each.kind is Kind.OUT:
+                found.out[each.endpoint] = each
+            elif each.kind is Kind.WEIGHT:
+                found.weights[each.endpoint] = each
+            else:
+                found.pins[each.destination] = each
+        return found
+
+
+class Overlay:
+    """The list as the directory tells it, under the overrides in force. It tells on what changes."""
+
+    def __init__(self, book: Book) -> None:
+        self.book = book
+        self.listed: dict[str, face.Endpoint] = {}  # as the directory has it
+        self.members: dict[int, dict[str, None]] = {}  # destination: names of its endpoints
+        self.shown: dict[str, face.Endpoint] = {}  # as it was told on
+        self.force = InForce({}, {}, {})
+
+    def hear(self, told: face.EndpointsListed, now: int) -> face.EndpointsListed:
+        """What to tell on in place of what the directory says. Costs what is named, and the destinations of
+        pins that it touches."""
+        if told.listing is Listing.FAILED:
+            return told
+        if told.listing is not Listing.CHANGES:
+            self.listed, self.members, self.shown = {}, {}, {}
+        for each in told.endpoints:
+            self.note(each)
+        self.force = InForce.of(self.book.active(now))
+        named = dict.fromkeys(each.id for each in told.endpoints)
+        for each in told.endpoints:
+            if each.destination in self.force.pins:
+                named |= dict.fromkeys(self.members.get(each.destination, ()))
+        return replace(told, endpoints=tuple(self.tell(name, told) for name in named))
+
+    def note(self, each: face.Endpoint) -> None:
+        if (before := self.listed.get(each.id)) and before.destination != each.destination:
+            self.members[before.destination].pop(each.id, None)
+        if each.state is EndpointState.GONE:
+            self.listed.pop(each.id, None)
+            self.members.get(each.destination, {}).pop(each.id, None)
+        else:
+            self.listed[each.id] = each
+            self.members.setdefault(each.destination, {})[each.id] = None
+
+    def tell(self, name: str, told: face.EndpointsListed) -> face.Endpoint:
+        if name not in self.listed:  # gone
+            self.shown.pop(name, None)
+            return next(each for each in told.endpoints if each.id == name)
+        self.shown[name] = found = self.effective(self.listed[name])
+        return found
+
+    def effective(self, listed: face.Endpoint) -> face.Endpoint:
+        """What is told of an endpoint under the overrides in force."""
+        if listed.state is not EndpointState.READY:
+            return listed
+        pin = self.force.pins.get(listed.destination)
+        if listed.id in self.force.out or (pin and pin.endpoint != listed.id and self.holds(pin)):
+            return replace(listed, state=EndpointState.DRAINING)
+        weight = self.force.weights.get(listed.id)
+        return replace(listed, weight=weight.weight) if weight else listed
+
+    def holds(self, pin: Override) -> bool:
+        """Whether a pin is not in vain."""
+        to = self.listed.get(pin.endpoint)
+        ready = to is not None and to.state is EndpointState.READY and to.destination == pin.destination
+        return ready and pin.endpoint not in self.force.out
+
+    def turn(self, now: int) -> face.EndpointsListed | None:
+        """What to tell when overrides were set, have begun or have ended; None where nothing changes. What
+        comes back into service is named as returned: it is to be warmed."""
+        before, self.force = self.force, InForce.of(self.book.active(now))
+        named: dict[str, None] = {}
+        for old, new in ((before.out, self.force.out), (before.weights, self.force.weights)):
+            changed = [name for name in old | new if old.get(name) != new.get(name)]
+            named |= dict.fromkeys(changed)
+        pinned = {
+            each
+            for each in before.pins | self.force.pins
+            if before.pins.get(each) != self.force.pins.get(each)
+        }
+        pinned |= {self.listed[name].destination for name in named if name in self.listed}
+        for destination in pinned:
+            named |= dict.fromkeys(self.members.get(destination, ()))
+        changes, returned = [], []
+        for name in named:
+            if name in self.listed and (now_shown := self.effective(self.listed[name])) != self.shown.get(
+                name
+            ):
+                was = self.shown.get(name)
+                if was and was.state is not EndpointState.READY and now_shown.state is EndpointState.READY:
+                    returned.append(name)
+                self.shown[name] = now_shown
+                changes.append(now_shown)
+        if not changes:
+            return None
+        return face.EndpointsListed(Listing.CHANGES, tuple(changes), tuple(returned))
+
+    def in_vain(self, now: int) -> dict[str, str]:
+        """Overrides in force that change nothing, and why."""
+        found = {}
+        for each in self.book.active(now):
+            if why := self.why_in_vain(each):
+                found[each.name] = why
+        return found
+
+    def why_in_vain(self, each: Override) -> str:
+        listed = self.listed.get(each.endpoint)
+        if listed is None:
+            return "its endpoint is not listed"
+        if each.kind is Kind.PIN and listed.destination != each.destination:
+            return f"its endpoint is one of destination {listed.destination}"
+        if listed.state is not EndpointState.READY:
+            return "its endpoint drains"
+        if each.kind is not Kind.OUT and each.endpoint in self.force.out:
+            return f"its endpoint is out of service by {self.force.out[each.endpoint].name}"
+        others: dict[Kind, Override | None] = {
+            Kind.OUT: self.force.out.get(each.endpoint),
+            Kind.WEIGHT: self.force.weights.get(each.endpoint),
+            Kind.PIN: self.force.pins.get(each.destination),
+        }
+        other = others[each.kind]
+        return f"{other.name} counts in its place" if other and other != each else ""
+
+    def all_out(self) -> list[int]:
+        """Destinations that have endpoints in the list and none left to send to, by overrides."""
+        touched = {self.listed[name].destination for name in self.force.out if name in self.listed}
+        return sorted(
+            each
+            for each in touched
+            if any(self.listed[name].state is EndpointState.READY for name in self.members[each])
+            and not any(self.shown[name].state is EndpointState.READY for name in self.members[each])
+        )
--- a/elmglade/lab/demo.py
+++ b/elmglade/lab/demo.py
@@ -110,7 +110,7 @@
         client.close()
 
     async def hand_in_given(self, address: tuple[str, int], until: float) -> None:
-        """At their times, whether or not the one before has its answer; those of one key one after another."""
+        """At their times, whether or not the one before has its answer; those of a key one after another."""
         began = time.monotonic()
         lines: dict[str, asyncio.Task[None]] = {}
         for number, each in enumerate(self.given):
