--- /dev/null
+++ b/benchmarks/overrides.py
@@ -0,0 +1,173 @@
+"""Overrides over a long list: what a change of the list costs, what a choice costs, who gets what by weight,
+and how long after `override set` its endpoint still gets bytes.
+
+    python benchmarks/overrides.py [--endpoints N] [--overrides N]
+"""
+
+import argparse
+import asyncio
+import io
+import logging
+import statistics
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+
+from elmglade import Dispatcher, config
+from elmglade import interface as face
+from elmglade.directory.control import ask
+from elmglade.directory.overrides import Book, Kind, Overlay
+from elmglade.http.serve import LineTeller, PlainSender
+from elmglade.interface import EndpointState, Listing, Outcome
+from elmglade.lab.history import Began, History
+from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.script import Script
+
+SECOND = 1_000_000
+KIND = face.MessageClass("c", 4 * SECOND, 20 * SECOND, 1.0, 0.3, face.Effect.SAFE)
+SETTINGS = face.Settings((KIND,), (("plain", face.Kind()),), 64, 1000, 6, "z", 5000)
+ROUNDS = 400
+
+
+def listed(count: int) -> tuple[face.Endpoint, ...]:
+    """Two endpoints a destination."""
+    return tuple(
+        face.Endpoint(f"e{each}", each // 2, EndpointState.READY, "plain", "z") for each in range(count)
+    )
+
+
+def overlay_of(count: int, overrides: int) -> Overlay:
+    book = Book()
+    for each in range(overrides):
+        kind = (Kind.OUT, Kind.WEIGHT, Kind.PIN)[each % 3]
+        name = f"e{each * (count // max(overrides, 1))}"
+        more = {"weight": 3.0, "destination": each * (count // max(overrides, 1)) // 2}
+        book.set(kind, name, "me", "bench", 0, 3600 * SECOND, 1, **more)  # type: ignore[arg-type]
+    overlay = Overlay(book)
+    overlay.hear(face.EndpointsListed(Listing.FULL, listed(count)))
+    overlay.turn(1)
+    return overlay
+
+
+def change_cost(overlay: Overlay, count: int) -> float:
+    """us of one change of one endpoint, the median."""
+    costs = []
+    for each in range(ROUNDS):
+        state = EndpointState.DRAINING if each % 2 else EndpointState.READY
+        one = face.Endpoint(
+            f"e{(each // 2 * 37) % count}", (each // 2 * 37) % count // 2, state, "plain", "z"
+        )
+        began = time.perf_counter()
+        overlay.hear(face.EndpointsListed(Listing.CHANGES, (one,)))
+        costs.append((time.perf_counter() - began) * 1e6)
+    return statistics.median(costs)
+
+
+def choice_cost(told: face.EndpointsListed, count: int) -> float:
+    """us of a message taken, sent and answered, the median of blocks."""
+    dispatcher = Dispatcher(SETTINGS, 1)
+    now, costs = SECOND, []
+    dispatcher.handle(now, [told])
+    for block in range(20):
+        began = time.perf_counter()
+        for each in range(200):
+            now += 1000
+            name = f"m{block}.{each}"
+            taken = face.MessageTaken(name, "c", (each * 31) % (count // 2), 20 * SECOND)
+            if any(isinstance(x, face.Send) for x in dispatcher.handle(now, [taken])):
+                now += 1000
+                dispatcher.handle(now, [face.AttemptEnded(name, 0, Outcome.OK, True)])
+        costs.append((time.perf_counter() - began) * 1e6 / 200)
+    return statistics.median(costs)
+
+
+def shares(weights: tuple[float, ...], most: int = 10_000) -> float:
+    """By how many points the share of any endpoint is off at the most."""
+    dispatcher, now, count = Dispatcher(SETTINGS, 1), SECOND, Counter[str]()
+    found = [
+        face.Endpoint(f"e{n}", 1, EndpointState.READY, "plain", "z", weight=weight)
+        for n, weight in enumerate(weights)
+    ]
+    dispatcher.handle(now, [face.EndpointsListed(Listing.FULL, tuple(found))])
+    for each in range(most):
+        now += 1000
+        actions = dispatcher.handle(now, [face.MessageTaken(f"m{each}", "c", 1, 20 * SECOND)])
+        count.update(x.endpoint for x in actions if isinstance(x, face.Send))
+        dispatcher.handle(now, [face.AttemptEnded(f"m{each}", 0, Outcome.OK, True)])
+    total = sum(weights)
+    return max(abs(count[f"e{n}"] / most - weight / total) * 100 for n, weight in enumerate(weights))
+
+
+async def last_byte() -> float:
+    """ms from the beginning of `override set` to the last call that came to its endpoint, under load."""
+    history = History()
+    async with HttpEndpoint("e0", Script(), history) as one, HttpEndpoint("e1", Script(), history) as two:
+        told = {
+            "classes": {"c": {"effect": "safe", "aim_ms": 4000, "deadline_ms": 8000}},
+            "endpoints": [
+                {"id": each.name, "destination": 1, "dial": f"127.0.0.1:{each.port}"} for each in (one, two)
+            ],
+        }
+        with tempfile.TemporaryDirectory() as folder:
+            sender = PlainSender(config.read(told), Path(folder), LineTeller(io.StringIO()))
+            await sender.start()
+            running = asyncio.create_task(sender.run())
+            stop = False
+
+            async def flow(number: int) -> None:
+                client, count = HttpClient(sender.server.address()[:2]), 0
+                while not stop:
+                    count += 1
+                    fields = {
+                        "X-Correlation-Id": f"{number}.{count}",
+                        "X-Service-Class": "c",
+                        "X-Time-Left": "5",
+                    }
+                    await client.post("/c", fields | {"X-Route-To": "dest=1"}, b"x")
+                client.close()
+
+            flows = [asyncio.create_task(flow(number)) for number in range(8)]
+            await asyncio.sleep(0.5)
+            now, began = time.time_ns() // 1000, time.monotonic()
+            request = {"do": "set", "kind": "out", "endpoint": "e0", "who": "me", "why": "bench"}
+            await asyncio.to_thread(ask, Path(folder), request | {"begins": now, "until": now + 60 * SECOND})
+            await asyncio.sleep(0.3)
+            stop = True
+            await asyncio.gather(*flows)
+            sender.stop(0)
+            await running
+    late = [each.at - began for each in history.events if isinstance(each, Began) and each.endpoint == "e0"]
+    return max(late) * 1e3
+
+
+def main() -> None:
+    options = argparse.ArgumentParser(
+        description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter
+    )
+    options.add_argument("--endpoints", type=int, default=10_000)
+    options.add_argument("--overrides", type=int, default=1_000)
+    told = options.parse_args()
+    logging.disable(logging.ERROR)
+    count = told.endpoints
+    overlay = overlay_of(count, told.overrides)
+    print(f"{count} endpoints, {told.overrides} overrides in force")
+    print(f"  a change of the list: {change_cost(overlay, count):.1f} us")
+    began = time.perf_counter()
+    overlay.book.set(Kind.OUT, "e5", "me", "bench", 1, SECOND, 1)
+    overlay.turn(2)
+    print(f"  an override set, in the overlay: {(time.perf_counter() - began) * 1e6:.0f} us")
+    plain = face.EndpointsListed(Listing.FULL, listed(count))
+    under = face.EndpointsListed(Listing.FULL, tuple(overlay.shown.values()))
+    ratios = [choice_cost(under, count) / choice_cost(plain, count) for _ in range(5)]
+    print(f"  a message's cost in the decision module, to that without: {statistics.median(ratios):.3f} "
+          f"({min(ratios):.3f} to {max(ratios):.3f})")  # fmt: skip
+    for weights in ((1.0, 2.0), (1.0, 1.0, 8.0), (0.1, 5.0, 1.0, 1.0)):
+        print(f"  shares by weights {weights}: {shares(weights):.2f} points off at the most")
+    times = [asyncio.run(last_byte()) for _ in range(5)]
+    middle, most = statistics.median(times), max(times)
+    print(f"  from `override set` to the last call there: {middle:.1f} ms, {most:.1f} at most")
+
+
+if __name__ == "__main__":
+    main()
--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -45,11 +45,12 @@
 
 
 class Endpoint:
-    __slots__ = ("bad_until", "breaker", "last_sent", "listed", "out")
+    __slots__ = ("bad_until", "breaker", "last_sent", "listed", "out", "turns")
 
     def __init__(self, listed: face.Endpoint) -> None:
         self.listed, self.out = listed, 0
         self.bad_until, self.last_sent = 0.0, -NEVER
+        self.turns = 0.0  # calls over its weight, since the list of its destination changed
         self.breaker: Breaker | None = None  # while its destination is asleep
 
 
--- a/elmglade/cli/__init__.py
+++ b/elmglade/cli/__init__.py
@@ -21,6 +21,14 @@
     from elmglade.pcap.tap import Tap
 
 
+#: Commands that ask a running sender over its control socket.
+CONTROLS = {
+    "override": "out of service, weights and pins of a running sender, each with an end",
+    "endpoints": "what a running sender believes of each endpoint",
+    "explain": "where a message would go now, and why not elsewhere",
+}
+
+
 def parser() -> argparse.ArgumentParser:
     about = "A sender that loses nothing and repeats nothing."
     top = argparse.ArgumentParser(prog="elmglade", description=about)
@@ -45,6 +53,8 @@
     lives.add_argument("--trace", type=Path, metavar="FILE", help="only the life of --seed, event by event")
     lives.add_argument("--shrink", type=Path, metavar="FILE", help="cut the broken life of --seed to a case")
     lives.add_argument("--case", type=Path, metavar="FILE", help="with --trace: the life of a case")
+    for name, about in CONTROLS.items():
+        commands.add_parser(name, help=about)
     commands.add_parser("pcap", help="packet captures as traffic: info, requests, diff, replay")
     demo = commands.add_parser("demo", help="stand-ins and one sender, through an outage and back")
     demo.add_argument("--pace", type=float, default=1.0, help="of its usual length of 30 s; 0.1 to 1.2")
@@ -164,15 +174,20 @@
     return search(options.seed, options.lives, options.processes, json_lines=options.json)
 
 
-def run_pcap(words: list[str]) -> int:
+def run_click(words: list[str]) -> int:
     """These commands stand on a library that the daemon does without."""
     try:
-        from elmglade.cli.pcap import pcap as command
+        if words[0] == "pcap":
+            from elmglade.cli.pcap import pcap as command
+
+            words = words[1:]
+        else:
+            from elmglade.cli.override import commands as command
     except ImportError as error:
         print(f"elmglade: {error}; pip install 'elmglade[pcap]'", file=sys.stderr)
         return 1
     try:
-        command(words, prog_name="elmglade pcap")
+        command(words, prog_name="elmglade pcap" if command.name == "pcap" else "elmglade")
     except SystemExit as ended:
         return int(ended.code or 0)
     return 0
@@ -181,8 +196,8 @@
 def main(words: Sequence[str] | None = None) -> int:
     """Runs a command; the answer is the exit code: 0 well, 1 not, 2 misused."""
     told = sys.argv[1:] if words is None else list(words)
-    if told[:1] == ["pcap"]:
-        return run_pcap(told[1:])
+    if told[:1] == ["pcap"] or (told[:1] and told[0] in CONTROLS):
+        return run_click(told)
     options = parser().parse_args(told)
     if options.command == "check":
         return check(options.file)
--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -50,6 +50,16 @@
     blank: tuple[str, ...]  # headers whose values are not written
 
 
+@dataclass(frozen=True, slots=True)
+class Lists:
+    """Files that name endpoints besides the configuration's own, the first one before the others."""
+
+    files: tuple[Path, ...]
+    share: float  # of a list that may vanish at once
+    patience: int  # us for which more is doubted
+    slow_start: int  # us over which the share of a new or returned endpoint grows; 0: not at all
+
+
 @dataclass(frozen=True, slots=True)
 class General:
     name: str
@@ -61,6 +71,7 @@
     settings: face.Settings
     places: tuple[Place, ...]
     capture: CaptureTo | None = None
+    lists: "Lists | None" = None
 
 
 class Reader:
@@ -229,6 +240,19 @@
         return None
 
 
+def read_lists(at: Reader, folder: Path) -> Lists | None:
+    if not at.told:
+        return None
+    files = at.take("files", list, [])
+    slow = int(at.number("slow_start_s", 0.0, 0, 3600) * 1e6)
+    share = at.number("share", 0.5, 0, 1)
+    patience = int(at.number("patience_s", 300.0, 0, 86_400) * 1e6)
+    if not all(isinstance(each, str) and each for each in files):
+        at.wrong("files", "must be a list of paths")
+    at.done()
+    return Lists(tuple(folder / str(each) for each in files), share, patience, slow)
+
+
 def read_capture(at: Reader, folder: Path) -> CaptureTo | None:
     """Where what is received and sent is written; nowhere where nothing is said."""
     if not at.told:
@@ -263,6 +287,7 @@
     if not kinds.told:
         top.wrong("classes", "must name at least one class")
     classes = [each for each in found if each]
+    lists = read_lists(top.inside("directory"), folder)
     capture = read_capture(top.inside("capture"), folder)
     settings, places = read_settings(top, limits, rules, classes), read_places(top)
     for reader in (top, limits, rules):
@@ -270,13 +295,29 @@
     if faults or settings is None:
         raise ConfigError(faults)
     where = folder / state if state else None
-    return General(name, listen, where, seed, int(disk * 1e6), sockets, settings, tuple(places), capture)
+    size = int(disk * 1e6)
+    return General(name, listen, where, seed, size, sockets, settings, tuple(places), capture, lists)
 
 
-def load(path: Path) -> General:
-    """The configuration in a TOML file. Raises ConfigError, also where the file is no TOML, and OSError."""
+def read_endpoints(path: Path) -> list[Place]:
+    """The endpoints in a TOML file that holds nothing else. Raises ConfigError, also where it is no TOML,
+    and OSError."""
+    faults: list[Fault] = []
+    top = Reader(parse(path), "", faults)
+    places = read_places(top)
+    top.done()
+    if faults:
+        raise ConfigError(faults)
+    return places
+
+
+def parse(path: Path) -> dict[str, Any]:
     try:
-        told = tomllib.loads(path.read_text())
+        return tomllib.loads(path.read_text())
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise ConfigError([Fault(str(path), str(error))]) from None
-    return read(told, path.parent)
+
+
+def load(path: Path) -> General:
+    """The configuration in a TOML file. Raises ConfigError, also where the file is no TOML, and OSError."""
+    return read(parse(path), path.parent)
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -44,6 +44,7 @@
     disk_bytes: int  # that may stand in it
     settings: face.Settings
     known: tuple[face.Endpoint, ...]  # the endpoints as last told; may be old
+    returned: tuple[str, ...] = ()  # of these, ids that were kept out of service
 
 
 class Clock:
@@ -106,7 +107,7 @@
 
     def start(self) -> None:
         """Takes over what the journal holds; only then may a door say that it is ready."""
-        self.post(face.EndpointsListed(face.Listing.CACHED, self.config.known))
+        self.post(face.EndpointsListed(face.Listing.CACHED, self.config.known, self.config.returned))
         for entry in list(self.journal.entries.values()):
             self.directory.remember(entry.message.destination)
             if entry.delivered():  # the process ended between the answer and the end on record
--- /dev/null
+++ b/elmglade/directory/control.py
@@ -0,0 +1,132 @@
+"""A Unix socket in the state folder over which a running sender is asked and told: JSON, a line each way.
+
+Only the sender's own user (and root) may: the socket has mode 0600 and the other side's user is asked of the
+system (SO_PEERCRED, unix(7)). A request is an object with `do`; the answer has `ok`, and either `value` or
+`faults`, a list of texts. What a client does, or does not do, costs one of `MOST` connections for `PATIENCE`.
+"""
+
+import asyncio
+import contextlib
+import json
+import logging
+import os
+import socket
+import struct
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any
+
+FILE = "control"
+MOST = 16  # connections at once; one more is closed unheard
+LINE_MOST = 64 * 1024  # bytes of a request
+PATIENCE = 5.0  # s for a request to come
+
+log = logging.getLogger(__name__)
+
+Command = Callable[[Mapping[str, Any]], Any]
+
+
+class AskedBadlyError(ValueError):
+    """What was asked cannot be done; `faults` says why."""
+
+    def __init__(self, *faults: str) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = list(faults)
+
+
+class Control:
+    def __init__(self, folder: Path, commands: Mapping[str, Command]) -> None:
+        self.path, self.commands = folder / FILE, commands
+        self.open = 0
+        self.server: asyncio.Server | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Raises OSError where the socket cannot be made. One that an earlier process left is replaced: the
+        folder's lock says that nobody else uses it."""
+        self.path.unlink(missing_ok=True)
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM)
+        before = os.umask(0o177)
+        try:
+            sock.bind(str(self.path))
+        finally:
+            os.umask(before)
+        self.server = await asyncio.start_unix_server(self.connected, sock=sock, limit=LINE_MOST)
+
+    def close(self) -> None:
+        if self.server is None:
+            return
+        self.server.close()
+        for task in self.tasks:
+            task.cancel()
+        self.path.unlink(missing_ok=True)
+
+    async def connected(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        if self.open >= MOST or not may_ask(writer.get_extra_info("socket")):
+            writer.transport.abort()
+            return
+        self.open += 1
+        task = asyncio.current_task()
+        assert task
+        self.tasks.add(task)
+        try:
+            with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+                await self.serve(reader, writer)
+        finally:
+            self.open -= 1
+            self.tasks.discard(task)
+            writer.close()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(PATIENCE):
+                    line = await reader.readline()
+            except TimeoutError:
+                return
+            except ValueError:
+                told: dict[str, Any] = {"ok": False, "faults": ["the request is too long"]}
+            else:
+                if not line:
+                    return
+                told = self.answer(line)
+            writer.write(json.dumps(told).encode() + b"\n")
+            await writer.drain()
+
+    def answer(self, line: bytes) -> dict[str, Any]:
+        """Never raises for what is asked, and nothing that is asked ends the sender."""
+        try:
+            asked = json.loads(line)
+            if not isinstance(asked, dict) or asked.get("do") not in self.commands:
+                known = ", ".join(sorted(self.commands))
+                return {"ok": False, "faults": [f"do must be one of {known}"]}
+            return {"ok": True, "value": self.commands[asked["do"]](asked)}
+        except (ValueError, RecursionError) as error:
+            return {"ok": False, "faults": getattr(error, "faults", [str(error)])}
+        except KeyError as error:
+            return {"ok": False, "faults": [f"{error.args[0]} is missing or unknown"]}
+        except Exception as error:
+            log.exception("a control request failed")
+            return {"ok": False, "faults": [f"{type(error).__name__}: {error}"]}
+
+
+def may_ask(sock: socket.socket) -> bool:
+    """Whether the other side is the sender's own user, or root."""
+    _, user, _ = struct.unpack("3i", sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, 12))
+    return user in (0, os.geteuid())
+
+
+def ask(folder: Path, request: Mapping[str, Any]) -> dict[str, Any]:
+    """One request from outside, and its answer. Raises OSError where no sender listens there, and ValueError
+    for an answer that is none."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+        sock.settimeout(2 * PATIENCE)
+        sock.connect(str(folder / FILE))
+        sock.sendall(json.dumps(request).encode() + b"\n")
+        data = b""
+        while not data.endswith(b"\n") and (more := sock.recv(65536)):
+            data += more
+    told = json.loads(data)
+    if not isinstance(told, dict):
+        raise ValueError("the answer is none")
+    return told
--- a/elmglade/directory/overridden.py
+++ b/elmglade/directory/overridden.py
@@ -3,36 +3,57 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from typing import Protocol
 
 from elmglade import interface as face
-from elmglade.core.ports import Directory
 from elmglade.directory.overrides import Kind, Overlay, Override
+from elmglade.directory.ramp import Ramp
 from elmglade.directory.store import Store
 from elmglade.directory.when import show
 
+CHECK = 0.2  # s after news of the list until it is looked at for overrides that do nothing
 LATE = 0.001  # s that a timer runs after its time, so that the time has come by any clock
 
 log = logging.getLogger(__name__)
 
 
+class Source(Protocol):
+    """The directory under the overrides; as the core's port of that name."""
+
+    def look(self) -> None: ...
+
+    async def watch(self) -> None: ...
+
+    def knows(self, destination: int) -> bool: ...
+
+    def remember(self, destination: int) -> None: ...
+
+
 class OverriddenDirectory:
     """`source` tells its lists to `hear`; `told` is the engine's `list_told`, `now` its clock in us."""
 
     def __init__(
         self,
-        source: Directory,
+        source: Source,
         store: Store,
         now: Callable[[], int],
         told: Callable[[face.EndpointsListed], None],
+        slow_start: int = 0,
     ) -> None:
+        """`slow_start` in us: for so long the share of what is new or back grows; 0: not at all."""
         self.source, self.store, self.now, self.told = source, store, now, told
-        self.overlay = Overlay(store.load())
+        self.overlay = Overlay(store.load(), Ramp(slow_start))
         self.book = self.overlay.book
         self.timer: asyncio.TimerHandle | None = None
+        self.check: asyncio.TimerHandle | None = None
+        self.next_at: int | None = None  # us: when the next override begins, warns or ends
         self.warned: set[str] = set()  # of an end that is near
         self.vain: dict[str, str] = {}
         self.empty: list[int] = []
-        self.expire()
+        #: Endpoints whose time out of service ended while no sender ran.
+        began = now()
+        self.returned = tuple(each.endpoint for each in self.expire(began) if each.kind is Kind.OUT)
+        self.overlay.turn(began)
 
     # The port.
 
@@ -51,16 +72,24 @@
     # What changes.
 
     def hear(self, listed: face.EndpointsListed) -> None:
-        """The source has news."""
-        self.expire()
+        """The source has news. It costs what is named in it."""
+        if self.next_at is not None and self.next_at <= self.now():
+            self.turn()
         self.told(self.overlay.hear(listed, self.now()))
-        self.settle()
+        if self.overlay.ramp.began and self.timer is None:
+            self.wake(self.now())
+        if self.book.overrides and not self.check:
+            self.check = asyncio.get_running_loop().call_later(CHECK, self.checked)
+
+    def checked(self) -> None:
+        self.check = None
+        self.warn(self.now())
 
     def set(
         self, kind: Kind, endpoint: str, who: str, why: str, begins: int, until: int,
         weight: float = 1.0, destination: int = -1,
     ) -> Override:  # fmt: skip
-        """Raises OverrideError, and OSError where it cannot be saved: then it is not in force either."""
+        """Raises OverrideError, and OSError where it cannot be saved: then it is not in force."""
         new = self.book.set(kind, endpoint, who, why, begins, until, self.now(), weight, destination)
         try:
             self.store.save(self.book)
@@ -72,8 +101,8 @@
         return new
 
     def end(self, name: str, who: str, why: str = "") -> Override:
-        """Raises KeyError and OSError. It ends also where that cannot be saved: then it would come back at the
-        next start, until its time."""
+        """Raises KeyError and OSError. It ends also where that cannot be saved: then it would come back at
+        the next start, until its time."""
         over = self.book.end(name)
         self.turn()
         self.store.record(self.now(), who, "ended", over, why)
@@ -94,50 +123,46 @@
         self.turn()
         return longer
 
-    def expire(self) -> None:
-        """Those whose time is up are gone, on disk too. A disk that fails is logged: an ended one that it still
-        holds ends again at the next start."""
-        if not (over := self.book.expire(self.now())):
-            return
+    def expire(self, now: int) -> list[Override]:
+        """Those whose time is up are gone, on disk too. A disk that fails is logged: an ended one that it
+        still holds ends again at the next start."""
+        if not (over := self.book.expire(now)):
+            return []
         for each in over:
-            log.warning(
-                "override %s (%s %s, by %s) has ended", each.name, each.kind.value, each.endpoint, each.who
-            )
-            self.store.record(self.now(), each.who, "expired", each)
+            log.warning("override %s has ended: %s", each.name, each.text())
+            self.store.record(now, each.who, "expired", each)
         try:
             self.store.save(self.book)
         except OSError as error:
             log.error("the overrides cannot be saved: %s", error)
+        return over
 
     def turn(self) -> None:
-        """Overrides were set, have begun or have ended."""
-        self.expire()
-        if changed := self.overlay.turn(self.now()):
+        """Overrides were set, have begun or have ended. All of it at one instant: what came due between two
+        looks at the clock would be seen by neither."""
+        now = self.now()
+        self.expire(now)
+        if changed := self.overlay.turn(now):
             self.told(changed)
-        self.settle()
+        self.warn(now)
+        self.wake(now)
 
-    def settle(self) -> None:
-        """Warns of what has changed, and wakes at the next change."""
-        self.warn()
+    def wake(self, now: int) -> None:
+        """Sets the timer for the next change."""
         if self.timer:
             self.timer.cancel()
             self.timer = None
-        if (at := self.book.next_change(now := self.now())) is not None:
-            delay = (at - now) / 1e6 + LATE
+        times = (self.book.next_change(now), self.overlay.ramp.next_change(now))
+        self.next_at = min((at for at in times if at is not None), default=None)
+        if self.next_at is not None:
+            delay = (self.next_at - now) / 1e6 + LATE
             self.timer = asyncio.get_running_loop().call_later(delay, self.turn)
 
-    def warn(self) -> None:
-        now = self.now()
+    def warn(self, now: int) -> None:
         for each in self.book.active(now):
             if each.warns_at() <= now and each.name not in self.warned:
                 self.warned.add(each.name)
-                log.warning(
-                    "override %s (%s %s) ends at %s",
-                    each.name,
-                    each.kind.value,
-                    each.endpoint,
-                    show(each.until, now),
-                )
+                log.warning("override %s ends at %s: %s", each.name, show(each.until, now), each.text())
         self.warned &= set(self.book.overrides)
         vain, empty = self.overlay.in_vain(now), self.overlay.all_out()
         for name, why in vain.items():
@@ -149,5 +174,6 @@
         self.vain, self.empty = vain, empty
 
     def close(self) -> None:
-        if self.timer:
-            self.timer.cancel()
+        for each in (self.timer, self.check):
+            if each:
+                each.cancel()
--- a/elmglade/directory/overrides.py
+++ b/elmglade/directory/overrides.py
@@ -3,11 +3,10 @@
 The rules:
 
 - Each has who, why, a beginning and an end, at most `MOST_SPAN` apart; none is without an end.
-- It holds on to the *name* of an endpoint, at whatever address that one is listed. An endpoint that is removed
-  and listed again under its name is overridden again; while it is not listed, the override does nothing and is
-  shown so.
-- Of two that contradict each other, *out of service* goes before a weight and before a pin; else the one
-  that was set last counts.
+- It holds on to the *name* of an endpoint, at whatever address that one is listed. An endpoint that is
+  removed and listed again under its name is overridden again; while it is not listed, the override does
+  nothing and is shown so.
+- Of two that contradict each other, *out of service* goes before a weight and a pin; else the newer counts.
 - A *pin* sends all of a destination's messages to one endpoint: the others are told as draining. If that one
   drains, is not listed or is out of service, the pin is in vain and the destination is as without it: a drain
   binds under every override.
@@ -23,6 +22,7 @@
 from typing import Any
 
 from elmglade import interface as face
+from elmglade.directory.ramp import Ramp
 from elmglade.interface import EndpointState, Listing
 
 SECOND = 1_000_000
@@ -62,6 +62,9 @@
     def active(self, now: int) -> bool:
         return self.begins <= now < self.until
 
+    def text(self) -> str:
+        return f"{self.kind.value} {self.endpoint}, by {self.who}"
+
     def warns_at(self) -> int:
         return self.until - min(WARN_AHEAD, (self.until - self.begins) // 2)
 
@@ -178,38 +181,52 @@
 class Overlay:
     """The list as the directory tells it, under the overrides in force. It tells on what changes."""
 
-    def __init__(self, book: Book) -> None:
-        self.book = book
+    def __init__(self, book: Book, ramp: Ramp | None = None) -> None:
+        self.book, self.ramp = book, ramp or Ramp()
+        self.now = 0  # as of the last look
         self.listed: dict[str, face.Endpoint] = {}  # as the directory has it
         self.members: dict[int, dict[str, None]] = {}  # destination: names of its endpoints
         self.shown: dict[str, face.Endpoint] = {}  # as it was told on
         self.force = InForce({}, {}, {})
 
-    def hear(self, told: face.EndpointsListed, now: int) -> face.EndpointsListed:
-        """What to tell on in place of what the directory says. Costs what is named, and the destinations of
-        pins that it touches."""
+    def hear(self, told: face.EndpointsListed, now: int = 0) -> face.EndpointsListed:
+        """What to tell on in place of what the directory says, under the overrides in force as of the last
+        `turn`. Costs what is named, and the destinations of pins that it touches."""
         if told.listing is Listing.FAILED:
             return told
+        self.now = max(self.now, now)
+        fresh = self.fresh(told)
         if told.listing is not Listing.CHANGES:
-            self.listed, self.members, self.shown = {}, {}, {}
+            self.forget()
+        touched: set[int] = set()
         for each in told.endpoints:
-            self.note(each)
-        self.force = InForce.of(self.book.active(now))
+            touched |= self.note(each)
         named = dict.fromkeys(each.id for each in told.endpoints)
-        for each in told.endpoints:
-            if each.destination in self.force.pins:
-                named |= dict.fromkeys(self.members.get(each.destination, ()))
+        for name in fresh if self.ramp.span else ():
+            self.start_slowly(name)
+        for destination in sorted(touched & self.force.pins.keys()):
+            named |= dict.fromkeys(self.members.get(destination, ()))
         return replace(told, endpoints=tuple(self.tell(name, told) for name in named))
 
-    def note(self, each: face.Endpoint) -> None:
-        if (before := self.listed.get(each.id)) and before.destination != each.destination:
-            self.members[before.destination].pop(each.id, None)
-        if each.state is EndpointState.GONE:
-            self.listed.pop(each.id, None)
-            self.members.get(each.destination, {}).pop(each.id, None)
-        else:
+    def fresh(self, told: face.EndpointsListed) -> list[str]:
+        """Ready ones of which no list had heard; of the first list of all, none."""
+        if not self.listed:
+            return []
+        return [x.id for x in told.endpoints if x.id not in self.listed and x.state is EndpointState.READY]
+
+    def forget(self) -> None:
+        """A whole list comes: what is not in it is gone."""
+        self.listed, self.members, self.shown = {}, {}, {}
+
+    def note(self, each: face.Endpoint) -> set[int]:
+        """The destinations that it concerns: one that it leaves may have been pinned to it."""
+        before = self.listed.pop(each.id, None)
+        if before:
+            del self.members[before.destination][each.id]
+        if each.state is not EndpointState.GONE:
             self.listed[each.id] = each
             self.members.setdefault(each.destination, {})[each.id] = None
+        return {each.destination, before.destination if before else each.destination}
 
     def tell(self, name: str, told: face.EndpointsListed) -> face.Endpoint:
         if name not in self.listed:  # gone
@@ -225,8 +242,18 @@
         pin = self.force.pins.get(listed.destination)
         if listed.id in self.force.out or (pin and pin.endpoint != listed.id and self.holds(pin)):
             return replace(listed, state=EndpointState.DRAINING)
-        weight = self.force.weights.get(listed.id)
-        return replace(listed, weight=weight.weight) if weight else listed
+        over = self.force.weights.get(listed.id)
+        weight = (over.weight if over else listed.weight) * self.ramp.factor(listed.id, self.now)
+        return listed if weight == listed.weight else replace(listed, weight=weight)
+
+    def start_slowly(self, name: str) -> None:
+        """Where others of its destination are there to take the rest."""
+        others = self.members[self.listed[name].destination]
+        if any(
+            each != name and each in self.shown and self.shown[each].state is EndpointState.READY
+            for each in others
+        ):
+            self.ramp.start(name, self.now)
 
     def holds(self, pin: Override) -> bool:
         """Whether a pin is not in vain."""
@@ -237,8 +264,9 @@
     def turn(self, now: int) -> face.EndpointsListed | None:
         """What to tell when overrides were set, have begun or have ended; None where nothing changes. What
         comes back into service is named as returned: it is to be warmed."""
+        self.now = max(self.now, now)
         before, self.force = self.force, InForce.of(self.book.active(now))
-        named: dict[str, None] = {}
+        named = dict.fromkeys(self.ramp.turn(now))
         for old, new in ((before.out, self.force.out), (before.weights, self.force.weights)):
             changed = [name for name in old | new if old.get(name) != new.get(name)]
             named |= dict.fromkeys(changed)
@@ -258,6 +286,8 @@
                 was = self.shown.get(name)
                 if was and was.state is not EndpointState.READY and now_shown.state is EndpointState.READY:
                     returned.append(name)
+                    self.start_slowly(name)
+                    now_shown = self.effective(self.listed[name])
                 self.shown[name] = now_shown
                 changes.append(now_shown)
         if not changes:
--- a/elmglade/directory/static.py
+++ b/elmglade/directory/static.py
@@ -37,6 +37,10 @@
         self.destinations |= {each.endpoint.destination for each in self.places.values()}
         self.told(face.EndpointsListed(face.Listing.FULL, self.endpoints()))
 
+    def configure(self, places: Iterable[Place]) -> None:
+        """The configuration names these from now on."""
+        self.replace(places)
+
     def drain(self, name: str) -> None:
         """An endpoint wants nothing new. Raises KeyError for one that is not listed."""
         place = self.places[name]
--- a/elmglade/directory/store.py
+++ b/elmglade/directory/store.py
@@ -43,7 +43,7 @@
             return Book()
 
     def save(self, book: Book) -> None:
-        """The book on disk, whole or as it was before, whatever ends the process meanwhile. Raises OSError."""
+        """The book on disk, new or as it was, whatever ends the process meanwhile. Raises OSError."""
         path, fresh = self.folder / FILE, self.folder / (FILE + ".new")
         told = {
             "version": 1,
--- a/elmglade/directory/when.py
+++ b/elmglade/directory/when.py
@@ -8,9 +8,9 @@
 
 
 def parse(text: str, now: int, zone: tzinfo | None = None) -> int:
-    """us since the epoch. `now` likewise; a clock time is the next one in `zone` (the machine's own). One that
-    the spring skips is an hour later, of one that the autumn has twice the first counts (PEP 495). Raises
-    ValueError for what is no time."""
+    """us since the epoch. `now` likewise; a clock time is the next one in `zone` (the machine's own). One
+    that the spring skips is an hour later, of one that the autumn has twice the first counts (PEP 495).
+    Raises ValueError for what is no time."""
     if (span := SPAN.fullmatch(text)) and any(span.groups()):
         days, hours, minutes, seconds = (int(each or 0) for each in span.groups())
         return now + (((days * 24 + hours) * 60 + minutes) * 60 + seconds) * 1_000_000
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -6,18 +6,24 @@
 import logging
 import signal
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
-from typing import TextIO
+from typing import Any, TextIO
 
-from elmglade.config import ConfigError, General, load
-from elmglade.core import inventory
+from elmglade import interface as face
+from elmglade.config import ConfigError, General, load, read_endpoints
+from elmglade.core import explain, inventory
+from elmglade.core.engine import Clock, Engine
 from elmglade.core.engine import Config as EngineConfig
-from elmglade.core.engine import Engine
 from elmglade.core.lock import Lock
 from elmglade.core.ports import End
 from elmglade.core.witness import Witness
+from elmglade.directory.control import Command, Control
+from elmglade.directory.file import FileDirectory
+from elmglade.directory.overridden import OverriddenDirectory
+from elmglade.directory.overrides import Kind
 from elmglade.directory.static import Dial, StaticDirectory
+from elmglade.directory.store import Store
 from elmglade.http.daemon import HttpSender
 
 log = logging.getLogger(__name__)
@@ -42,6 +48,13 @@
         await asyncio.get_running_loop().create_future()
 
 
+def directory_of(config: General, state: Path, now: Callable[[], int]) -> StaticDirectory:
+    """The configuration's own list, or that and the files which it names."""
+    if (lists := config.lists) is None or not lists.files:
+        return StaticDirectory(config.places)
+    return FileDirectory(lists.files, read_endpoints, state, now, config.places, lists.share, lists.patience)
+
+
 class PlainSender(HttpSender):
     """An HTTP sender over a static directory."""
 
@@ -50,32 +63,97 @@
     ) -> None:
         """Raises LockTakenError where another sender uses the state folder, OSError where it is no use."""
         self.lock = Lock(state)
-        self.directory = StaticDirectory(config.places)
+        clock = Clock().now
+        self.directory = directory_of(config, state, clock)
+        slow = config.lists.slow_start if config.lists else 0
+        self.overrides = over = OverriddenDirectory(
+            self.directory, Store(state), clock, lambda listed: None, slow
+        )
+        whole = face.EndpointsListed(face.Listing.FULL, self.directory.endpoints())
+        listed = over.overlay.hear(whole, clock())
         engine = Engine(
             EngineConfig(
-                config.name, state, config.seed, config.disk_bytes, config.settings,
-                self.directory.endpoints()
-            )
-        )
-        self.directory.told = engine.list_told
+                config.name, state, config.seed, config.disk_bytes, config.settings, listed.endpoints,
+                over.returned,
+            ),
+            clock,
+        )  # fmt: skip
+        over.told, self.directory.told = engine.list_told, over.hear
+        self.control = Control(state, self.commands())
         super().__init__(engine, config.listen, config.sockets)
-        self.plug(self.directory, teller)
+        self.plug(self.overrides, teller)
         self.server.witness = self.courier.witness = witness
 
     def dials(self) -> dict[str, Dial]:
         return self.directory.dials()
 
+    async def start(self) -> None:
+        await super().start()
+        self.overrides.turn()
+        try:
+            await self.control.start()
+        except OSError as error:  # such as a path that is too long for a socket
+            log.error("no control socket: %s", error)
+
     async def run(self) -> int:
         try:
             return await super().run()
         finally:
+            self.control.close()
+            self.overrides.close()
             self.lock.release()
 
+    # What is asked over the control socket.
+
+    def commands(self) -> dict[str, Command]:
+        return {
+            "set": self.set_override,
+            "list": lambda asked: self.list_overrides(),
+            "end": lambda asked: self.overrides.end(
+                asked["name"], asked["who"], asked.get("why", "")
+            ).as_json(),
+            "extend": lambda asked: self.overrides.extend(
+                asked["name"], asked["until"], asked["who"], asked.get("why", "")
+            ).as_json(),
+            "endpoints": lambda asked: {"endpoints": self.endpoints(), "lists": self.lists()},
+            "confirm": lambda asked: isinstance(self.directory, FileDirectory) and self.directory.confirm(),
+            "explain": lambda asked: explain.explain(
+                self.engine.dispatcher, asked["destination"], asked.get("key", ""), self.engine.now()
+            ),
+        }
+
+    def set_override(self, asked: Mapping[str, Any]) -> dict[str, Any]:
+        new = self.overrides.set(
+            Kind(asked["kind"]), asked["endpoint"], asked["who"], asked["why"], asked["begins"],
+            asked["until"], asked.get("weight", 1.0), asked.get("destination", -1),
+        )  # fmt: skip
+        return {"override": new.as_json(), "in_vain": self.overrides.vain.get(new.name, "")}
+
+    def list_overrides(self) -> dict[str, Any]:
+        found = [each.as_json() for each in self.overrides.book.overrides.values()]
+        return {"overrides": found, "in_vain": self.overrides.vain, "all_out": self.overrides.empty}
+
+    def lists(self) -> list[dict[str, object]]:
+        return self.directory.lists() if isinstance(self.directory, FileDirectory) else []
+
+    def endpoints(self) -> list[dict[str, Any]]:
+        believed = {each["id"]: each for each in explain.endpoints(self.engine.dispatcher, self.engine.now())}
+        overlay = self.overrides.overlay
+        found = []
+        for name, listed in overlay.listed.items():
+            shown = overlay.shown.get(name, listed)
+            told = {"id": name, "destination": listed.destination, "listed": listed.state.value}
+            over = overlay.force.out.get(name) or overlay.force.weights.get(name)
+            over = over or overlay.force.pins.get(listed.destination)
+            told |= {"told": shown.state.value, "override": over.name if over else None}
+            found.append(believed.get(name, {}) | told)
+        return sorted(found, key=lambda each: (each["destination"], each["id"]))
+
 
 def reread(sender: PlainSender, path: Path) -> None:
     """SIGHUP: the list of endpoints is read anew, whole or not at all; the rest waits for the next start."""
     try:
-        sender.directory.replace(load(path).places)
+        sender.directory.configure(load(path).places)
         log.info("%d endpoints from now on", len(sender.directory.places))
     except (ConfigError, OSError) as error:
         log.error("the new configuration is not used: %s", error)
@@ -91,9 +169,7 @@
         log.error("what is kept for each destination is not told: %s", error)
 
 
-async def serve(
-    path: Path, config: General, state: Path, out: TextIO, witness: Witness | None = None
-) -> int:
+async def serve(path: Path, config: General, state: Path, out: TextIO, witness: Witness | None = None) -> int:
     sender = PlainSender(config, state, LineTeller(out), witness)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, reread, sender, path)
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -129,6 +129,7 @@
     kind: str
     zone: str
     scale: float = 1.0
+    weight: float = 1.0  # its share of the calls, against the other endpoints of its destination
 
 
 # Events: what happened to this sender.
@@ -138,6 +139,7 @@
 class EndpointsListed:
     listing: Listing
     endpoints: tuple[Endpoint, ...] = ()
+    returned: tuple[str, ...] = ()  # of these, ids that were kept out of service: to be warmed
 
 
 @dataclass(frozen=True, slots=True)
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -286,6 +286,8 @@
             self.list_one(told, known, touched)
         for destination in touched:
             self.relist(self.destinations[destination])
+        if listed.returned:
+            self.warm(frozenset(listed.returned))
 
     def list_one(self, told: face.Endpoint, known: dict[str, Endpoint], touched: dict[int, None]) -> None:
         endpoint = known.get(told.id) or self.endpoints.get(told.id) or Endpoint(told)
@@ -310,8 +312,22 @@
         self.destinations[endpoint.listed.destination].endpoints.remove(endpoint)
         endpoint.breaker = None
 
+    def warm(self, returned: frozenset[str]) -> None:
+        """Guards what was kept out of service, all of its endpoints, from what was held for it meanwhile."""
+        found = {self.endpoints[name].listed.destination: None for name in returned if name in self.endpoints}
+        for at in map(self.destinations.__getitem__, found):
+            before = [each.breaker for each in at.endpoints if each.listed.id not in returned]
+            for breaker in at.breakers:
+                if breaker not in before:
+                    breaker.cold_since = int(self.now)
+            if at.own is None and not before:
+                at.silent_since = self.now
+
     def relist(self, at: Destination) -> None:
         """What follows from a destination's endpoints; the others cost nothing."""
+        at.weighted = any(each.listed.weight != 1 for each in at.endpoints)
+        for each in at.endpoints:
+            each.turns = 0.0
         if at.own is not None:
             self.set_breakers(at)
         elif not at.endpoints:
@@ -556,7 +572,8 @@
         return sent is None or self.may_repeat_at(now, sent, sent.risky_since)
 
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
-        options: list[tuple[tuple[float, float, bool, int, bool, float], int, Endpoint]] = []
+        options: list[tuple[tuple[float, float, bool, float, bool, float], int, Endpoint]] = []
+        weighted = self.destinations[message.destination].weighted
         for endpoint in self.destinations[message.destination].endpoints:
             listed = endpoint.listed
             if message.kind.window_by_zone and message.risky_zone not in ("", listed.zone):
@@ -567,7 +584,8 @@
                 continue
             fee = self.fees.get(listed.zone, 0.0) if self.kinds[listed.kind].apart else 0.0
             bad, away = max(endpoint.bad_until, self.now), listed.zone != self.settings.zone
-            rank = (bad, fee, not joins, endpoint.out, away, endpoint.last_sent)
+            load = endpoint.turns if weighted else endpoint.out
+            rank = (bad, fee, not joins, load, away, endpoint.last_sent)
             options.append((rank, len(options), endpoint))
         return min(options)[-1] if options else None
 
@@ -591,6 +609,7 @@
             self.out[call] = breaker.fresh[call] = None
             breaker.out += 1
             endpoint.out += 1
+            endpoint.turns += 1 / endpoint.listed.weight
             breaker.last_sent = endpoint.last_sent = self.now
             if breaker.is_open():
                 breaker.trial = call
--- a/elmglade/schedule.py
+++ b/elmglade/schedule.py
@@ -132,7 +132,7 @@
     """What is known of one. It is *listed only* until a message comes for it, *awake* from then on, and
     *asleep* after a long silence: then its breakers are gone, and only when it was last used is kept."""
 
-    __slots__ = ("breakers", "endpoints", "groups", "held", "number", "own", "silent_since")
+    __slots__ = ("breakers", "endpoints", "groups", "held", "number", "own", "silent_since", "weighted")
 
     def __init__(self, number: int) -> None:
         self.number = number
@@ -142,6 +142,7 @@
         self.breakers: tuple[Breaker, ...] = ()  # of the endpoints that are listed
         self.held: dict[str, Message] | None = None  # none as long as nothing is
         self.groups: dict[tuple[str, float], Group] | None = None
+        self.weighted = False  # some of its endpoints are to get more calls than others
         self.silent_since: float | None = None  # the last call before it fell asleep
 
     def hold(self, message: Message) -> None:
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -28,7 +28,7 @@
     "adapter": {"interface", "rules", "settings"},
     "emulator": {*BASE, "core", "directory", "lab"},
     "pcap": {"http"},  # a codec's patterns
-    "cli": {"config", "core", "emulator", "http", "lab", "pcap"},
+    "cli": {"config", "core", "directory", "emulator", "http", "lab", "pcap"},
     "__main__": {"cli", "core", "http", "settings"},
     "__init__": {"rules"},
 }
--- /dev/null
+++ b/tests/test_directories.py
@@ -0,0 +1,154 @@
+"""Lists from files: believed, doubted, merged, old."""
+
+import asyncio
+import io
+import json
+from pathlib import Path
+from typing import Any
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from peers import play
+
+from elmglade.config import read, read_endpoints
+from elmglade.directory.belief import FEW, Belief, merged
+from elmglade.directory.control import ask
+from elmglade.directory.file import COPY, STALE, FileDirectory
+from elmglade.http.serve import LineTeller, PlainSender
+from elmglade.interface import EndpointsListed, Listing
+
+SECOND = 1_000_000
+
+
+def names(*found: str) -> dict[str, int]:
+    return dict.fromkeys(found, 1)
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(st.lists(st.tuples(st.sets(st.sampled_from("abcdefgh")), st.integers(0, 40)), max_size=12))
+def test_what_is_believed_is_the_list_and_what_is_doubted(lists: list[tuple[set[str], int]]) -> None:
+    """Nothing that a list names is left out; what it misses is believed for the patience at the most, and
+    only where more than the share vanished."""
+    belief, now, missing_since = Belief[int](0.5, 30), 0, dict[str, int]()
+    for told, passed in lists:
+        now += passed
+        before = set(belief.believed)
+        belief.hear(names(*told), now)
+        believed = set(belief.believed)
+        assert told <= believed and believed == told | set(belief.doubted)
+        assert set(belief.doubted) <= before
+        missing_since = {name: missing_since.get(name, now) for name in believed - told}
+        assert all(now - since < 30 for since in missing_since.values())
+        if not belief.doubted and len(before) < FEW:
+            assert believed == told
+
+
+def test_a_list_that_empties_is_doubted_until_its_time_or_a_word() -> None:
+    belief = Belief[int](0.5, 60)
+    belief.hear(names("a", "b", "c", "d"), 0)
+    belief.hear(names("a"), 10)
+    assert set(belief.believed) == {"a", "b", "c", "d"} and not belief.turn(69)
+    assert belief.turn(70) and set(belief.believed) == {"a"}
+    belief.hear(names("a", "b", "c", "d"), 80)
+    belief.hear({}, 90)
+    assert belief.confirm() and not belief.believed and not belief.confirm()
+    belief.hear(names("a", "b", "c", "d"), 100)
+    belief.hear(names("a", "b", "c"), 110)
+    assert set(belief.believed) == {"a", "b", "c"}  # one of four may go
+
+
+def test_of_two_lists_the_first_counts() -> None:
+    assert merged([{"a": 1}, {"a": 2, "b": 2}, {"b": 3, "c": 3}]) == {"a": 1, "b": 2, "c": 3}
+
+
+class Files:
+    """Two files, a clock, and what is told on."""
+
+    def __init__(self, folder: Path) -> None:
+        self.paths, self.folder, self.now = (folder / "one.toml", folder / "two.toml"), folder, 0
+        self.told: list[EndpointsListed] = []
+
+    def write(self, number: int, *found: str, port: int = 9000) -> None:
+        rows = [f'[[endpoints]]\nid = "{name}"\ndestination = 1\ndial = "h:{port}"\n' for name in found]
+        self.paths[number].write_text("\n".join(rows))
+
+    def directory(self, **more: Any) -> FileDirectory:  # noqa: ANN401
+        made = FileDirectory(self.paths, read_endpoints, self.folder, lambda: self.now, **more)
+        made.told = self.told.append
+        return made
+
+
+def test_files_are_merged_taken_whole_and_kept_for_the_next_start(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    files = Files(tmp_path)
+    files.write(0, "a", port=1)
+    files.write(1, "a", "b", port=2)
+    directory = files.directory()
+    assert directory.dials() == {"a": ("h", 1), "b": ("h", 2)}
+    assert not directory.look_at_files()  # nothing has changed
+    files.write(1, "b", "c", port=3)
+    assert directory.look_at_files() and directory.dials() == {"a": ("h", 1), "b": ("h", 3), "c": ("h", 3)}
+    assert files.told[-1].listing is Listing.FULL and {each.id for each in files.told[-1].endpoints} == {
+        *"abc"
+    }
+    files.paths[1].write_text('[[endpoints]]\nid = "b"\n')
+    assert not directory.look_at_files() and len(directory.dials()) == 3 and "dial: is missing" in caplog.text
+    files.now += STALE + 1
+    directory.look_at_files()
+    assert "has not been in order for 60 s" in caplog.text
+    for path in files.paths:
+        path.unlink()
+    assert files.directory().dials() == directory.dials() and "from the last run" in caplog.text
+    (tmp_path / COPY).write_text("[[1]]")
+    assert files.directory().dials() == {}
+
+
+@play
+async def test_a_sender_s_endpoints_come_from_files_and_an_emptied_one_is_asked_about(state: Path) -> None:
+    """The configuration's own list goes before the files; a start with no file goes on with the last list."""
+    told = {
+        "classes": {"c": {"effect": "safe", "aim_ms": 4000, "deadline_ms": 8000}},
+        "directory": {"files": ["one.toml"], "patience_s": 60},
+        "endpoints": [{"id": "a", "destination": 1, "dial": "127.0.0.1:1"}],
+    }
+    files = Files(state)
+    files.write(0, *"abcde")
+    for number in (0, 1):
+        sender = PlainSender(read(told, state), state, LineTeller(io.StringIO()))
+        await sender.start()
+        running = asyncio.create_task(sender.run())
+        assert sender.dials()["a"] == ("127.0.0.1", 1) and set(sender.engine.dispatcher.endpoints) == {
+            *"abcde"
+        }
+        if number == 0:
+            files.write(0, "a")
+            assert isinstance(sender.directory, FileDirectory) and not sender.directory.look_at_files()
+            rows = (await asyncio.to_thread(ask, state, {"do": "endpoints"}))["value"]
+            assert rows["lists"][0]["doubted"] == [*"bcde"] and len(rows["endpoints"]) == 5
+            files.paths[0].unlink()
+        sender.stop(0)
+        await running
+
+
+def test_a_file_that_empties_is_doubted_and_confirmed(
+    tmp_path: Path, caplog: pytest.LogCaptureFixture
+) -> None:
+    files = Files(tmp_path)
+    files.write(0, "a", "b", "c", "d")
+    files.write(1)
+    directory = files.directory(patience=60 * SECOND)
+    files.write(0)
+    directory.look_at_files()
+    assert len(directory.dials()) == 4 and "4 that it had are missing" in caplog.text
+    files.now += 59 * SECOND
+    assert not directory.look_at_files()
+    files.now += SECOND
+    assert directory.look_at_files() and not directory.dials()
+    files.write(0, "a", "b", "c", "d")
+    directory.look_at_files()
+    files.write(0, "a")
+    directory.look_at_files()
+    assert directory.confirm() and set(directory.dials()) == {"a"} and not directory.confirm()
+    assert json.loads((tmp_path / COPY).read_text())[0][0] == "a"
--- /dev/null
+++ b/tests/test_overrides.py
@@ -0,0 +1,555 @@
+"""Overrides: held against a plain model, on disk, by the clock, and over a running sender."""
+
+import asyncio
+import io
+import json
+import os
+import struct
+import time
+from collections import Counter
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from datetime import datetime, timedelta, tzinfo
+from pathlib import Path
+from typing import Any
+
+import pytest
+from helpers import MS, SECOND, World, endpoint
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from peers import play, soon
+
+from elmglade import config
+from elmglade import interface as face
+from elmglade.cli import main
+from elmglade.directory import store as store_module
+from elmglade.directory.control import LINE_MOST, MOST, ask, may_ask
+from elmglade.directory.overridden import OverriddenDirectory
+from elmglade.directory.overrides import MOST_SPAN, Book, Kind, Overlay, Override, OverrideError
+from elmglade.directory.ramp import Ramp
+from elmglade.directory.static import StaticDirectory
+from elmglade.directory.store import ASIDE, LOG, Store
+from elmglade.directory.when import parse, show
+from elmglade.http.serve import LineTeller, PlainSender
+from elmglade.interface import EndpointState, Listing, Outcome
+from elmglade.lab.history import Began, Drained, History
+from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.referee import Kind as RefereeKind
+from elmglade.lab.referee import Referee, Rules
+from elmglade.lab.script import Script
+
+T0 = 1_790_000_000 * SECOND
+READY, DRAINING, GONE = EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE
+NAMES = ("a", "b", "c", "d")
+
+
+def out(book: Book, name: str, begins: int = T0, until: int = T0 + 60 * SECOND) -> Override:
+    return book.set(Kind.OUT, name, "me", "why", begins, until, T0)
+
+
+# Pure: what is told on.
+
+
+class Told:
+    """Who hears the list: what it believes, and whether it was told that something returned."""
+
+    def __init__(self) -> None:
+        self.believed: dict[str, face.Endpoint] = {}
+
+    def hear(self, told: face.EndpointsListed | None) -> None:
+        if told is None:
+            return
+        if told.listing is Listing.FULL:
+            self.believed = {}
+        for each in told.endpoints:
+            self.believed[each.id] = each
+        self.believed = {name: each for name, each in self.believed.items() if each.state is not GONE}
+
+
+def model(listed: dict[str, face.Endpoint], book: Book, now: int) -> dict[str, face.Endpoint]:
+    """Slow and plain: every endpoint against every override."""
+    active = [each for each in book.overrides.values() if each.begins <= now < each.until]
+    outs = {each.endpoint for each in active if each.kind is Kind.OUT}
+    found = {}
+    for name, each in listed.items():
+        pins = [pin for pin in active if pin.kind is Kind.PIN and pin.destination == each.destination]
+        weights = [over.weight for over in active if over.kind is Kind.WEIGHT and over.endpoint == name]
+        state = each.state
+        if pins and state is READY and (to := listed.get(pins[-1].endpoint)):
+            holds = to.state is READY and to.destination == each.destination and to.id not in outs
+            state = DRAINING if holds and to.id != name else state
+        state = DRAINING if name in outs and state is READY else state
+        weight = weights[-1] if weights and state is READY else 1.0
+        found[name] = endpoint(name, each.destination, state=state, weight=weight)
+    return found
+
+
+STEPS = st.one_of(
+    st.tuples(
+        st.just("list"), st.sampled_from(NAMES), st.integers(1, 2), st.sampled_from(list(EndpointState))
+    ),
+    st.tuples(st.just("full"), st.lists(st.sampled_from(NAMES), unique=True), st.integers(1, 2), st.none()),
+    st.tuples(st.just("set"), st.sampled_from(list(Kind)), st.sampled_from(NAMES), st.integers(1, 50)),
+    st.tuples(st.just("end"), st.integers(0, 5), st.none(), st.none()),
+    st.tuples(st.just("pass"), st.integers(1, 30), st.none(), st.none()),
+)
+
+
+@settings(max_examples=400, deadline=None, derandomize=True)
+@given(st.lists(STEPS, max_size=25))
+def test_what_is_told_on_is_what_the_plain_model_says(steps: list[tuple[Any, ...]]) -> None:
+    book, told, listed, now = Book(), Told(), {}, T0  # type: Book, Told, dict[str, face.Endpoint], int
+    overlay = Overlay(book)
+    for what, first, second, third in steps:
+        if what == "list":
+            each = endpoint(first, second, state=third)
+            listed = {k: v for k, v in (listed | {first: each}).items() if v.state is not GONE}
+            told.hear(overlay.hear(face.EndpointsListed(Listing.CHANGES, (each,))))
+        elif what == "full":
+            listed = {name: endpoint(name, second) for name in first}
+            told.hear(overlay.hear(face.EndpointsListed(Listing.FULL, tuple(listed.values()))))
+        elif what == "set":
+            weight, to, begins = third / 5, 1 + third % 2, now + (third % 3) * SECOND
+            book.set(first, second, "me", "why", begins, begins + third * SECOND, now, weight, to)
+        elif what == "end" and len(book.overrides) > first:
+            book.end(list(book.overrides)[first])
+        elif what == "pass":
+            now += first * SECOND
+        book.expire(now)
+        told.hear(overlay.turn(now))
+        assert told.believed == model(listed, book, now)
+
+
+def test_what_comes_back_into_service_is_named_and_a_drain_that_ends_is_not() -> None:
+    book = Book()
+    overlay = Overlay(book)
+    overlay.hear(face.EndpointsListed(Listing.FULL, (endpoint("a"), endpoint("b", state=DRAINING))))
+    name = out(book, "a").name
+    turned = overlay.turn(T0)
+    assert turned and (turned.endpoints[0].state, turned.returned) == (DRAINING, ())
+    book.end(name)
+    turned = overlay.turn(T0)
+    assert turned and (turned.endpoints, turned.returned) == ((endpoint("a"),), ("a",))
+    assert overlay.hear(face.EndpointsListed(Listing.CHANGES, (endpoint("b"),))).returned == ()
+
+
+@pytest.mark.parametrize(
+    ("kind", "name", "more", "why"),
+    [
+        (Kind.OUT, "x", {}, "its endpoint is not listed"),
+        (Kind.OUT, "d", {}, "its endpoint drains"),
+        (Kind.PIN, "d", {"destination": 1}, "its endpoint drains"),
+        (Kind.PIN, "a", {"destination": 2}, "its endpoint is one of destination 1"),
+        (Kind.WEIGHT, "b", {"weight": 2.0}, "its endpoint is out of service by o1"),
+        (Kind.OUT, "a", {}, ""),
+    ],
+)
+def test_an_override_that_does_nothing_says_why(
+    kind: Kind, name: str, more: dict[str, Any], why: str
+) -> None:
+    book = Book()
+    overlay = Overlay(book)
+    out(book, "b")
+    overlay.hear(
+        face.EndpointsListed(Listing.FULL, (endpoint("a"), endpoint("b"), endpoint("d", state=DRAINING)))
+    )
+    new = book.set(kind, name, "me", "why", T0, T0 + SECOND, T0, **more)
+    overlay.turn(T0)
+    assert overlay.in_vain(T0).get(new.name, "") == why
+    out(book, "a")
+    overlay.turn(T0)
+    assert overlay.all_out() == [1]
+
+
+def test_what_is_new_or_back_among_others_starts_slowly() -> None:
+    book, told = Book(), Told()
+    overlay = Overlay(book, Ramp(8 * SECOND))
+    told.hear(overlay.hear(face.EndpointsListed(Listing.FULL, (endpoint("a"), endpoint("x", 2))), T0))
+    told.hear(overlay.hear(face.EndpointsListed(Listing.CHANGES, (endpoint("b"), endpoint("y", 3))), T0))
+    assert {name: each.weight for name, each in told.believed.items()} == {"a": 1, "x": 1, "b": 1 / 8, "y": 1}
+    seen, now = [], T0
+    while (due := overlay.ramp.next_change(now)) is not None:
+        now = due
+        told.hear(overlay.turn(now))
+        seen.append(told.believed["b"].weight)
+    assert seen == [each / 8 for each in (2, 3, 4, 5, 6, 7, 8, 8)] and now == T0 + 8 * SECOND + 1
+    over = out(book, "a", now, now + SECOND)
+    told.hear(overlay.turn(now))
+    book.end(over.name)
+    told.hear(overlay.turn(now))
+    assert told.believed["a"].weight == 1 / 8
+
+
+BAD: list[tuple[dict[str, Any], str]] = [
+    ({"who": " "}, "who must be"), ({"why": "w" * 300}, "why must be"), ({"until": T0}, "must end after"),
+    ({"until": T0 + MOST_SPAN + 1}, "at most 7 days"), ({"weight": 0}, "set it out"),
+    ({"weight": float("nan")}, "weight must be"), ({"kind": Kind.PIN}, "needs a destination"),
+    ({"until": "soon"}, "until must be a whole number"), ({"begins": T0 - 9, "until": T0 - 5}, "has passed"),
+]  # fmt: skip
+
+
+@pytest.mark.parametrize(("change", "text"), BAD)
+def test_what_cannot_be_set_says_why_and_changes_nothing(change: dict[str, Any], text: str) -> None:
+    told: dict[str, Any] = {"kind": Kind.OUT, "endpoint": "a", "who": "me", "why": "why"}
+    book = Book()
+    with pytest.raises(OverrideError, match=text):
+        book.set(**(told | {"begins": T0, "until": T0 + SECOND, "now": T0} | change))
+    assert not book.overrides and book.last == 0
+
+
+def test_one_that_has_ended_is_gone_also_where_the_clock_goes_back() -> None:
+    book = Book()
+    out(book, "a")
+    assert [each.endpoint for each in book.expire(T0 + 60 * SECOND)] == ["a"]
+    assert not list(book.active(T0)) and out(book, "a").name == "o2"
+
+
+# Times.
+
+
+class Zurich(tzinfo):
+    """Summer time from 29 March 2026, 01:00 UTC, to 25 October 2026, 01:00 UTC."""
+
+    def utcoffset(self, when: datetime | None) -> timedelta:
+        return timedelta(hours=1) + self.dst(when)
+
+    def dst(self, when: datetime | None) -> timedelta:
+        assert when
+        naive = when.replace(tzinfo=None, fold=0)
+        begins, ends = datetime(2026, 3, 29, 2), datetime(2026, 10, 25, 3)
+        twice = ends - timedelta(hours=1) <= naive < ends
+        summer = begins <= naive < ends and not (twice and when.fold)
+        return timedelta(hours=summer)
+
+    def tzname(self, when: datetime | None) -> str:
+        return "there"
+
+
+@pytest.mark.parametrize(
+    ("text", "now", "wanted"),
+    [
+        ("+45m", "2026-12-01T21:00:00+01:00", "2026-12-01T21:45:00+01:00"),
+        ("+1d2h3s", "2026-12-01T21:00:00+01:00", "2026-12-02T23:00:03+01:00"),
+        ("22:30", "2026-12-01T21:00:00+01:00", "2026-12-01T22:30:00+01:00"),
+        ("06:00", "2026-12-01T21:00:00+01:00", "2026-12-02T06:00:00+01:00"),
+        ("06:00", "2028-02-28T21:00:00+01:00", "2028-02-29T06:00:00+01:00"),  # a leap day
+        ("06:00", "2026-03-28T21:00:00+01:00", "2026-03-29T06:00:00+02:00"),  # an hour less of night
+        ("06:00", "2026-10-24T21:00:00+02:00", "2026-10-25T06:00:00+01:00"),
+        ("2026-12-24T22:30", "2026-12-01T21:00:00+01:00", "2026-12-24T22:30:00+01:00"),
+        ("2026-12-24T22:30+00:00", "2026-12-01T21:00:00+01:00", "2026-12-24T23:30:00+01:00"),
+    ],
+)
+def test_times_as_engineers_write_them(text: str, now: str, wanted: str) -> None:
+    here, then = (round(datetime.fromisoformat(each).timestamp()) * SECOND for each in (now, wanted))
+    assert parse(text, here, Zurich()) == then
+
+
+@pytest.mark.parametrize("text", ["", "+", "25:00", "7:00", "+5", "soon", "+m", "-5m", "2026-13-01"])
+def test_what_is_no_time_says_so(text: str) -> None:
+    with pytest.raises(ValueError, match="no time"):
+        parse(text, T0)
+
+
+def test_a_time_is_shown_both_ways() -> None:
+    assert show(T0 + 5400 * SECOND, T0, Zurich()).endswith("(in 1 h 30 min)")
+    assert show(T0 - 5 * SECOND, T0, Zurich()).endswith("(5 s ago)")
+
+
+# On disk.
+
+
+@pytest.mark.parametrize("call", ["write", "fsync", "replace"])
+def test_a_crash_at_any_point_of_saving_leaves_the_old_or_the_new(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, call: str
+) -> None:
+    store, book = Store(tmp_path), Book()
+    out(book, "a")
+    store.save(book)
+    out(book, "b")
+
+    def fail(*told: object, **more: object) -> None:
+        if call == "write":
+            (tmp_path / "overrides.json.new").write_text('{"vers')
+        raise OSError(28, "No space left on device")
+
+    with monkeypatch.context() as patched, pytest.raises(OSError, match="No space"):
+        patched.setattr(*((store_module.json, "dump") if call == "write" else (store_module.os, call)), fail)
+        store.save(book)
+    assert [each.endpoint for each in Store(tmp_path).load().overrides.values()] == ["a"]
+    store.save(book)
+    assert [each.endpoint for each in Store(tmp_path).load().overrides.values()] == ["a", "b"]
+
+
+@pytest.mark.parametrize(
+    "text", ["", "[]", "{", '{"version": 2}', '{"version": 1, "last": 3, "overrides": [{}]}']
+)
+def test_a_damaged_file_is_put_aside_loudly_and_none_is_in_force(
+    tmp_path: Path, text: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    (tmp_path / "overrides.json").write_text(text)
+    assert not Store(tmp_path).load().overrides
+    assert (tmp_path / ASIDE).read_text() == text and "cannot be read" in caplog.text
+
+
+# What the decision module makes of it.
+
+
+@pytest.mark.parametrize("weights", [(1.0, 1.0, 2.0), (1.0, 10.0, 0.5), (100.0, 1.0, 1.0)])
+def test_calls_go_by_weight(weights: tuple[float, ...]) -> None:
+    world = World(*(endpoint(name, weight=weight) for name, weight in zip("abc", weights, strict=True)))
+    count, most = Counter[str](), 10_000
+    for _ in range(most):
+        (action,) = [each for each in world.take(after=MS) if isinstance(each, face.Send)]
+        count[action.endpoint] += 1
+        world.answer(action.message, Outcome.OK, after=MS)
+    for name, weight in zip("abc", weights, strict=True):
+        assert abs(count[name] / most - weight / sum(weights)) < 0.02
+
+
+@pytest.mark.parametrize("others", [0, 1])
+@pytest.mark.parametrize("asleep", [False, True])
+def test_a_destination_that_was_all_out_of_service_returns_cold(others: int, asleep: bool) -> None:
+    listed = (endpoint("a"), *(endpoint(f"b{each}") for each in range(others)))
+    world = World(*listed)
+    if not asleep:
+        world.take()
+        world.answer("m1", Outcome.OK)
+    returned = face.EndpointsListed(Listing.CHANGES, (endpoint("a"),), ("a",))
+    world.step(face.EndpointsListed(Listing.CHANGES, (endpoint("a", state=DRAINING),)), after=SECOND)
+    world.step(returned, after=SECOND)
+    world.take(after=MS)
+    (breaker,) = world.dispatcher.all_breakers()
+    assert (breaker.cold_gap(world.now) > 0) is (others == 0)
+
+
+@play
+async def test_what_comes_due_between_two_looks_at_the_clock_still_ends(state: Path) -> None:
+    """Seen on a busy machine: an end that came between the look for ends and the setting of the timer was
+    never seen again."""
+    clock = iter(range(T0, T0 + 10_000 * SECOND, 7 * SECOND))
+    told: list[face.EndpointsListed] = []
+    over = OverriddenDirectory(StaticDirectory(()), Store(state), lambda: next(clock), told.append)
+    over.hear(face.EndpointsListed(Listing.FULL, (endpoint("a"),)))
+    over.set(Kind.OUT, "a", "me", "why", T0, T0 + 60 * SECOND)
+    while over.book.overrides:
+        assert over.next_at is not None and over.timer is not None
+        over.turn()
+    assert told[-1].returned == ("a",) and over.timer is None
+
+
+# A running sender.
+
+
+class Service:
+    """A sender with one destination of two endpoints, and a client."""
+
+    def __init__(self, folder: Path, endpoints: list[HttpEndpoint], history: History) -> None:
+        self.folder, self.endpoints, self.history = folder, endpoints, history
+        self.count = 0
+        listed = [{"id": each.name, "destination": 1, "dial": f"127.0.0.1:{each.port}"} for each in endpoints]
+        kind = {"effect": "safe", "aim_ms": 4000, "deadline_ms": 8000}
+        told = config.read({"classes": {"c": kind}, "endpoints": listed})
+        self.sender = PlainSender(told, folder, LineTeller(io.StringIO()))
+
+    async def deliver(self, most: int = 10) -> Counter[str]:
+        """Messages one after another, each to its end: who got them."""
+        before = Counter({each.name: each.served for each in self.endpoints})
+        for _ in range(most):
+            await self.hand_in(1)
+            while self.sender.engine.journal.entries:
+                await asyncio.sleep(0)
+        return Counter({each.name: each.served for each in self.endpoints}) - before
+
+    async def hand_in(self, most: int) -> None:
+        """Messages one after another, each taken on."""
+        client = HttpClient(self.sender.server.address()[:2])
+        for _ in range(most):
+            self.count += 1
+            fields = {"X-Correlation-Id": f"m{self.count}", "X-Service-Class": "c", "X-Time-Left": "8"}
+            assert (await client.post("/c", fields | {"X-Route-To": "dest=1"}, b"x"))[0] == 202
+        client.close()
+
+    async def ask(self, **request: object) -> Any:  # noqa: ANN401
+        return await soon(asyncio.to_thread(ask, self.folder, request))
+
+    async def set(self, kind: str, name: str, seconds: float = 60, **more: object) -> dict[str, Any]:
+        now = time.time_ns() // 1000
+        told: dict[str, object] = {
+            "kind": kind,
+            "endpoint": name,
+            "who": "me",
+            "why": "a test",
+            "begins": now,
+        }
+        told |= {"until": now + int(seconds * SECOND)}
+        answer = await self.ask(do="set", **(told | more))
+        assert answer["ok"], answer
+        return dict(answer["value"]["override"])
+
+
+@asynccontextmanager
+async def service(folder: Path) -> AsyncIterator[Service]:
+    history = History()
+    async with HttpEndpoint("e0", Script(), history) as one, HttpEndpoint("e1", Script(), history) as two:
+        made = Service(folder, [one, two], history)
+        await made.sender.start()
+        running = asyncio.create_task(made.sender.run())
+        try:
+            yield made
+        finally:
+            made.sender.stop(0)
+            await running
+
+
+@play
+async def test_out_of_service_weighed_pinned_and_back(state: Path) -> None:
+    async with service(state) as world:
+        assert set(await world.deliver()) == {"e0", "e1"}
+        over = await world.set("out", "e0")
+        assert await world.deliver() == {"e1": 10}
+        assert (await world.ask(do="end", name=over["name"], who="me"))["ok"]
+        weight = await world.set("weight", "e1", weight=9.0)
+        assert (await world.deliver(20))["e1"] == 18
+        pin = await world.set("pin", "e0", destination=1)
+        assert await world.deliver() == {"e0": 10}
+        world.sender.directory.drain("e0")  # the pin is in vain: the drain binds
+        assert await world.deliver() == {"e1": 10}
+        world.sender.overrides.checked()
+        listed = (await world.ask(do="list"))["value"]
+        assert listed["in_vain"] == {pin["name"]: "its endpoint drains"}
+        assert {each["name"] for each in listed["overrides"]} == {weight["name"], pin["name"]}
+        rows = {each["id"]: each for each in (await world.ask(do="endpoints"))["value"]["endpoints"]}
+        assert (rows["e0"]["listed"], rows["e1"]["override"]) == ("draining", weight["name"])
+        told = [json.loads(each) for each in (state / LOG).read_text().splitlines()]
+        assert [each["did"] for each in told] == ["set", "ended", "set", "set"]
+
+
+@play
+async def test_what_is_out_gets_nothing_new_while_messages_flow(state: Path) -> None:
+    async with service(state) as world:
+        flowing = [asyncio.create_task(world.hand_in(25)) for _ in range(4)]
+        while world.count < 20:
+            await asyncio.sleep(0)
+        await world.set("out", "e0")
+        world.history.note(Drained(time.monotonic(), "e0"))
+        await asyncio.gather(*flowing)
+        await world.deliver(1)
+    began = [each.endpoint for each in world.history.events if isinstance(each, Began)]
+    assert len(began) == 101 and {"e0", "e1"} == set(began[:30]) and began[-1] == "e1"
+    rules = Rules(kinds={"c": RefereeKind()}, destinations={"e0": 1, "e1": 1}, grace=0.05)
+    assert [each for each in Referee(rules).judge(world.history.events) if each.rule == "drains"] == []
+
+
+@play
+async def test_all_out_holds_and_an_end_by_time_brings_back(state: Path) -> None:
+    async with service(state) as world:
+        await world.deliver()
+        now = time.time_ns() // 1000
+        await world.set("out", "e0", begins=now, until=now + 2 * SECOND)
+        await world.set("out", "e1", begins=now, until=now + 2 * SECOND)
+        assert (await world.ask(do="list"))["value"]["all_out"] == [1]
+        told = (await world.ask(do="explain", destination=1))["value"]
+        assert told["goes_to"] is None
+        assert sum((await world.deliver(1)).values()) == 1  # held until the end, and then sent
+        while world.sender.overrides.book.overrides:
+            await asyncio.sleep(0.01)
+        (breaker,) = world.sender.engine.dispatcher.all_breakers()
+        assert breaker.cold_gap(world.sender.engine.now()) > 0
+
+
+@play
+async def test_overrides_outlive_the_process_and_end_while_there_is_none(state: Path) -> None:
+    async with service(state) as world:
+        lasting, short = await world.set("out", "e0"), await world.set("out", "e1", seconds=60)
+    told = json.loads((state / "overrides.json").read_text())
+    told["overrides"][1]["begins"] -= 120 * SECOND
+    told["overrides"][1]["until"] -= 120 * SECOND
+    (state / "overrides.json").write_text(json.dumps(told))
+    async with service(state) as world:
+        assert set(world.sender.overrides.book.overrides) == {lasting["name"]} != {short["name"]}
+        assert await world.deliver(1) == {"e1": 1}
+        (breaker,) = world.sender.engine.dispatcher.all_breakers()
+        assert breaker.cold_gap(world.sender.engine.now()) > 0  # e1 came back while no sender ran
+
+
+@pytest.mark.parametrize(
+    ("line", "text"),
+    [
+        (b"{}\n", "do must be one of"), (b"not json\n", "Expecting value"), (b"[1]\n", "do must be one of"),
+        (b'{"do": "set"}\n', "kind is missing"),
+        (b'{"do": "end", "name": "o9", "who": "me"}\n', "o9 is missing"),
+        (b'{"do": "explain", "destination": 99}\n', "not listed"), (b"[" * 60_000 + b"\n", "recursion"),
+        (b"x" * (LINE_MOST + 10) + b"\n", "too long"),
+    ],
+)  # fmt: skip
+def test_what_is_asked_badly_is_answered_and_harms_nothing(tmp_path: Path, line: bytes, text: str) -> None:
+    async def test(state: Path) -> None:
+        async with service(state) as world:
+            reader, writer = await asyncio.open_unix_connection(str(state / "control"))
+            writer.write(line)
+            told = json.loads(await soon(reader.readline()))
+            assert not told["ok"] and text in " ".join(told["faults"])
+            writer.close()
+            assert sum((await world.deliver(1)).values()) == 1
+
+    play(test)(tmp_path)
+
+
+@play
+async def test_idle_control_connections_are_bounded_and_harm_nothing(state: Path) -> None:
+    async with service(state) as world:
+        held = [await asyncio.open_unix_connection(str(state / "control")) for _ in range(MOST + 50)]
+        closed = [each for each in held[MOST:] if await soon(each[0].read()) == b""]
+        assert len(closed) == 50 and sum((await world.deliver(3)).values()) == 3
+        for _, writer in held:
+            writer.close()
+        assert (state / "control").stat().st_mode & 0o777 == 0o600
+    assert not (state / "control").exists()
+
+
+@pytest.mark.parametrize(("user", "may"), [(0, True), (os.geteuid(), True), (54321, False)])
+def test_only_the_sender_s_own_user_may_ask(user: int, may: bool) -> None:
+    class Sock:
+        def getsockopt(self, level: int, option: int, size: int) -> bytes:
+            return struct.pack("3i", 1, user, 1)
+
+    assert may_ask(Sock()) is may  # type: ignore[arg-type]
+
+
+def test_a_sender_that_cannot_save_an_override_does_not_follow_it(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test(state: Path) -> None:
+        async with service(state) as world:
+            with monkeypatch.context() as patched:
+                patched.setattr(Store, "save", failing)
+                answer = await world.ask(
+                    do="set", kind="out", endpoint="e0", who="me", why="x", begins=0, until=2**60
+                )
+                assert not answer["ok"]
+                now = time.time_ns() // 1000
+                asked = {"do": "set", "kind": "out", "endpoint": "e0", "who": "me", "why": "x"}
+                answer = await world.ask(**asked, begins=now, until=now + SECOND)
+            assert not answer["ok"] and not world.sender.overrides.book.overrides
+
+    def failing(self: object, book: Book) -> None:
+        raise OSError(28, "No space left on device")
+
+    play(test)(tmp_path)
+
+
+@play
+async def test_the_command_line(state: Path) -> None:
+    def run(*words: str) -> int:
+        return main([*words, "--state", str(state)])
+
+    async with service(state) as world:
+        call: Callable[..., Any] = asyncio.to_thread
+        assert await call(run, "override", "set", "out", "e0", "--until", "+5m", "--why", "tests") == 0
+        assert await call(run, "override", "extend", "o1", "--until", "+9m") == 0
+        assert await call(run, "override", "list") == await call(run, "endpoints") == 0
+        assert await call(run, "explain", "1") == 0 == await call(run, "explain", "1", "--json")
+        assert await call(run, "override", "end", "o1") == 0 and await call(run, "override", "end", "o1") == 1
+        assert await call(run, "override", "set", "out", "e0", "--until", "when", "--why", "x") == 2
+        assert not world.sender.overrides.book.overrides
+    assert await call(run, "override", "list") == 1  # nobody answers there
