A pin may be that of a tenant or a key

Need: the issue asks for pins of a destination, a tenant or a key; a list can only say the first. A message that is taken on while such a pin stands names its endpoint; the decision module keeps to it while that one is there and the rule on repeats allows it, and a message that waits for its endpoint holds up no other.

--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -56,13 +56,13 @@
 
 class Message:
     __slots__ = (
-        "attempts", "born", "destination", "ended", "id", "key", "kind", "number", "out", "queued",
-        "risky_since", "risky_zone", "share", "until",
+        "attempts", "born", "destination", "ended", "id", "key", "kind", "number", "out", "pinned",
+        "queued", "risky_since", "risky_zone", "share", "until",
     )  # fmt: skip
 
     def __init__(self, taken: face.MessageTaken, kind: face.MessageClass, now: int, share: float) -> None:
         self.id, self.kind, self.destination = taken.message, kind, taken.destination
-        self.key = taken.key if kind.in_order else ""
+        self.key, self.pinned = taken.key if kind.in_order else "", taken.pinned
         self.until, self.born = now + taken.time_left, now + taken.time_left - kind.deadline
         self.share = share  # 1, or what is left of its worth over its tenant's share
         self.attempts, self.out, self.ended = 0, False, False
--- a/elmglade/cli/override.py
+++ b/elmglade/cli/override.py
@@ -51,7 +51,10 @@
 
 def show_one(each: Mapping[str, Any], note: str = "") -> None:
     now = now_us()
-    what = {"weight": f" weight {each['weight']:g}", "pin": f" for destination {each['destination']}"}
+    whose = [
+        f"{name} {each[name]}" for name in ("destination", "tenant", "key") if each[name] not in (-1, "")
+    ]
+    what = {"weight": f" weight {each['weight']:g}", "pin": " for " + "".join(whose)}
     begins = f" from {show(each['begins'], now)}" if each["begins"] > now else ""
     click.echo(f"{each['name']}: {each['kind']} {each['endpoint']}{what.get(each['kind'], '')}{begins}")
     click.echo(f"    until {show(each['until'], now)}, by {each['who']}: {each['why']}")
@@ -76,6 +79,8 @@
 @click.option("--from", "begins", type=When(), help="Now, if not given.")
 @click.option("--weight", type=float, default=1.0, help="With weight: its share against the others', to 100.")
 @click.option("--destination", type=int, default=-1, help="With pin: whose messages go to the endpoint.")
+@click.option("--tenant", default="", help="With pin: or those of a tenant ...")
+@click.option("--key", default="", help="... or of a key.")
 @WHO
 @WHY
 @STATE
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -89,6 +89,8 @@
         self.calls: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.ended: dict[str, int] = {}  # messages that are over: id and content, oldest first, OVER at most
         self.chores: list[Callable[[], None]] = []  # of the doors, done in each sweep
+        #: The endpoint to which a message is pinned; "" for none.
+        self.pin_of: Callable[[HandedIn], str] = lambda message: ""
         self.attempt_ended: Callable[[], None] = lambda: None  # for who waits until nothing is owed
         self.watching: asyncio.Task[None] | None = None
         self.wake: asyncio.TimerHandle | None = None
@@ -214,6 +216,7 @@
             tenant=message.tenant,
             key=message.key,
             again=message.again,
+            pinned=self.pin_of(message),
         )
 
     def take(self, message: HandedIn, caller: Caller) -> None:
--- a/elmglade/directory/overridden.py
+++ b/elmglade/directory/overridden.py
@@ -87,10 +87,11 @@
 
     def set(
         self, kind: Kind, endpoint: str, who: str, why: str, begins: int, until: int,
-        weight: float = 1.0, destination: int = -1,
+        weight: float = 1.0, destination: int = -1, tenant: str = "", key: str = "",
     ) -> Override:  # fmt: skip
         """Raises OverrideError, and OSError where it cannot be saved: then it is not in force."""
-        new = self.book.set(kind, endpoint, who, why, begins, until, self.now(), weight, destination)
+        pin = (destination, tenant, key)
+        new = self.book.set(kind, endpoint, who, why, begins, until, self.now(), weight, *pin)
         try:
             self.store.save(self.book)
         except OSError:
--- a/elmglade/directory/overrides.py
+++ b/elmglade/directory/overrides.py
@@ -7,8 +7,9 @@
   removed and listed again under its name is overridden again; while it is not listed, the override does
   nothing and is shown so.
 - Of two that contradict each other, *out of service* goes before a weight and a pin; else the newer counts.
-- A *pin* sends all of a destination's messages to one endpoint: the others are told as draining. If that one
-  drains, is not listed or is out of service, the pin is in vain and the destination is as without it: a drain
+- A *pin* sends messages to one endpoint of their destination: all of a destination's (the others are told as
+  draining), or those of a tenant or a key that are taken on while it stands. If that one drains, is not
+  listed or is out of service, the pin is in vain and all is as without it: a drain
   binds under every override.
 - What is not listed as ready stays what it is. An override can take an endpoint out, never put one in.
 - One that has ended is gone for good: a clock that is set back does not bring it back.
@@ -57,7 +58,9 @@
     until: int
     order: int  # counts up with each that is set
     weight: float = 1.0  # of kind WEIGHT: share of calls against the others', 0 to 100
-    destination: int = -1  # of kind PIN
+    destination: int = -1  # of kind PIN: one of these three says whose messages
+    tenant: str = ""
+    key: str = ""
 
     def active(self, now: int) -> bool:
         return self.begins <= now < self.until
@@ -96,8 +99,13 @@
             found.append(
                 f"weight must be above 0 and at most 100, not {self.weight!r}; to send nothing, set it out"
             )
-        if self.kind is Kind.PIN and not (isinstance(self.destination, int) and self.destination >= 0):
-            found.append("a pin needs a destination")
+        told = [self.destination != -1, self.tenant != "", self.key != ""]
+        if self.kind is Kind.PIN and (sum(told) != 1 or (told[0] and found == [] and self.destination < 0)):
+            found.append("a pin needs a destination, a tenant or a key, one of them")
+        if self.kind is not Kind.PIN and any(told):
+            found.append("destination, tenant and key are of pins")
+        if not all(isinstance(each, str) and len(each) <= MOST_TEXT for each in (self.tenant, self.key)):
+            found.append(f"tenant and key must be texts of at most {MOST_TEXT} characters")
         if not found and not self.begins < self.until <= self.begins + MOST_SPAN:
             found.append("it must end after it begins, at most 7 days later")
         return found
@@ -113,11 +121,12 @@
 
     def set(
         self, kind: Kind, endpoint: str, who: str, why: str, begins: int, until: int, now: int,
-        weight: float = 1.0, destination: int = -1,
+        weight: float = 1.0, destination: int = -1, tenant: str = "", key: str = "",
     ) -> Override:  # fmt: skip
         """A new one. Raises OverrideError."""
         number = self.last + 1
-        new = Override(f"o{number}", kind, endpoint, who, why, begins, until, number, weight, destination)
+        pin = (destination, tenant, key)
+        new = Override(f"o{number}", kind, endpoint, who, why, begins, until, number, weight, *pin)
         faults = new.faults()
         if not faults and until <= now:
             faults.append("its end has passed")
@@ -164,17 +173,23 @@
     out: dict[str, Override]
     weights: dict[str, Override]
     pins: dict[int, Override]
+    tenants: dict[str, Override]
+    keys: dict[str, Override]
 
     @classmethod
     def of(cls, active: Iterable[Override]) -> "InForce":
-        found = cls({}, {}, {})
+        found = cls({}, {}, {}, {}, {})
         for each in active:  # in the order in which they were set: the last one stands
             if each.kind is Kind.OUT:
                 found.out[each.endpoint] = each
             elif each.kind is Kind.WEIGHT:
                 found.weights[each.endpoint] = each
-            else:
+            elif each.destination >= 0:
                 found.pins[each.destination] = each
+            elif each.tenant:
+                found.tenants[each.tenant] = each
+            else:
+                found.keys[each.key] = each
         return found
 
 
@@ -187,7 +202,7 @@
         self.listed: dict[str, face.Endpoint] = {}  # as the directory has it
         self.members: dict[int, dict[str, None]] = {}  # destination: names of its endpoints
         self.shown: dict[str, face.Endpoint] = {}  # as it was told on
-        self.force = InForce({}, {}, {})
+        self.force = InForce.of(())
 
     def hear(self, told: face.EndpointsListed, now: int = 0) -> face.EndpointsListed:
         """What to tell on in place of what the directory says, under the overrides in force as of the last
@@ -255,6 +270,12 @@
         ):
             self.ramp.start(name, self.now)
 
+    def pin_of(self, tenant: str, key: str) -> str:
+        """Where a message of that tenant and key is pinned to, "" if nowhere: the key's pin goes first. The
+        decision module asks whether that endpoint is one of its destination."""
+        pin = self.force.keys.get(key) or self.force.tenants.get(tenant)
+        return pin.endpoint if pin else ""
+
     def holds(self, pin: Override) -> bool:
         """Whether a pin is not in vain."""
         to = self.listed.get(pin.endpoint)
@@ -306,7 +327,7 @@
         listed = self.listed.get(each.endpoint)
         if listed is None:
             return "its endpoint is not listed"
-        if each.kind is Kind.PIN and listed.destination != each.destination:
+        if each.destination >= 0 and listed.destination != each.destination:
             return f"its endpoint is one of destination {listed.destination}"
         if listed.state is not EndpointState.READY:
             return "its endpoint drains"
@@ -315,7 +336,9 @@
         others: dict[Kind, Override | None] = {
             Kind.OUT: self.force.out.get(each.endpoint),
             Kind.WEIGHT: self.force.weights.get(each.endpoint),
-            Kind.PIN: self.force.pins.get(each.destination),
+            Kind.PIN: self.force.pins.get(each.destination)
+            or self.force.tenants.get(each.tenant)
+            or self.force.keys.get(each.key),
         }
         other = others[each.kind]
         return f"{other.name} counts in its place" if other and other != each else ""
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -79,6 +79,7 @@
             clock,
         )  # fmt: skip
         over.told, self.directory.told = engine.list_told, over.hear
+        engine.pin_of = lambda message: over.overlay.pin_of(message.tenant, message.key)
         self.control = Control(state, self.commands())
         super().__init__(engine, config.listen, config.sockets)
         self.plug(self.overrides, teller)
@@ -126,6 +127,7 @@
         new = self.overrides.set(
             Kind(asked["kind"]), asked["endpoint"], asked["who"], asked["why"], asked["begins"],
             asked["until"], asked.get("weight", 1.0), asked.get("destination", -1),
+            asked.get("tenant", ""), asked.get("key", ""),
         )  # fmt: skip
         return {"override": new.as_json(), "in_vain": self.overrides.vain.get(new.name, "")}
 
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -151,6 +151,7 @@
     tenant: str = ""
     key: str = ""  # empty: not kept in order
     again: bool = False  # the client says it was handed in before
+    pinned: str = ""  # the endpoint that it is to go to, as long as that one is there
 
 
 @dataclass(frozen=True, slots=True)
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -522,7 +522,7 @@
 
     def send_best(self, found: list[Destination]) -> None:
         heap: list[tuple[Rank, Message, Destination]] = []
-        aside: list[Message] = []  # may go to one zone alone, which takes nothing now
+        aside: list[Message] = []  # may go to one zone or endpoint alone, which takes nothing now
         batches: dict[str, Call] = {}
         for at in found:
             self.push_best(heap, at)
@@ -535,7 +535,7 @@
                 at.leave(message)  # its key rests after all; `quiet` brings it back
             elif endpoint := self.choose(message, batches):
                 self.send(message, endpoint, batches)
-            elif message.risky_zone:
+            elif message.risky_zone or message.pinned:
                 at.leave(message)
                 aside.append(message)
             elif len(self.out) < self.settings.slots:
@@ -574,8 +574,11 @@
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
         options: list[tuple[tuple[float, float, bool, float, bool, float], int, Endpoint]] = []
         weighted = self.destinations[message.destination].weighted
+        pinned = self.holds_pin(message)
         for endpoint in self.destinations[message.destination].endpoints:
             listed = endpoint.listed
+            if pinned and listed.id != message.pinned:
+                continue
             if message.kind.window_by_zone and message.risky_zone not in ("", listed.zone):
                 continue  # rule: no effect twice; only that zone drops the repeat
             assert endpoint.breaker is not None
@@ -589,6 +592,14 @@
             options.append((rank, len(options), endpoint))
         return min(options)[-1] if options else None
 
+    def holds_pin(self, message: Message) -> bool:
+        """A pin binds while its endpoint is there, and not against the rule on repeats."""
+        known = self.endpoints.get(message.pinned) if message.pinned else None
+        if known is None or known.listed.destination != message.destination:
+            return False
+        zones = ("", known.listed.zone) if message.kind.window_by_zone else (message.risky_zone,)
+        return message.risky_zone in zones
+
     def may_join(self, call: Call | None, listed: face.Endpoint) -> bool:
         if call is None or call.breaker.trial is call:
             return False
--- a/tests/test_overrides.py
+++ b/tests/test_overrides.py
@@ -14,7 +14,7 @@
 from typing import Any
 
 import pytest
-from helpers import MS, SECOND, World, endpoint
+from helpers import MS, SECOND, World, endpoint, sent
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from peers import play, soon
@@ -110,6 +110,7 @@
             told.hear(overlay.hear(face.EndpointsListed(Listing.FULL, tuple(listed.values()))))
         elif what == "set":
             weight, to, begins = third / 5, 1 + third % 2, now + (third % 3) * SECOND
+            to = to if first is Kind.PIN else -1
             book.set(first, second, "me", "why", begins, begins + third * SECOND, now, weight, to)
         elif what == "end" and len(book.overrides) > first:
             book.end(list(book.overrides)[first])
@@ -184,6 +185,7 @@
     ({"who": " "}, "who must be"), ({"why": "w" * 300}, "why must be"), ({"until": T0}, "must end after"),
     ({"until": T0 + MOST_SPAN + 1}, "at most 7 days"), ({"weight": 0}, "set it out"),
     ({"weight": float("nan")}, "weight must be"), ({"kind": Kind.PIN}, "needs a destination"),
+    ({"kind": Kind.PIN, "destination": 1, "tenant": "t"}, "one of them"), ({"key": "k"}, "are of pins"),
     ({"until": "soon"}, "until must be a whole number"), ({"begins": T0 - 9, "until": T0 - 5}, "has passed"),
 ]  # fmt: skip
 
@@ -306,6 +308,44 @@
         assert abs(count[name] / most - weight / sum(weights)) < 0.02
 
 
+ZONES = {"a": "x", "b": "y"}
+
+
+@pytest.mark.parametrize(
+    ("kind", "pinned", "change", "wanted"),
+    [
+        ("safe", "b", None, ["b", "b"]),
+        ("safe", "z", None, ["a", "b"]),  # of no destination: in vain
+        ("safe", "b", endpoint("b", state=DRAINING, zone="y"), ["b", "a"]),
+        ("zoned", "b", "ran in x", ["a", "a"]),  # the rule on repeats goes before the pin
+    ],
+)
+def test_a_message_goes_where_it_is_pinned_while_that_is_there(
+    kind: str,
+    pinned: str,
+    change: face.Endpoint | str | None,
+    wanted: list[str],
+) -> None:
+    world = World(*(endpoint(name, zone=zone) for name, zone in ZONES.items()))
+    first = world.take(kind, pinned="a" if change == "ran in x" else pinned)
+    went = [each.endpoint for each in first if isinstance(each, face.Send)]
+    if change == "ran in x":
+        world.dispatcher.messages["m1"].pinned = "b"
+    elif isinstance(change, face.Endpoint):
+        world.step(face.EndpointsListed(Listing.CHANGES, (change,)))
+    again = world.answer("m1", Outcome.RESET, after=50 * MS) + world.step(face.WakeUp(), after=SECOND)
+    assert went + [each.endpoint for each in again if isinstance(each, face.Send)] == wanted
+
+
+def test_a_pinned_message_that_waits_holds_up_no_other() -> None:
+    world = World(*(endpoint(name, kind="apart") for name in "ab"))
+    world.take("safe", pinned="b")
+    world.answer("m1", Outcome.FULL, wait=5 * SECOND)
+    assert sent(world.take(pinned="b", after=MS)) == []
+    assert sent(world.take(after=MS)) == ["m3"]
+    assert sorted(sent(world.step(face.WakeUp(), after=5 * SECOND) + world.step(face.WakeUp(), after=SECOND)))
+
+
 @pytest.mark.parametrize("others", [0, 1])
 @pytest.mark.parametrize("asleep", [False, True])
 def test_a_destination_that_was_all_out_of_service_returns_cold(others: int, asleep: bool) -> None:
@@ -351,22 +391,24 @@
         told = config.read({"classes": {"c": kind}, "endpoints": listed})
         self.sender = PlainSender(told, folder, LineTeller(io.StringIO()))
 
-    async def deliver(self, most: int = 10) -> Counter[str]:
+    async def deliver(self, most: int = 10, tenant: str = "") -> Counter[str]:
         """Messages one after another, each to its end: who got them."""
         before = Counter({each.name: each.served for each in self.endpoints})
         for _ in range(most):
-            await self.hand_in(1)
+            await self.hand_in(1, tenant)
             while self.sender.engine.journal.entries:
                 await asyncio.sleep(0)
         return Counter({each.name: each.served for each in self.endpoints}) - before
 
-    async def hand_in(self, most: int) -> None:
+    async def hand_in(self, most: int, tenant: str = "") -> None:
         """Messages one after another, each taken on."""
         client = HttpClient(self.sender.server.address()[:2])
         for _ in range(most):
             self.count += 1
             fields = {"X-Correlation-Id": f"m{self.count}", "X-Service-Class": "c", "X-Time-Left": "8"}
-            assert (await client.post("/c", fields | {"X-Route-To": "dest=1"}, b"x"))[0] == 202
+            assert (await client.post("/c", fields | {"X-Route-To": "dest=1", "X-Account": tenant}, b"x"))[
+                0
+            ] == 202
         client.close()
 
     async def ask(self, **request: object) -> Any:  # noqa: ANN401
@@ -410,6 +452,10 @@
         assert (await world.ask(do="end", name=over["name"], who="me"))["ok"]
         weight = await world.set("weight", "e1", weight=9.0)
         assert (await world.deliver(20))["e1"] == 18
+        pin = await world.set("pin", "e1", tenant="fleet")
+        assert (await world.deliver(20))["e1"] == 18  # not this one's
+        assert await world.deliver(5, tenant="fleet") == {"e1": 5}
+        assert (await world.ask(do="end", name=pin["name"], who="me"))["ok"]
         pin = await world.set("pin", "e0", destination=1)
         assert await world.deliver() == {"e0": 10}
         world.sender.directory.drain("e0")  # the pin is in vain: the drain binds
@@ -421,7 +467,7 @@
         rows = {each["id"]: each for each in (await world.ask(do="endpoints"))["value"]["endpoints"]}
         assert (rows["e0"]["listed"], rows["e1"]["override"]) == ("draining", weight["name"])
         told = [json.loads(each) for each in (state / LOG).read_text().splitlines()]
-        assert [each["did"] for each in told] == ["set", "ended", "set", "set"]
+        assert [each["did"] for each in told] == ["set", "ended", "set", "set", "ended", "set"]
 
 
 @play
