--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from elmglade import interface as face
+from elmglade.directory.eject import Terms
 from elmglade.directory.static import Dial, Place
 
 MS = 1000  # us
@@ -58,6 +59,7 @@
     share: float  # of a list that may vanish at once
     patience: int  # us for which more is doubted
     slow_start: int  # us over which the share of a new or returned endpoint grows; 0: not at all
+    eject: Terms | None  # when an endpoint that fails among others is left out; None: never
 
 
 @dataclass(frozen=True, slots=True)
@@ -247,10 +249,20 @@
     slow = int(at.number("slow_start_s", 0.0, 0, 3600) * 1e6)
     share = at.number("share", 0.5, 0, 1)
     patience = int(at.number("patience_s", 300.0, 0, 86_400) * 1e6)
+    eject = at.inside("eject")
+    terms = Terms(
+        eject.whole("failures", 5, 1, 1000),
+        int(eject.number("base_s", 30.0, 0.1, 3600) * 1e6),
+        int(eject.number("longest_s", 300.0, 0.1, 86_400) * 1e6),
+        eject.number("share", 0.5, 0, 1),
+    )
+    eject.done()
     if not all(isinstance(each, str) and each for each in files):
         at.wrong("files", "must be a list of paths")
     at.done()
-    return Lists(tuple(folder / str(each) for each in files), share, patience, slow)
+    return Lists(
+        tuple(folder / str(each) for each in files), share, patience, slow, terms if eject.told else None
+    )
 
 
 def read_capture(at: Reader, folder: Path) -> CaptureTo | None:
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -91,6 +91,8 @@
         self.chores: list[Callable[[], None]] = []  # of the doors, done in each sweep
         #: The endpoint to which a message is pinned; "" for none.
         self.pin_of: Callable[[HandedIn], str] = lambda message: ""
+        #: Hears the endpoint and the outcome of each attempt.
+        self.outcome_of: Callable[[str, Outcome], None] = lambda endpoint, outcome: None
         self.attempt_ended: Callable[[], None] = lambda: None  # for who waits until nothing is owed
         self.watching: asyncio.Task[None] | None = None
         self.wake: asyncio.TimerHandle | None = None
@@ -357,6 +359,9 @@
             return
         if name in self.journal.entries:
             self.journal.outcome(name, number, answer.outcome)
+            # Guards against a call whose message was over, and whose id has come again since.
+            if attempt := self.journal.entries[name].attempts.get(number):
+                self.outcome_of(attempt.endpoint, answer.outcome)
             if answer.finished:
                 self.finished(name, answer)
             elif name in self.withdrawn:
--- a/elmglade/directory/overridden.py
+++ b/elmglade/directory/overridden.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from elmglade import interface as face
+from elmglade.directory.eject import Ejector, Terms
 from elmglade.directory.overrides import Kind, Overlay, Override
 from elmglade.directory.ramp import Ramp
 from elmglade.directory.store import Store
@@ -39,10 +40,12 @@
         now: Callable[[], int],
         told: Callable[[face.EndpointsListed], None],
         slow_start: int = 0,
+        eject: Terms | None = None,
     ) -> None:
-        """`slow_start` in us: for so long the share of what is new or back grows; 0: not at all."""
+        """`slow_start` in us: for so long the share of what is new or back grows; 0: not at all. `eject`:
+        when outliers are left out; None: never."""
         self.source, self.store, self.now, self.told = source, store, now, told
-        self.overlay = Overlay(store.load(), Ramp(slow_start))
+        self.overlay = Overlay(store.load(), Ramp(slow_start), Ejector(eject) if eject else None)
         self.book = self.overlay.book
         self.timer: asyncio.TimerHandle | None = None
         self.check: asyncio.TimerHandle | None = None
@@ -81,6 +84,14 @@
         if self.book.overrides and not self.check:
             self.check = asyncio.get_running_loop().call_later(CHECK, self.checked)
 
+    def outcome(self, endpoint: str, outcome: face.Outcome) -> None:
+        """A call has ended: what speaks against an endpoint's health may have it ejected."""
+        if outcome is not face.Outcome.OK and outcome not in face.FAILURES:
+            return
+        if self.overlay.outcome(endpoint, outcome is face.Outcome.OK, self.now()):
+            log.warning("%s is left out for a while: it fails where others serve", endpoint)
+            self.turn()
+
     def checked(self) -> None:
         self.check = None
         self.warn(self.now())
@@ -153,7 +164,9 @@
         if self.timer:
             self.timer.cancel()
             self.timer = None
-        times = (self.book.next_change(now), self.overlay.ramp.next_change(now))
+        ejector = self.overlay.ejector
+        back = ejector.next_change() if ejector else None
+        times = (self.book.next_change(now), self.overlay.ramp.next_change(now), back)
         self.next_at = min((at for at in times if at is not None), default=None)
         if self.next_at is not None:
             delay = (self.next_at - now) / 1e6 + LATE
--- a/elmglade/directory/overrides.py
+++ b/elmglade/directory/overrides.py
@@ -23,6 +23,7 @@
 from typing import Any
 
 from elmglade import interface as face
+from elmglade.directory.eject import Ejector
 from elmglade.directory.ramp import Ramp
 from elmglade.interface import EndpointState, Listing
 
@@ -196,9 +197,10 @@
 class Overlay:
     """The list as the directory tells it, under the overrides in force. It tells on what changes."""
 
-    def __init__(self, book: Book, ramp: Ramp | None = None) -> None:
-        self.book, self.ramp = book, ramp or Ramp()
+    def __init__(self, book: Book, ramp: Ramp | None = None, ejector: Ejector | None = None) -> None:
+        self.book, self.ramp, self.ejector = book, ramp or Ramp(), ejector
         self.now = 0  # as of the last look
+        self.ejected: list[str] = []  # and not told on yet
         self.listed: dict[str, face.Endpoint] = {}  # as the directory has it
         self.members: dict[int, dict[str, None]] = {}  # destination: names of its endpoints
         self.shown: dict[str, face.Endpoint] = {}  # as it was told on
@@ -238,6 +240,8 @@
         before = self.listed.pop(each.id, None)
         if before:
             del self.members[before.destination][each.id]
+        if each.state is EndpointState.GONE and self.ejector:
+            self.ejector.forget(each.id)
         if each.state is not EndpointState.GONE:
             self.listed[each.id] = each
             self.members.setdefault(each.destination, {})[each.id] = None
@@ -255,6 +259,8 @@
         if listed.state is not EndpointState.READY:
             return listed
         pin = self.force.pins.get(listed.destination)
+        if self.ejector and listed.id in self.ejector.out:
+            return replace(listed, state=EndpointState.DRAINING)
         if listed.id in self.force.out or (pin and pin.endpoint != listed.id and self.holds(pin)):
             return replace(listed, state=EndpointState.DRAINING)
         over = self.force.weights.get(listed.id)
@@ -270,6 +276,20 @@
         ):
             self.ramp.start(name, self.now)
 
+    def outcome(self, name: str, served: bool, now: int) -> bool:
+        """A call there has ended. True: the endpoint is ejected, and `turn` has something to tell."""
+        if self.ejector is None or name not in self.listed:
+            return False
+        if served:
+            self.ejector.served(name, now)
+            return False
+        members = self.members[self.listed[name].destination]
+        in_service = [each for each in members if self.shown[each].state is EndpointState.READY]
+        others = sum(each in self.ejector.out for each in members)
+        if self.ejector.failed(name, now, in_service, others):
+            self.ejected.append(name)
+        return bool(self.ejected)
+
     def pin_of(self, tenant: str, key: str) -> str:
         """Where a message of that tenant and key is pinned to, "" if nowhere: the key's pin goes first. The
         decision module asks whether that endpoint is one of its destination."""
@@ -288,6 +308,9 @@
         self.now = max(self.now, now)
         before, self.force = self.force, InForce.of(self.book.active(now))
         named = dict.fromkeys(self.ramp.turn(now))
+        named |= dict.fromkeys(self.ejector.turn(now) if self.ejector else ())
+        named |= dict.fromkeys(self.ejected)
+        self.ejected = []
         for old, new in ((before.out, self.force.out), (before.weights, self.force.weights)):
             changed = [name for name in old | new if old.get(name) != new.get(name)]
             named |= dict.fromkeys(changed)
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -65,9 +65,9 @@
         self.lock = Lock(state)
         clock = Clock().now
         self.directory = directory_of(config, state, clock)
-        slow = config.lists.slow_start if config.lists else 0
+        more = (config.lists.slow_start, config.lists.eject) if config.lists else (0, None)
         self.overrides = over = OverriddenDirectory(
-            self.directory, Store(state), clock, lambda listed: None, slow
+            self.directory, Store(state), clock, lambda listed: None, *more
         )
         whole = face.EndpointsListed(face.Listing.FULL, self.directory.endpoints())
         listed = over.overlay.hear(whole, clock())
@@ -79,6 +79,7 @@
             clock,
         )  # fmt: skip
         over.told, self.directory.told = engine.list_told, over.hear
+        engine.outcome_of = over.outcome
         engine.pin_of = lambda message: over.overlay.pin_of(message.tenant, message.key)
         self.control = Control(state, self.commands())
         super().__init__(engine, config.listen, config.sockets)
--- a/tests/test_overrides.py
+++ b/tests/test_overrides.py
@@ -24,6 +24,7 @@
 from elmglade.cli import main
 from elmglade.directory import store as store_module
 from elmglade.directory.control import LINE_MOST, MOST, ask, may_ask
+from elmglade.directory.eject import Ejector, Terms
 from elmglade.directory.overridden import OverriddenDirectory
 from elmglade.directory.overrides import MOST_SPAN, Book, Kind, Overlay, Override, OverrideError
 from elmglade.directory.ramp import Ramp
@@ -36,7 +37,7 @@
 from elmglade.lab.http import HttpClient, HttpEndpoint
 from elmglade.lab.referee import Kind as RefereeKind
 from elmglade.lab.referee import Referee, Rules
-from elmglade.lab.script import Script
+from elmglade.lab.script import Act, Does, Script
 
 T0 = 1_790_000_000 * SECOND
 READY, DRAINING, GONE = EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE
@@ -181,6 +182,42 @@
     assert told.believed["a"].weight == 1 / 8
 
 
+def test_an_outlier_is_ejected_for_longer_each_time_and_never_the_last_one() -> None:
+    ejector, now = Ejector(Terms(failures=3, base=10, longest=25, share=0.5)), 100
+
+    def fails(name: str, in_service: list[str], times: int = 3) -> bool:
+        return any([ejector.failed(name, now, in_service, len(ejector.out)) for _ in range(times)])
+
+    assert not fails("a", ["a", "b"], 9)  # nobody serves: it is the destination
+    ejector.served("b", now)
+    assert fails("a", ["a", "b"], 1) and ejector.out == {"a": 110}
+    assert not fails("b", ["b"], 9)  # the last one in service
+    ejector.served("c", now)
+    assert not fails("b", ["b", "c"], 9)  # two of three are more than half
+    for until in (140, 165):
+        now = ejector.next_change() or 0
+        assert ejector.turn(now) == ["a"] and not ejector.out
+        ejector.served("c", now + 10 if until == 140 else now)
+        now += 10 if until == 140 else 0
+        assert fails("a", ["a", "b", "c"]) and ejector.out == {"a": until}
+    ejector.served("a", now)
+    assert ejector.records["a"].times == 2
+
+
+@play
+async def test_a_sender_leaves_out_what_fails_among_others_and_takes_it_back(state: Path) -> None:
+    async with service(state, {"eject": {"failures": 2, "base_s": 0.5}}) as world:
+        world.endpoints[0].script.rule = lambda message: Act(Does.ERROR)
+        ejector = world.sender.overrides.overlay.ejector
+        while ejector and "e0" not in ejector.out:  # one that has just failed is tried again after 2 s
+            await world.deliver(1)
+        assert world.sender.engine.dispatcher.endpoints.keys() == {"e1"}
+        world.endpoints[0].script.rule = lambda message: None
+        while world.sender.engine.dispatcher.endpoints.keys() != {"e0", "e1"}:
+            await asyncio.sleep(0.01)
+        assert (await world.deliver(10))["e0"] > 0
+
+
 BAD: list[tuple[dict[str, Any], str]] = [
     ({"who": " "}, "who must be"), ({"why": "w" * 300}, "why must be"), ({"until": T0}, "must end after"),
     ({"until": T0 + MOST_SPAN + 1}, "at most 7 days"), ({"weight": 0}, "set it out"),
@@ -383,12 +420,14 @@
 class Service:
     """A sender with one destination of two endpoints, and a client."""
 
-    def __init__(self, folder: Path, endpoints: list[HttpEndpoint], history: History) -> None:
+    def __init__(
+        self, folder: Path, endpoints: list[HttpEndpoint], history: History, directory: dict[str, Any]
+    ) -> None:
         self.folder, self.endpoints, self.history = folder, endpoints, history
         self.count = 0
         listed = [{"id": each.name, "destination": 1, "dial": f"127.0.0.1:{each.port}"} for each in endpoints]
         kind = {"effect": "safe", "aim_ms": 4000, "deadline_ms": 8000}
-        told = config.read({"classes": {"c": kind}, "endpoints": listed})
+        told = config.read({"classes": {"c": kind}, "endpoints": listed, "directory": directory})
         self.sender = PlainSender(told, folder, LineTeller(io.StringIO()))
 
     async def deliver(self, most: int = 10, tenant: str = "") -> Counter[str]:
@@ -430,10 +469,10 @@
 
 
 @asynccontextmanager
-async def service(folder: Path) -> AsyncIterator[Service]:
+async def service(folder: Path, directory: dict[str, Any] | None = None) -> AsyncIterator[Service]:
     history = History()
     async with HttpEndpoint("e0", Script(), history) as one, HttpEndpoint("e1", Script(), history) as two:
-        made = Service(folder, [one, two], history)
+        made = Service(folder, [one, two], history, directory or {})
         await made.sender.start()
         running = asyncio.create_task(made.sender.run())
         try:
