One question on what is in service, one way to run a sender, and waits on events

A pin asked by itself whether its endpoint was in service and forgot ejection: with the endpoint ejected and then pinned, nothing of its destination was left. Both now ask Overlay.in_service (its test fails without it). Written again and now one: start, run and stop of a sender (lab/running.py; demo, two benchmarks, two tests), a file replaced in one step (store and list), save-or-undo of an override, what differs between two states. Work that need not be: a doubted file was parsed every second though its time alone ends the doubt; what is new in a list was sought without slow start; a gone endpoint was looked for through the whole list. Dead: Flow.fins, a gap of -1, an argument of finish. Tests of overrides, replays and generated histories wait on events or counted turns of the loop.

No assertion is loosened, one test is new.

--- a/benchmarks/overrides.py
+++ b/benchmarks/overrides.py
@@ -22,6 +22,7 @@
 from elmglade.interface import EndpointState, Listing, Outcome
 from elmglade.lab.history import Began, History
 from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.running import running
 from elmglade.lab.script import Script
 
 SECOND = 1_000_000
@@ -111,32 +112,31 @@
         }
         with tempfile.TemporaryDirectory() as folder:
             sender = PlainSender(config.read(told), Path(folder), LineTeller(io.StringIO()))
-            await sender.start()
-            running = asyncio.create_task(sender.run())
-            stop = False
-
-            async def flow(number: int) -> None:
-                client, count = HttpClient(sender.server.address()[:2]), 0
-                while not stop:
-                    count += 1
-                    fields = {
-                        "X-Correlation-Id": f"{number}.{count}",
-                        "X-Service-Class": "c",
-                        "X-Time-Left": "5",
-                    }
-                    await client.post("/c", fields | {"X-Route-To": "dest=1"}, b"x")
-                client.close()
-
-            flows = [asyncio.create_task(flow(number)) for number in range(8)]
-            await asyncio.sleep(0.5)
-            now, began = time.time_ns() // 1000, time.monotonic()
-            request = {"do": "set", "kind": "out", "endpoint": "e0", "who": "me", "why": "bench"}
-            await asyncio.to_thread(ask, Path(folder), request | {"begins": now, "until": now + 60 * SECOND})
-            await asyncio.sleep(0.3)
-            stop = True
-            await asyncio.gather(*flows)
-            sender.stop(0)
-            await running
+            async with running(sender):
+                stop = False
+
+                async def flow(number: int) -> None:
+                    client, count = HttpClient(sender.server.address()[:2]), 0
+                    while not stop:
+                        count += 1
+                        fields = {
+                            "X-Correlation-Id": f"{number}.{count}",
+                            "X-Service-Class": "c",
+                            "X-Time-Left": "5",
+                        }
+                        await client.post("/c", fields | {"X-Route-To": "dest=1"}, b"x")
+                    client.close()
+
+                flows = [asyncio.create_task(flow(number)) for number in range(8)]
+                await asyncio.sleep(0.5)
+                now, began = time.time_ns() // 1000, time.monotonic()
+                request = {"do": "set", "kind": "out", "endpoint": "e0", "who": "me", "why": "bench"}
+                await asyncio.to_thread(
+                    ask, Path(folder), request | {"begins": now, "until": now + 60 * SECOND}
+                )
+                await asyncio.sleep(0.3)
+                stop = True
+                await asyncio.gather(*flows)
     late = [each.at - began for each in history.events if isinstance(each, Began) and each.endpoint == "e0"]
     return max(late) * 1e3
 
--- a/benchmarks/pcap.py
+++ b/benchmarks/pcap.py
@@ -25,6 +25,7 @@
 from elmglade.http.serve import LineTeller, PlainSender
 from elmglade.lab.history import History
 from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.running import running
 from elmglade.lab.script import Script
 from elmglade.pcap.capture import Capture
 from elmglade.pcap.files import Writer, read
@@ -154,24 +155,25 @@
             "endpoints": [{"id": "e", "destination": 1, "dial": f"127.0.0.1:{endpoint.port}"}],
         }
         sender = PlainSender(config.read(told), folder, LineTeller(io.StringIO()), tap)
-        await sender.start()
-        running = asyncio.create_task(sender.run())
-        address = sender.server.address()[:2]
-        began = time.process_time()
-
-        async def client(number: int) -> None:
-            line = HttpClient(address)
-            for each in range(MESSAGES // CLIENTS):
-                fields = {"X-Correlation-Id": f"{number}-{each}", "X-Service-Class": "c", "X-Time-Left": "5"}
-                await line.post("/c", fields | {"X-Route-To": "dest=1"}, b"x" * 200)
-            line.close()
-
-        await asyncio.gather(*(client(number) for number in range(CLIENTS)))
-        while sender.engine.journal.entries:
-            await asyncio.sleep(0.01)
-        spent = time.process_time() - began
-        sender.stop(0)
-        await running
+        async with running(sender):
+            address = sender.server.address()[:2]
+            began = time.process_time()
+
+            async def client(number: int) -> None:
+                line = HttpClient(address)
+                for each in range(MESSAGES // CLIENTS):
+                    fields = {
+                        "X-Correlation-Id": f"{number}-{each}",
+                        "X-Service-Class": "c",
+                        "X-Time-Left": "5",
+                    }
+                    await line.post("/c", fields | {"X-Route-To": "dest=1"}, b"x" * 200)
+                line.close()
+
+            await asyncio.gather(*(client(number) for number in range(CLIENTS)))
+            while sender.engine.journal.entries:
+                await asyncio.sleep(0.01)
+            spent = time.process_time() - began
         return spent
 
 
--- a/elmglade/directory/file.py
+++ b/elmglade/directory/file.py
@@ -14,6 +14,7 @@
 from elmglade import interface as face
 from elmglade.directory.belief import Belief, merged
 from elmglade.directory.static import Place, StaticDirectory
+from elmglade.directory.store import replace_json
 
 LOOK = 1.0  # s between looks at the files
 COPY = "endpoints.json"  # the last good copy
@@ -62,7 +63,7 @@
         try:
             state = os.stat(path)
             mark = (state.st_ino, state.st_size, state.st_mtime_ns)
-            if mark == self.seen.get(path) and path not in self.wrong and not belief.doubted:
+            if mark == self.seen.get(path) and path not in self.wrong:
                 belief.read_at = now
                 return False
             told = {each.endpoint.id: each for each in self.read(path)}
@@ -131,10 +132,8 @@
             for x in self.places.values()
             if x.endpoint.state is face.EndpointState.READY
         ]
-        fresh = self.folder / (COPY + ".new")
         try:
-            fresh.write_text(json.dumps(told))
-            os.replace(fresh, self.folder / COPY)
+            replace_json(self.folder / COPY, told, sync=False)
         except OSError as error:
             log.error("the list is not kept for the next start: %s", error)
 
--- a/elmglade/directory/overridden.py
+++ b/elmglade/directory/overridden.py
@@ -53,8 +53,8 @@
         self.warned: set[str] = set()  # of an end that is near
         self.vain: dict[str, str] = {}
         self.empty: list[int] = []
-        #: Endpoints whose time out of service ended while no sender ran.
         began = now()
+        #: Endpoints whose time out of service ended while no sender ran.
         self.returned = tuple(each.endpoint for each in self.expire(began) if each.kind is Kind.OUT)
         self.overlay.turn(began)
 
@@ -103,13 +103,7 @@
         """Raises OverrideError, and OSError where it cannot be saved: then it is not in force."""
         pin = (destination, tenant, key)
         new = self.book.set(kind, endpoint, who, why, begins, until, self.now(), weight, *pin)
-        try:
-            self.store.save(self.book)
-        except OSError:
-            self.book.end(new.name)
-            raise
-        self.store.record(self.now(), who, "set", new)
-        self.turn()
+        self.keep("set", new, who, "", lambda: self.book.end(new.name))
         return new
 
     def end(self, name: str, who: str, why: str = "") -> Override:
@@ -125,15 +119,19 @@
         """Raises KeyError, OverrideError, and OSError where it cannot be saved: then its end stays."""
         before = self.book.overrides[name]
         longer = self.book.extend(name, until, self.now())
+        self.keep("extended", longer, who, why, lambda: self.book.overrides.update({name: before}))
+        return longer
+
+    def keep(self, did: str, changed: Override, who: str, why: str, undo: Callable[[], object]) -> None:
+        """A change that counts only once it is saved. Raises OSError; then it is undone."""
         try:
             self.store.save(self.book)
         except OSError:
-            self.book.overrides[name] = before
+            undo()
             raise
-        self.warned.discard(name)
-        self.store.record(self.now(), who, "extended", longer, why)
+        self.warned.discard(changed.name)
+        self.store.record(self.now(), who, did, changed, why)
         self.turn()
-        return longer
 
     def expire(self, now: int) -> list[Override]:
         """Those whose time is up are gone, on disk too. A disk that fails is logged: an ended one that it
--- a/elmglade/directory/overrides.py
+++ b/elmglade/directory/overrides.py
@@ -20,7 +20,7 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import asdict, dataclass, replace
 from enum import Enum
-from typing import Any
+from typing import Any, TypeVar
 
 from elmglade import interface as face
 from elmglade.directory.eject import Ejector
@@ -167,6 +167,14 @@
         return min((at for at in times if at > now), default=None)
 
 
+Name = TypeVar("Name", str, int)
+
+
+def differ(old: dict[Name, Override], new: dict[Name, Override]) -> list[Name]:
+    """Of what another override counts than before."""
+    return [name for name in old | new if old.get(name) != new.get(name)]
+
+
 @dataclass(slots=True)
 class InForce:
     """What counts at one moment."""
@@ -212,18 +220,19 @@
         if told.listing is Listing.FAILED:
             return told
         self.now = max(self.now, now)
-        fresh = self.fresh(told)
+        fresh = self.fresh(told) if self.ramp.span else []
         if told.listing is not Listing.CHANGES:
             self.forget()
         touched: set[int] = set()
         for each in told.endpoints:
             touched |= self.note(each)
         named = dict.fromkeys(each.id for each in told.endpoints)
-        for name in fresh if self.ramp.span else ():
+        for name in fresh:
             self.start_slowly(name)
         for destination in sorted(touched & self.force.pins.keys()):
             named |= dict.fromkeys(self.members.get(destination, ()))
-        return replace(told, endpoints=tuple(self.tell(name, told) for name in named))
+        gone = {each.id: each for each in told.endpoints if each.id not in self.listed}
+        return replace(told, endpoints=tuple(gone.get(name) or self.show(name) for name in named))
 
     def fresh(self, told: face.EndpointsListed) -> list[str]:
         """Ready ones of which no list had heard; of the first list of all, none."""
@@ -240,17 +249,16 @@
         before = self.listed.pop(each.id, None)
         if before:
             del self.members[before.destination][each.id]
-        if each.state is EndpointState.GONE and self.ejector:
-            self.ejector.forget(each.id)
         if each.state is not EndpointState.GONE:
             self.listed[each.id] = each
             self.members.setdefault(each.destination, {})[each.id] = None
+        else:
+            self.shown.pop(each.id, None)
+            if self.ejector:
+                self.ejector.forget(each.id)
         return {each.destination, before.destination if before else each.destination}
 
-    def tell(self, name: str, told: face.EndpointsListed) -> face.Endpoint:
-        if name not in self.listed:  # gone
-            self.shown.pop(name, None)
-            return next(each for each in told.endpoints if each.id == name)
+    def show(self, name: str) -> face.Endpoint:
         self.shown[name] = found = self.effective(self.listed[name])
         return found
 
@@ -259,9 +267,7 @@
         if listed.state is not EndpointState.READY:
             return listed
         pin = self.force.pins.get(listed.destination)
-        if self.ejector and listed.id in self.ejector.out:
-            return replace(listed, state=EndpointState.DRAINING)
-        if listed.id in self.force.out or (pin and pin.endpoint != listed.id and self.holds(pin)):
+        if not self.in_service(listed) or (pin and pin.endpoint != listed.id and self.holds(pin)):
             return replace(listed, state=EndpointState.DRAINING)
         over = self.force.weights.get(listed.id)
         weight = (over.weight if over else listed.weight) * self.ramp.factor(listed.id, self.now)
@@ -299,44 +305,43 @@
     def holds(self, pin: Override) -> bool:
         """Whether a pin is not in vain."""
         to = self.listed.get(pin.endpoint)
-        ready = to is not None and to.state is EndpointState.READY and to.destination == pin.destination
-        return ready and pin.endpoint not in self.force.out
+        return to is not None and to.destination == pin.destination and self.in_service(to)
+
+    def in_service(self, listed: face.Endpoint) -> bool:
+        """Whether it is ready, and neither out of service nor ejected. Pins and weights come after that."""
+        ejected = self.ejector is not None and listed.id in self.ejector.out
+        return listed.state is EndpointState.READY and listed.id not in self.force.out and not ejected
 
     def turn(self, now: int) -> face.EndpointsListed | None:
         """What to tell when overrides were set, have begun or have ended; None where nothing changes. What
         comes back into service is named as returned: it is to be warmed."""
         self.now = max(self.now, now)
         before, self.force = self.force, InForce.of(self.book.active(now))
-        named = dict.fromkeys(self.ramp.turn(now))
+        changes, returned = [], []
+        for name in self.concerned(before, now):
+            was, shown = self.shown.get(name), self.effective(self.listed[name])
+            if shown == was:
+                continue
+            if was and was.state is not EndpointState.READY and shown.state is EndpointState.READY:
+                returned.append(name)
+                self.start_slowly(name)
+            changes.append(self.show(name))
+        if not changes:
+            return None
+        return face.EndpointsListed(Listing.CHANGES, tuple(changes), tuple(returned))
+
+    def concerned(self, before: InForce, now: int) -> list[str]:
+        """Listed endpoints of which something else may have to be told than before."""
+        named = dict.fromkeys([*self.ramp.turn(now), *self.ejected])
         named |= dict.fromkeys(self.ejector.turn(now) if self.ejector else ())
-        named |= dict.fromkeys(self.ejected)
+        named |= dict.fromkeys(differ(before.out, self.force.out))
+        named |= dict.fromkeys(differ(before.weights, self.force.weights))
         self.ejected = []
-        for old, new in ((before.out, self.force.out), (before.weights, self.force.weights)):
-            changed = [name for name in old | new if old.get(name) != new.get(name)]
-            named |= dict.fromkeys(changed)
-        pinned = {
-            each
-            for each in before.pins | self.force.pins
-            if before.pins.get(each) != self.force.pins.get(each)
-        }
+        pinned = set(differ(before.pins, self.force.pins))
         pinned |= {self.listed[name].destination for name in named if name in self.listed}
         for destination in pinned:
             named |= dict.fromkeys(self.members.get(destination, ()))
-        changes, returned = [], []
-        for name in named:
-            if name in self.listed and (now_shown := self.effective(self.listed[name])) != self.shown.get(
-                name
-            ):
-                was = self.shown.get(name)
-                if was and was.state is not EndpointState.READY and now_shown.state is EndpointState.READY:
-                    returned.append(name)
-                    self.start_slowly(name)
-                    now_shown = self.effective(self.listed[name])
-                self.shown[name] = now_shown
-                changes.append(now_shown)
-        if not changes:
-            return None
-        return face.EndpointsListed(Listing.CHANGES, tuple(changes), tuple(returned))
+        return [name for name in named if name in self.listed]
 
     def in_vain(self, now: int) -> dict[str, str]:
         """Overrides in force that change nothing, and why."""
--- a/elmglade/directory/store.py
+++ b/elmglade/directory/store.py
@@ -19,6 +19,18 @@
 log = logging.getLogger(__name__)
 
 
+def replace_json(path: Path, told: object, sync: bool) -> None:
+    """A file with this in it in place of the one before, in one step; `sync`: on the disk before that. Raises
+    OSError."""
+    fresh = path.with_name(path.name + ".new")
+    with fresh.open("w") as out:
+        json.dump(told, out)
+        if sync:
+            out.flush()
+            os.fsync(out.fileno())
+    os.replace(fresh, path)
+
+
 class Store:
     def __init__(self, folder: Path) -> None:
         self.folder = folder
@@ -44,17 +56,9 @@
 
     def save(self, book: Book) -> None:
         """The book on disk, new or as it was, whatever ends the process meanwhile. Raises OSError."""
-        path, fresh = self.folder / FILE, self.folder / (FILE + ".new")
-        told = {
-            "version": 1,
-            "last": book.last,
-            "overrides": [each.as_json() for each in book.overrides.values()],
-        }
-        with fresh.open("w") as out:
-            json.dump(told, out)
-            out.flush()
-            os.fsync(out.fileno())
-        os.replace(fresh, path)
+        found = [each.as_json() for each in book.overrides.values()]
+        told = {"version": 1, "last": book.last, "overrides": found}
+        replace_json(self.folder / FILE, told, sync=True)
 
     def record(self, at: int, who: str, did: str, override: Override, why: str = "") -> None:
         """A line of the log. A disk that fails costs the line, not the sender."""
--- a/elmglade/lab/demo.py
+++ b/elmglade/lab/demo.py
@@ -21,6 +21,7 @@
 from elmglade.lab.history import Ended, History, Outage, Refused, Taken
 from elmglade.lab.http import HttpClient, HttpEndpoint
 from elmglade.lab.referee import Breach, Kind, Referee, Rules
+from elmglade.lab.running import running
 from elmglade.lab.script import Act, Does, Script
 
 CALM, OUTAGE, RETURN = 8.0, 7.0, 12.0  # s at the usual pace
@@ -179,11 +180,8 @@
             ]
             folder = stack.enter_context(tempfile.TemporaryDirectory())
             sender = PlainSender(self.told(endpoints), Path(folder), LineTeller(io.StringIO(), self.heard))
-            await sender.start()
-            running = asyncio.create_task(sender.run())
-            await self.play(sender, endpoints, scripts, show)
-            sender.stop(0)
-            await running
+            async with running(sender):
+                await self.play(sender, endpoints, scripts, show)
         return Referee(self.rules()).judge(self.history.events)
 
     async def play(
--- /dev/null
+++ b/elmglade/lab/running.py
@@ -0,0 +1,19 @@
+"""A sender that runs while it is held, for demonstrations, benchmarks and tests."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+from elmglade.http.serve import PlainSender
+
+
+@asynccontextmanager
+async def running(sender: PlainSender) -> AsyncIterator[PlainSender]:
+    """Started, and stopped at the end whatever happens meanwhile."""
+    await sender.start()
+    task = asyncio.create_task(sender.run())
+    try:
+        yield sender
+    finally:
+        sender.stop(0)
+        await task
--- a/elmglade/pcap/capture.py
+++ b/elmglade/pcap/capture.py
@@ -2,6 +2,7 @@
 
 import base64
 import heapq
+import ipaddress
 from collections import Counter
 from collections.abc import Iterator, Sequence
 from typing import Any, BinaryIO, NamedTuple
@@ -93,8 +94,6 @@
 
 def address(end: tuple[bytes, int]) -> str:
     """`host:port`; IPv6 in brackets."""
-    import ipaddress
-
     host = ipaddress.ip_address(end[0])
     return f"[{host}]:{end[1]}" if host.version == 6 else f"{host}:{end[1]}"
 
--- a/elmglade/pcap/flows.py
+++ b/elmglade/pcap/flows.py
@@ -26,7 +26,6 @@
     last: int = 0  # ns
     streams: tuple[Stream, Stream] = field(default_factory=lambda: (Stream(), Stream()))
     first: list[int | None] = field(default_factory=lambda: [None, None])  # number of each end's SYN
-    fins: int = 0
 
 
 @dataclass(slots=True)
@@ -103,7 +102,7 @@
         if segment.data:
             own.add(segment.at, seq, segment.data, parts)
         if segment.flags & FIN:
-            own.finish(segment.at, seq + len(segment.data) + segment.lacks)
+            own.finish(seq + len(segment.data) + segment.lacks)
         own.passed(segment.at, parts)
         if segment.flags & ACK:
             other.acknowledged(segment.at, segment.ack, heard)
--- a/elmglade/pcap/messages.py
+++ b/elmglade/pcap/messages.py
@@ -122,14 +122,13 @@
         body = usual.body_of(data, match.end(), read[1], BODY_MOST)
         if body is None or (self.side == 0 and b"host" not in read[1]):
             return False
+        if self.side and (int(match[1]) in usual.BODILESS or self.method() in ("HEAD", "CONNECT")):
+            return False
         message = self.begun(at)
-        if self.side == 0:
-            message.method, message.target = "POST", match[1].decode("latin-1")
-        else:
+        if self.side:
             message.status = int(match[1])
-            if message.status in usual.BODILESS or self.method() in ("HEAD", "CONNECT"):
-                self.pending = message.notes
-                return False
+        else:
+            message.method, message.target = "POST", match[1].decode("latin-1")
         lines = (line.partition(b":") for line in match[2].split(b"\r\n")[:-1])
         message.headers = [(name.decode(), value.strip(b" \t").decode("latin-1")) for name, _, value in lines]
         message.until, message.body = at, body
--- a/elmglade/pcap/reassembly.py
+++ b/elmglade/pcap/reassembly.py
@@ -27,7 +27,7 @@
 
 
 class Gap(NamedTuple):
-    """Bytes that were on the wire and are not in the capture. -1: nobody can tell how many."""
+    """Bytes that were on the wire and are not in the capture."""
 
     at: int  # ns, when it was given up
     size: int
@@ -132,7 +132,7 @@
         while self.next is not None and self.acked > self.next and at - self.acked_at >= LATE:
             self.give_up(at, out)
 
-    def finish(self, at: int, seq: int) -> None:
+    def finish(self, seq: int) -> None:
         """A FIN with this number: the direction ends there."""
         if self.next is None:
             self.begin(seq)
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -597,8 +597,7 @@
         known = self.endpoints.get(message.pinned) if message.pinned else None
         if known is None or known.listed.destination != message.destination:
             return False
-        zones = ("", known.listed.zone) if message.kind.window_by_zone else (message.risky_zone,)
-        return message.risky_zone in zones
+        return not message.kind.window_by_zone or message.risky_zone in ("", known.listed.zone)
 
     def may_join(self, call: Call | None, listed: face.Endpoint) -> bool:
         if call is None or call.breaker.trial is call:
--- a/tests/conformance/test_generated.py
+++ b/tests/conformance/test_generated.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 import pytest
+from faults import until
 
 from conformance.sides import PATIENCE, SIDES, Message, Result, Side
 from elmglade.lab.script import Act, Does
@@ -51,8 +52,7 @@
 async def idle(side: Side) -> None:
     """No call is out, so that a restart makes no difference in time between the two sides."""
     async with asyncio.timeout(PATIENCE):
-        while side.engine().calls or side.engine().arrived:
-            await asyncio.sleep(0.001)
+        await until(lambda: not (side.engine().calls or side.engine().arrived), 10**9)
 
 
 async def run(seed: int, kind: type[Side], state: Path) -> Result:
--- a/tests/test_directories.py
+++ b/tests/test_directories.py
@@ -17,6 +17,7 @@
 from elmglade.directory.file import COPY, STALE, FileDirectory
 from elmglade.http.serve import LineTeller, PlainSender
 from elmglade.interface import EndpointsListed, Listing
+from elmglade.lab.running import running
 
 SECOND = 1_000_000
 
@@ -117,19 +118,16 @@
     files.write(0, *"abcde")
     for number in (0, 1):
         sender = PlainSender(read(told, state), state, LineTeller(io.StringIO()))
-        await sender.start()
-        running = asyncio.create_task(sender.run())
-        assert sender.dials()["a"] == ("127.0.0.1", 1) and set(sender.engine.dispatcher.endpoints) == {
-            *"abcde"
-        }
-        if number == 0:
-            files.write(0, "a")
-            assert isinstance(sender.directory, FileDirectory) and not sender.directory.look_at_files()
-            rows = (await asyncio.to_thread(ask, state, {"do": "endpoints"}))["value"]
-            assert rows["lists"][0]["doubted"] == [*"bcde"] and len(rows["endpoints"]) == 5
-            files.paths[0].unlink()
-        sender.stop(0)
-        await running
+        async with running(sender):
+            assert sender.dials()["a"] == ("127.0.0.1", 1) and set(sender.engine.dispatcher.endpoints) == {
+                *"abcde"
+            }
+            if number == 0:
+                files.write(0, "a")
+                assert isinstance(sender.directory, FileDirectory) and not sender.directory.look_at_files()
+                rows = (await asyncio.to_thread(ask, state, {"do": "endpoints"}))["value"]
+                assert rows["lists"][0]["doubted"] == [*"bcde"] and len(rows["endpoints"]) == 5
+                files.paths[0].unlink()
 
 
 def test_a_file_that_empties_is_doubted_and_confirmed(
--- a/tests/test_overrides.py
+++ b/tests/test_overrides.py
@@ -14,6 +14,7 @@
 from typing import Any
 
 import pytest
+from faults import until
 from helpers import MS, SECOND, World, endpoint, sent
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -37,6 +38,7 @@
 from elmglade.lab.http import HttpClient, HttpEndpoint
 from elmglade.lab.referee import Kind as RefereeKind
 from elmglade.lab.referee import Referee, Rules
+from elmglade.lab.running import running
 from elmglade.lab.script import Act, Does, Script
 
 T0 = 1_790_000_000 * SECOND
@@ -194,12 +196,12 @@
     assert not fails("b", ["b"], 9)  # the last one in service
     ejector.served("c", now)
     assert not fails("b", ["b", "c"], 9)  # two of three are more than half
-    for until in (140, 165):
+    for back in (140, 165):
         now = ejector.next_change() or 0
         assert ejector.turn(now) == ["a"] and not ejector.out
-        ejector.served("c", now + 10 if until == 140 else now)
-        now += 10 if until == 140 else 0
-        assert fails("a", ["a", "b", "c"]) and ejector.out == {"a": until}
+        ejector.served("c", now + 10 if back == 140 else now)
+        now += 10 if back == 140 else 0
+        assert fails("a", ["a", "b", "c"]) and ejector.out == {"a": back}
     ejector.served("a", now)
     assert ejector.records["a"].times == 2
 
@@ -213,8 +215,7 @@
             await world.deliver(1)
         assert world.sender.engine.dispatcher.endpoints.keys() == {"e1"}
         world.endpoints[0].script.rule = lambda message: None
-        while world.sender.engine.dispatcher.endpoints.keys() != {"e0", "e1"}:
-            await asyncio.sleep(0.01)
+        await world.until(lambda: world.sender.engine.dispatcher.endpoints.keys() == {"e0", "e1"})
         assert (await world.deliver(10))["e0"] > 0
 
 
@@ -236,6 +237,18 @@
     assert not book.overrides and book.last == 0
 
 
+def test_a_pin_to_what_is_ejected_is_in_vain() -> None:
+    """Else nothing of its destination would be left in service."""
+    book, told = Book(), Told()
+    overlay = Overlay(book, ejector=Ejector(Terms(failures=1)))
+    told.hear(overlay.hear(face.EndpointsListed(Listing.FULL, (endpoint("a"), endpoint("b")))))
+    overlay.outcome("b", True, T0)
+    assert overlay.outcome("a", False, T0)
+    book.set(Kind.PIN, "a", "me", "why", T0, T0 + SECOND, T0, destination=1)
+    told.hear(overlay.turn(T0))
+    assert [told.believed[name].state for name in "ab"] == [DRAINING, READY]
+
+
 def test_one_that_has_ended_is_gone_also_where_the_clock_goes_back() -> None:
     book = Book()
     out(book, "a")
@@ -428,15 +441,28 @@
         listed = [{"id": each.name, "destination": 1, "dial": f"127.0.0.1:{each.port}"} for each in endpoints]
         kind = {"effect": "safe", "aim_ms": 4000, "deadline_ms": 8000}
         told = config.read({"classes": {"c": kind}, "endpoints": listed, "directory": directory})
-        self.sender = PlainSender(told, folder, LineTeller(io.StringIO()))
+        self.news = asyncio.Event()  # an end was told, or the list was
+        heard = LineTeller(io.StringIO(), lambda name, end: self.news.set())
+        self.sender = PlainSender(told, folder, heard)
+        tell = self.sender.overrides.told
+
+        def told_on(listed: face.EndpointsListed) -> None:
+            tell(listed)
+            self.news.set()
+
+        self.sender.overrides.told = told_on
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        while not condition():
+            self.news.clear()
+            await soon(self.news.wait())
 
     async def deliver(self, most: int = 10, tenant: str = "") -> Counter[str]:
         """Messages one after another, each to its end: who got them."""
         before = Counter({each.name: each.served for each in self.endpoints})
         for _ in range(most):
             await self.hand_in(1, tenant)
-            while self.sender.engine.journal.entries:
-                await asyncio.sleep(0)
+            await self.until(lambda: not self.sender.engine.journal.entries)
         return Counter({each.name: each.served for each in self.endpoints}) - before
 
     async def hand_in(self, most: int, tenant: str = "") -> None:
@@ -473,13 +499,8 @@
     history = History()
     async with HttpEndpoint("e0", Script(), history) as one, HttpEndpoint("e1", Script(), history) as two:
         made = Service(folder, [one, two], history, directory or {})
-        await made.sender.start()
-        running = asyncio.create_task(made.sender.run())
-        try:
+        async with running(made.sender):
             yield made
-        finally:
-            made.sender.stop(0)
-            await running
 
 
 @play
@@ -513,8 +534,7 @@
 async def test_what_is_out_gets_nothing_new_while_messages_flow(state: Path) -> None:
     async with service(state) as world:
         flowing = [asyncio.create_task(world.hand_in(25)) for _ in range(4)]
-        while world.count < 20:
-            await asyncio.sleep(0)
+        await until(lambda: world.count >= 20)
         await world.set("out", "e0")
         world.history.note(Drained(time.monotonic(), "e0"))
         await asyncio.gather(*flowing)
@@ -536,8 +556,7 @@
         told = (await world.ask(do="explain", destination=1))["value"]
         assert told["goes_to"] is None
         assert sum((await world.deliver(1)).values()) == 1  # held until the end, and then sent
-        while world.sender.overrides.book.overrides:
-            await asyncio.sleep(0.01)
+        await world.until(lambda: not world.sender.overrides.book.overrides)
         (breaker,) = world.sender.engine.dispatcher.all_breakers()
         assert breaker.cold_gap(world.sender.engine.now()) > 0
 
--- a/tests/test_reassembly.py
+++ b/tests/test_reassembly.py
@@ -57,7 +57,7 @@
     stream.begin(first)
     for start, data in segments:
         stream.add(0, (first + start) % TURN, data, parts)
-    stream.finish(0, (first + LENGTH) % TURN)
+    stream.finish((first + LENGTH) % TURN)
     stream.close(0, parts)
     assert flat(parts) == model(segments, LENGTH)
     assert stream.is_over() and not stream.size and not stream.waiting
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -8,6 +8,7 @@
 
 import pytest
 from captures import MS, T0, Made, answer, read, request, told
+from faults import turn, until
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from peers import World, message, play, read_reply, soon
@@ -181,7 +182,7 @@
         number = tap.opened(("127.0.0.1", 1), ("127.0.0.1", 2))
         for _ in range(3):
             tap.passed(number, 0, b"x" * 700)
-            await asyncio.sleep(0)
+            await turn()
         assert (tap.lost, tap.gaps) == (1, {(number, 0): 700})
         monkeypatch.undo()
         tap.flush()
@@ -230,8 +231,7 @@
             writer.write(message(name, b"body"))
             assert (await read_reply(reader)).status == 202
             (await world.receiver.next()).answer(200)
-        while world.sender.engine.journal.entries:
-            await asyncio.sleep(0)
+        await until(lambda: not world.sender.engine.journal.entries)
         writer.close()
     tap.close()
     found = read((state / "c" / "capture-1.pcap").read_bytes())
