The emulator plays fleets and scenario files, at the ports and over sockets in memory

Need: lives drawn whole from a seed find what breaks, but are no place for experiments: one sender, no figures, nothing to compare with, and doors and couriers untried. What returns to three senders at once, the hard case that the issue on quiet destinations left open, had no test at all.

The command line stands on click, its records on structlog, the configuration on pydantic; the platform's daemon imports none of them. A test has three senders meet a destination that refused, was silent past its breakers' sleep and comes back cold.

--- a/elmglade/cli/override.py
+++ b/elmglade/cli/override.py
@@ -63,11 +63,6 @@
 
 
 @click.group()
-def commands() -> None:
-    """What a running sender believes, and what engineers tell it."""
-
-
-@commands.group()
 def override() -> None:
     """Out of service, weights and pins, each with an end."""
 
@@ -131,7 +126,7 @@
     show_one(tell(folder, {"do": "extend", "name": name, "until": until, "who": who, "why": why}))
 
 
-@commands.command()
+@click.command()
 @click.option("--confirm", is_flag=True, help="The lists are right, also in what they miss.")
 @STATE
 @JSON
@@ -156,7 +151,7 @@
         click.echo(f"{each['file']}: {age}, {each['endpoints']} endpoints{doubt} {each['wrong']}".rstrip())
 
 
-@commands.command()
+@click.command()
 @click.argument("destination", type=int)
 @click.option("--key", default="", help="Of a message that keeps an order.")
 @STATE
--- a/elmglade/core/peer.py
+++ b/elmglade/core/peer.py
@@ -95,9 +95,9 @@
     """Lines on connections that ended, at most `REPORTS` in each `REPORT_SPAN`; those left out are counted
     and told with the first line of a later span."""
 
-    def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
-        self.clock = clock
-        self.began, self.lines, self.left_out = clock(), 0, 0
+    def __init__(self, clock: Callable[[], float] | None = None) -> None:
+        self.clock = clock or (lambda: time.monotonic())  # looked up anew: emulated time replaces it
+        self.began, self.lines, self.left_out = self.clock(), 0, 0
 
     def tell(self, error: BaseException, doing: str) -> None:
         """Logs in which trouble a connection ended. A defect is an error, the rest are information."""
--- /dev/null
+++ b/elmglade/emulator/fleet.py
@@ -0,0 +1,715 @@
+"""A fleet of real senders at their ports, in one emulated world that a scenario describes.
+
+Each sender is the unchanged engine, decision module and journal; clients, the list of endpoints, the ways
+between them and the destinations are models. The senders share the world and know nothing of each other. A
+kill ends one of them at a callback's end, or between two writes to its disk, and leaves the others as they
+are; it starts again on the same folder. What the stand-ins saw goes to the referee.
+"""
+
+import asyncio
+import json
+import logging
+import os
+import tempfile
+import warnings
+import zlib
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from typing import Any
+
+from elmglade import interface as face
+from elmglade.core.engine import Config, Engine
+from elmglade.core.ports import Answer, End, State, TurnedAway
+from elmglade.directory.static import Place, StaticDirectory
+from elmglade.emulator.arrivals import Arrivals, Asked
+from elmglade.emulator.figures import Figures
+from elmglade.emulator.life import EPOCH, RAN, SECOND, Killed, told
+from elmglade.emulator.loop import VirtualLoop
+from elmglade.emulator.receiver import Receiver
+from elmglade.emulator.scenario import Incident, Scenario
+from elmglade.emulator.seal import sealed
+from elmglade.interface import EndpointState, Outcome
+from elmglade.lab import history as seen
+from elmglade.lab.history import History, Ran
+from elmglade.lab.referee import Breach, Kind, Referee, Rules
+from elmglade.message import HandedIn
+from elmglade.rules import Dispatcher
+
+Decide = Callable[[face.Settings, int], Any]
+AFTER = 1.5  # s after the last message's time, in which ends are still told
+SAMPLE = 1.0  # s between two looks at what senders hold
+NOTICE = 0.004  # s until an end that nobody waits for has been heard
+ALWAYS = 1e9
+TOLD_APART = 2.0  # s; what refuses or is silent for less may be a limit's span, or a call that is slow
+LATE = 0.35  # s by which an end may come after its time: a tick, a notice, and what a start takes
+
+
+@dataclass
+class Outcomes:
+    figures: Figures
+    breaches: list[Breach]
+    trace: list[str] = field(default_factory=list)  # JSON lines
+    owed: list[str] = field(default_factory=list)  # messages without an end, and who holds them
+
+    def as_json(self) -> dict[str, Any]:
+        broken = [{"rule": each.rule, "at": round(each.at, 6), "text": each.text} for each in self.breaches]
+        return self.figures.as_json() | {"breaches": broken, "owed": self.owed}
+
+
+class KilledSender(Killed):
+    """SIGKILL of one process, in the middle of what it does."""
+
+    def __init__(self, sender: "Sender") -> None:
+        super().__init__(0)
+        self.sender = sender
+
+
+class Try:
+    """One hand-in of a message by its client: the engine's caller."""
+
+    def __init__(self, world: "World", asked: Asked, number: int, sender: "Sender") -> None:
+        self.world, self.asked, self.number, self.sender = world, asked, number, sender
+        self.name = f"m{asked.number}" + (f".{number}" if number else "")
+        self.heard = self.left = False
+
+    def gone(self) -> bool:
+        return self.left
+
+    def taken(self) -> bool:
+        world, kind = self.world, self.world.scenario.classes[self.asked.message_class]
+        until = self.asked.at + kind.deadline_s
+        world.history.note(
+            seen.Taken(
+                world.time(),
+                self.name,
+                self.asked.message_class,
+                self.asked.destination,
+                until,
+                self.asked.key,
+                self.sender.name,
+            )
+        )
+        world.later(world.way(0.5), self.hear, True, 0)
+        return False
+
+    def turned_away(self, told: TurnedAway) -> None:
+        self.world.history.note(seen.Refused(self.world.time(), self.name))
+        self.world.later(self.world.way(0.5), self.hear, False, told.retry_after)
+
+    def given_up(self) -> None: ...
+
+    def ended(self, end: End) -> None: ...
+
+    def hear(self, taken: bool, retry_after: int) -> None:
+        """The client has its answer."""
+        if self.heard or self.left:
+            return
+        self.heard = True
+        self.world.answered.add(self.asked.number)
+        if not taken:
+            self.world.come_again(self.asked, self.number, retry_after / SECOND)
+
+    def lose_patience(self) -> None:
+        """It closes. What it handed in may be taken on all the same: only what does no harm comes again."""
+        if self.heard:
+            return
+        self.left = True
+        if self.world.scenario.classes[self.asked.message_class].effect != "unsafe":
+            self.world.come_again(self.asked, self.number, 0.0)
+
+
+class Courier:
+    """Calls to modelled destinations."""
+
+    late_reader = False
+
+    def __init__(self, sender: "Sender") -> None:
+        self.sender, self.world = sender, sender.world
+
+    async def call(
+        self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
+    ) -> Answer:
+        answer = await self.called(endpoint, message, timeout, may_go)
+        self.world.count_call(self.sender.name, endpoint, answer.outcome)
+        return answer
+
+    async def called(
+        self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
+    ) -> Answer:
+        world, sender = self.world, self.sender
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        place = world.places.get(endpoint)
+        if place is None:
+            return Answer(Outcome.NOT_SENT)
+        if not world.remembers(message):  # long after its time: no such call is due any more
+            return Answer(Outcome.ERROR)
+        asked, attempt = world.attempt_of(message)
+        there, back = (world.way(draw, sender.zone, place.endpoint.zone) for draw in asked.ways(attempt))
+        await asyncio.sleep(min(there, timeout))
+        receiver = world.receiver_of(place.endpoint)
+        trouble = receiver.trouble(loop.time(), sender.name, place.endpoint.zone)
+        if trouble is None and loop.time() >= deadline:
+            return Answer(Outcome.CONNECT_FAILED)
+        if not may_go():
+            return Answer(Outcome.NOT_SENT)
+        fate = receiver.call(loop.time(), sender.name, asked.luck(attempt), place.endpoint.zone)
+        if not fate.connected:
+            if fate.after is None:
+                patience = sender.engine.settings.connect_timeout / SECOND
+                await asyncio.sleep(max(min(patience, deadline - loop.time()), 0.0))
+            return Answer(Outcome.CONNECT_FAILED)
+        call = world.history.began(message.id, endpoint, sender.name)
+        try:
+            async with asyncio.timeout_at(deadline):
+                await asyncio.sleep(ALWAYS if fate.after is None else fate.after)
+                world.arrived(fate.ran, asked, call, RAN[fate.outcome], fate.wait)
+                await asyncio.sleep(back)
+        except (TimeoutError, asyncio.CancelledError) as error:
+            # What is given up may run on over there.
+            if call not in world.over:
+                world.arrived(fate.ran, asked, call, Ran.MAYBE, 0.0)
+            if isinstance(error, TimeoutError):
+                return Answer(Outcome.TIMEOUT)
+            raise
+        wait = int(fate.wait * SECOND)
+        if wait:
+            sender.engine.wait_told(endpoint, wait)
+        return Answer(fate.outcome, finished=fate.outcome is Outcome.OK, wait=wait)
+
+    def look(self) -> None: ...
+    def close_idle(self, endpoint: str) -> None: ...
+    def tidy(self) -> None: ...
+    def list_changed(self) -> None: ...
+    def close(self) -> None: ...
+
+
+class Teller:
+    """Hears ends that nobody waits for, and says so a little later."""
+
+    def __init__(self, sender: "Sender") -> None:
+        self.sender = sender
+
+    def tell(self, message: str, end: End) -> bool:
+        self.sender.world.ended(self.sender, message, end)
+        if end.state is State.DELIVERED:
+            return False
+        self.sender.world.later(NOTICE, self.sender.end_heard, self.sender.lives, message)
+        return True
+
+    async def run(self) -> None:
+        await asyncio.get_running_loop().create_future()
+
+
+class Sender:
+    """One process of a sender, over all its lives."""
+
+    def __init__(self, world: "World", number: int, folder: Path) -> None:
+        self.world, self.number, self.name = world, number, f"n{number}"
+        self.state = folder / self.name
+        self.state.mkdir()
+        self.settings = world.scenario.settings(number)
+        self.zone = self.settings.zone
+        self.alive, self.lives = False, 0
+        self.wall = self.next_wall = 0.0  # s that its wall clock is ahead, and will be at its next start
+        self.down_for = 1.0  # s after its next kill between two writes
+        self.writes, self.kill_at_write = 0, 0
+        self.deaf_until = 0.0
+        self.directory = StaticDirectory(world.places.values())
+
+    def clock(self) -> int:
+        """Its wall clock at its start, going on evenly, in us."""
+        return EPOCH + round((self.world.time() + self.wall) * SECOND)
+
+    def start(self) -> None:
+        self.wall = self.next_wall
+        known = self.directory.endpoints()
+        disk = int(self.world.scenario.fleet.disk_mb * 1e6)
+        config = Config(self.name, self.state, self.world.seed * 64 + self.number, disk, self.settings, known)
+        self.engine = Engine(config, self.clock, self.world.decide)
+        self.alive, self.lives = True, self.lives + 1
+        append = self.engine.journal.append
+
+        def counted(record: bytes) -> bool:
+            self.writes += 1
+            if self.writes == self.kill_at_write:
+                raise KilledSender(self)
+            return append(record)
+
+        self.engine.journal.append = counted  # type: ignore[method-assign]
+        self.directory = StaticDirectory(self.directory.places.values())
+        self.directory.told = self.engine.list_told
+        self.plug()
+        self.engine.start()
+        self.world.tell_list(self)  # what it missed
+
+    def plug(self) -> None:
+        self.engine.plug(Courier(self), self.directory, Teller(self))
+
+    def bury(self) -> None:
+        """What a killed process leaves: descriptors close, nothing of it runs any more."""
+        engine, self.alive = self.engine, False
+        engine.over = True
+        os.close(engine.journal.file)
+        for task in [*engine.calls.values(), *engine.tasks]:
+            task.cancel()
+        if engine.wake:
+            engine.wake.cancel()
+
+    def hear(self, places: dict[str, Place], life: int) -> None:
+        """The list of endpoints, as it was when it was told."""
+        if not (self.alive and life == self.lives):
+            return
+        ready = {name for name, each in places.items() if each.endpoint.state is EndpointState.READY}
+        for name, each in self.directory.places.items():
+            if each.endpoint.state is EndpointState.READY and name not in ready:
+                self.world.history.note(seen.Drained(self.world.time(), name, self.name))
+        for name in ready - self.directory.places.keys():
+            self.world.history.note(seen.Listed(self.world.time(), name, self.name))
+        self.directory.replace(places.values())
+
+    def end_heard(self, life: int, message: str) -> None:
+        if self.alive and life == self.lives:
+            self.engine.end_answered(message)
+
+
+class World:
+    def __init__(
+        self, scenario: Scenario, seed: int, folder: Path, decide: Decide = Dispatcher, traced: bool = False
+    ) -> None:
+        self.scenario, self.seed, self.decide, self.traced = scenario, seed, decide, traced
+        self.loop = VirtualLoop()
+        self.history, self.figures = History(self.time), Figures()
+        self.places: dict[str, Place] = {}
+        self.receivers: dict[str, Receiver] = {}
+        self.asked: dict[int, Asked] = {}  # of which somebody may still hear
+        self.error: BaseException | None = None  # a defect of the world or of a sender
+        self.answered: set[int] = set()
+        self.tried: Counter[str] = Counter()  # attempts at each hand-in, of all senders
+        self.delivered: set[int] = set()
+        self.over: set[int] = set()  # calls that have reached their end over there
+        self.ends: dict[str, tuple[str, str, int]] = {}  # of each message: state, sender and its life
+        self.troubles: list[tuple[int, str, float]] = []  # destination, sender and time of each failure heard
+        self.changed_at, self.emptied_until, self.spare = 0.0, 0.0, 0
+        self.build()
+        self.senders = [self.sender(number, folder) for number in range(scenario.fleet.senders)]
+        longest = max(each.deadline_s for each in scenario.classes.values())
+        self.until = scenario.seconds + longest + AFTER
+        self.arrivals = iter(Arrivals(scenario, seed))
+
+    def sender(self, number: int, folder: Path) -> Sender:
+        return Sender(self, number, folder)
+
+    def time(self) -> float:
+        return self.loop.time()
+
+    # The world as the scenario has it.
+
+    def build(self) -> None:
+        number, end = 0, self.scenario.seconds
+        for group in self.scenario.destinations:
+            for _ in range(group.count):
+                kind = "apart" if group.apart else "plain"
+                terms = group.terms()
+                for each in range(group.endpoints):
+                    zone = group.zones[each % len(group.zones)]
+                    name = f"e{number}-{each}"
+                    rate = min(terms.capacity(), 1e6)
+                    listed = face.Endpoint(name, number, EndpointState.READY, kind, zone, rate)
+                    self.places[name] = Place(listed, ("0.0.0.0", 9))
+                    key = self.receiver_key(listed)
+                    if key not in self.receivers:
+                        self.receivers[key] = Receiver(terms, self.phases(number, end))
+                number += 1
+        self.count = number
+
+    def phases(self, destination: int, end: float) -> list[Any]:
+        told = [
+            each for each in self.scenario.troubles if destination in (each.destinations or (destination,))
+        ]
+        return [phase for each in told for phase in each.phases(end)]
+
+    def receiver_key(self, listed: face.Endpoint) -> str:
+        return listed.id if listed.kind == "apart" else str(listed.destination)
+
+    def receiver_of(self, listed: face.Endpoint) -> Receiver:
+        return self.receivers[self.receiver_key(listed)]
+
+    def way(self, draw: float, here: str = "", there: str = "") -> float:
+        """Seconds one way; `draw` from 0 to 1."""
+        network = self.scenario.network
+        usual = network.same_zone_ms if here == there else network.cross_zone_ms
+        return usual / 1e3 * (1 + network.jitter * draw)
+
+    def later(self, delay: float, call: Callable[..., None], *told: Any) -> None:  # noqa: ANN401
+        self.loop.call_later(delay, call, *told)
+
+    # Clients.
+
+    def next_asked(self) -> None:
+        asked = next(self.arrivals, None)
+        if asked is not None:
+            self.loop.call_at(asked.at, self.ask, asked)
+
+    def ask(self, asked: Asked) -> None:
+        kind = self.scenario.classes[asked.message_class]
+        self.asked[asked.number] = asked
+        self.figures.offered += 1
+        self.figures.asked += kind.worth
+        self.figures.second(self.time()).offered += 1
+        self.figures.tenants.setdefault(asked.tenant, [0.0, 0.0])[0] += kind.worth
+        self.hand_in(asked, 0)
+        self.later(kind.deadline_s + AFTER, self.forget, asked.number)
+        self.next_asked()
+
+    def hand_in(self, asked: Asked, number: int) -> None:
+        self.figures.tries += 1
+        sender = self.front(asked, number)
+        if sender is None:
+            self.come_again(asked, number, 0.0)
+            return
+        self.send(Try(self, asked, number, sender))
+
+    def send(self, one: Try) -> None:
+        """A client's request is on its way."""
+        asked, number, sender = one.asked, one.number, one.sender
+        kind = self.scenario.classes[asked.message_class]
+        until = EPOCH + int((asked.at + kind.deadline_s) * SECOND)
+        message = HandedIn(
+            one.name, asked.message_class, asked.destination, until, asked.tenant, asked.key,
+            f"m{asked.number}", number > 0, b"body",
+        )  # fmt: skip
+        self.later(self.way(asked.ways(number)[0]), self.arrive, sender, sender.lives, message, one)
+        self.later(self.scenario.clients.patience_s, one.lose_patience)
+
+    def arrive(self, sender: Sender, life: int, message: HandedIn, one: Try) -> None:
+        if sender.alive and sender.lives == life and not one.left:
+            # The sender reckons with its own wall clock.
+            sender.engine.take(replace(message, until=message.until + round(sender.wall * SECOND)), one)
+
+    def front(self, asked: Asked, number: int) -> Sender | None:
+        """Who is handed it. A key has its own sender, also while that one is down: what it holds of the key
+        comes first when it is back, and no other sender knows of that."""
+        alive = [each for each in self.senders if each.alive]
+        if asked.key:
+            home = self.senders[zlib.crc32(asked.key.encode()) % len(self.senders)]
+            return home if home.alive else None
+        if not alive:
+            return None
+        return alive[(asked.number + number) % len(alive)]
+
+    def come_again(self, asked: Asked, number: int, wait: float) -> None:
+        clients = self.scenario.clients
+        if number >= clients.retries:
+            return
+        honours = clients.honours == "told" and wait > 0
+        late = wait if honours else clients.backoff_s * 2**number * (0.5 + asked.ways(number)[1])
+        kind = self.scenario.classes[asked.message_class]
+        if self.time() + late < asked.at + kind.deadline_s:
+            self.later(late, self.hand_in, asked, number + 1)
+
+    def forget(self, number: int) -> None:
+        del self.asked[number]
+        self.figures.unanswered += number not in self.answered
+        self.answered.discard(number)
+        self.delivered.discard(number)
+
+    def remembers(self, message: HandedIn) -> bool:
+        return int(message.id[1:].partition(".")[0]) in self.asked
+
+    def attempt_of(self, message: HandedIn) -> tuple[Asked, int]:
+        """The message it stands for, and which attempt at it this is, of any of its tries."""
+        number, _, again = message.id[1:].partition(".")
+        asked = self.asked[int(number)]
+        self.tried[message.id] += 1
+        return asked, int(again or 0) * 3 + self.tried[message.id] - 1
+
+    # What is seen.
+
+    def arrived(self, ran: bool, asked: Asked, call: int, how: Ran, wait: float) -> None:
+        """A call is over at its endpoint, or was before where it had been given up."""
+        if call not in self.over:
+            self.over.add(call)
+            self.history.over(call, how, wait)
+        if ran:
+            self.has_effect(asked)
+
+    def has_effect(self, asked: Asked) -> None:
+        if asked.number in self.delivered or asked.number not in self.asked:
+            self.figures.twice += 1
+            return
+        self.delivered.add(asked.number)
+        self.earn(asked)
+
+    def earn(self, asked: Asked) -> None:
+        kind = self.scenario.classes[asked.message_class]
+        took = self.time() - asked.at
+        late = max(took - kind.aim_s, 0.0) / max(kind.deadline_s - kind.aim_s, 1e-9)
+        worth = kind.worth * (1 - (1 - kind.late_worth) * late) if late < 1 else 0.0
+        self.figures.delivered += 1
+        self.figures.earned += worth
+        self.figures.tenants[asked.tenant][1] += worth
+        self.figures.latency.record_value(max(int(took * SECOND), 1))
+        second = self.figures.second(asked.at)
+        second.good += took <= kind.aim_s
+        second.late += took > kind.aim_s
+
+    def count_call(self, sender: str, endpoint: str, outcome: Outcome) -> None:
+        """A sender has heard what became of a call."""
+        if outcome is Outcome.NOT_SENT:
+            return
+        at = int(endpoint[1:].partition("-")[0])
+        if outcome is not Outcome.OK:
+            self.troubles.append((at, sender, self.time()))
+        self.figures.calls[outcome.value] += 1
+        second = self.figures.second(self.time())
+        second.calls += 1
+        second.refused += outcome is Outcome.FULL
+        second.failed += outcome not in (Outcome.OK, Outcome.FULL)
+        counts = self.figures.destinations.setdefault(at, type(self.figures.calls)())
+        counts[outcome.value] += 1
+
+    def ended(self, sender: Sender, name: str, end: End) -> None:
+        """The same end told again by a later life is the same answer (docs/design/emulator.md)."""
+        now = end.state.value, sender.name, sender.lives
+        before, self.ends[name] = self.ends.get(name), now
+        if before and before[:2] == now[:2] and before[2] < now[2]:
+            self.figures.told_again += 1
+            return
+        self.figures.ends[now[0]] += 1
+        self.history.note(seen.Ended(self.time(), name, now[0]))
+
+    def sample(self) -> None:
+        second = self.figures.second(max(self.time() - SAMPLE / 2, 0.0))
+        for each in self.senders:
+            if each.alive:
+                second.held += len(each.engine.dispatcher.messages)
+                second.open += getattr(each.engine.dispatcher, "count_open", lambda: 0)()
+        self.later(SAMPLE, self.sample)
+
+    # The list of endpoints, and what else happens.
+
+    def truth(self) -> dict[str, Place]:
+        return {} if self.time() < self.emptied_until else dict(self.places)
+
+    def tell_list(self, sender: Sender) -> None:
+        """After a while it hears what holds now."""
+        lists = self.scenario.lists
+        share = sender.number / max(len(self.senders) - 1, 1)
+        at = max(self.time() + lists.delay_s + lists.spread_s * share, sender.deaf_until)
+        self.loop.call_at(at, sender.hear, self.truth(), sender.lives)
+
+    def list_changed(self) -> None:
+        for each in self.senders:
+            self.tell_list(each)
+
+    def happen(self, incident: Incident) -> None:
+        chosen = [each for each in self.senders if incident.sender in (None, each.number)]
+        match incident.what:
+            case "kill":
+                for each in chosen:
+                    self.kill(each, incident)
+            case "drain":
+                self.drain(incident)
+            case "empty":
+                self.emptied_until = self.time() + incident.for_s
+                self.list_changed()
+                self.later(incident.for_s, self.list_changed)
+            case "deaf":
+                for each in chosen:
+                    each.deaf_until = self.time() + incident.for_s
+            case "full_disk":
+                for each in chosen:
+                    limit, each.engine.journal.limit = each.engine.journal.limit, 0
+                    self.later(incident.for_s, setattr, each.engine.journal, "limit", limit)
+            case "pause":
+                self.loop.pause(incident.for_s)
+            case "clock":
+                for each in chosen:
+                    each.next_wall += incident.by_s
+
+    def kill(self, sender: Sender, incident: Incident) -> None:
+        """Now, or at one of its next writes."""
+        if not sender.alive:
+            return
+        if incident.write:
+            sender.kill_at_write = sender.writes + incident.write
+            sender.down_for = incident.for_s
+        else:
+            self.dead(sender, incident.for_s)
+
+    def dead(self, sender: Sender, down_for: float) -> None:
+        sender.bury()
+        self.figures.kills += 1
+        self.history.note(seen.Restarted(self.time(), sender.name, self.time() + down_for))
+        self.later(down_for, sender.start)
+
+    def drain(self, incident: Incident) -> None:
+        leaving = [x for x in self.places.values() if x.endpoint.destination == incident.destination]
+        for each in leaving:
+            listed = replace(each.endpoint, state=EndpointState.DRAINING)
+            self.places[listed.id] = Place(listed, each.dial)
+        self.list_changed()
+        self.later(incident.for_s, self.stand_in, [each.endpoint for each in leaving])
+
+    def stand_in(self, gone: list[face.Endpoint]) -> None:
+        """New endpoints in place of those that have gone; what they stand on starts warm."""
+        for each in gone:
+            self.places.pop(each.id, None)
+            self.spare += 1
+            fresh = replace(each, id=f"{each.id}r{self.spare}", state=EndpointState.READY)
+            self.places[fresh.id] = Place(fresh, ("0.0.0.0", 9))
+            if self.receiver_key(each) in self.receivers and each.kind == "apart":
+                self.receivers[fresh.id] = Receiver(self.receivers[each.id].terms)
+        self.list_changed()
+
+    # A run.
+
+    def run(self) -> Outcomes:
+        done: asyncio.Future[None] = self.loop.create_future()
+        self.loop.call_at(self.until, done.set_result, None)
+        self.loop.call_soon(self.begin)
+        self.loop.set_exception_handler(self.failed)
+        try:
+            while not done.done() and not self.error:
+                try:
+                    self.loop.run_until_complete(done)
+                except KilledSender as killed:
+                    self.dead(killed.sender, killed.sender.down_for)
+                except RuntimeError:
+                    if not self.error:  # else it was stopped for that
+                        raise
+            if self.error:
+                raise self.error
+            for each in self.senders:
+                if each.alive and each.engine.defect:
+                    raise RuntimeError(f"{each.name}: {each.engine.defect}")
+            return self.judged()
+        finally:
+            self.close()
+
+    def failed(self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        if error is not None and not isinstance(error, Killed):
+            self.error = error
+            loop.stop()
+
+    def begin(self) -> None:
+        for each in self.senders:
+            each.start()
+        for incident in self.scenario.incidents:
+            self.loop.call_at(incident.at, self.happen, incident)
+        self.sample()
+        self.next_asked()
+
+    def close(self) -> None:
+        for each in self.senders:
+            if each.alive:
+                each.bury()
+        self.loop.set_exception_handler(lambda *_: None)
+        for task in asyncio.all_tasks(self.loop):
+            task._log_destroy_pending = False  # type: ignore[attr-defined]  # it is meant to be
+        self.loop.close()
+
+    def judged(self) -> Outcomes:
+        self.figures.falls = sum(len(each.falls) for each in self.receivers.values())
+        owed = [
+            f"{name} of class {entry.message.message_class}, at {each.name}"
+            for each in self.senders
+            if each.alive
+            for name, entry in each.engine.journal.entries.items()
+        ]
+        breaches = Referee(self.rules()).judge([*self.outages(), *self.history.events])
+        breaches += self.pushed_over()
+        trace = (
+            [json.dumps(told(each), sort_keys=True) for each in self.history.events] if self.traced else []
+        )
+        return Outcomes(self.figures, breaches, trace, owed)
+
+    def rules(self) -> Rules:
+        kinds = {
+            name: Kind(face.Effect(each.effect), each.window_s, False, each.in_order)
+            for name, each in self.scenario.classes.items()
+        }
+        # Where routes are apart, a wait binds one route alone.
+        place_of: dict[str, int] = {}
+        zones: dict[str, str] = {}
+        apart = 0
+        for event in self.history.events:
+            if isinstance(event, seen.Began) and event.endpoint not in place_of:
+                number = int(event.endpoint[1:].partition("-")[0])
+                kind = self.group_of(number).apart
+                apart += kind
+                place_of[event.endpoint] = -apart if kind else number
+        first = self.scenario.destinations[0]
+        capacity = {
+            number: receiver.terms.capacity()
+            for number, receiver in ((int(key), r) for key, r in self.receivers.items() if key.isdecimal())
+            if receiver.terms.cold_s
+        }
+        # What stands still cannot answer meanwhile.
+        paused = max((each.for_s for each in self.scenario.incidents if each.what == "pause"), default=0.0)
+        return Rules(
+            kinds, zones, place_of, capacity, late=LATE + paused,
+            grace=self.scenario.fleet.grace_s + 0.05,
+            quiet=self.scenario.fleet.key_rest_s, cold=first.cold_s or 1.0, cold_from=first.cold_from,
+            push=first.push, push_for=first.push_s,
+        )  # fmt: skip
+
+    def group_of(self, number: int) -> Any:  # noqa: ANN401
+        for group in self.scenario.destinations:
+            if number < group.count:
+                return group
+            number -= group.count
+        raise IndexError(number)
+
+    def pushed_over(self) -> Iterator[Breach]:
+        """Falls of which two thirds came from senders that had seen the outage before it: a call that meets
+        one that has fallen never comes whole, so that no count of calls would show it."""
+        outages = list(self.outages())
+        for key, receiver in self.receivers.items():
+            for fall in receiver.falls if key.isdecimal() else ():
+                before = [x for x in outages if x.destination == int(key) and x.until <= fall.at]
+                knew = max(before, key=lambda each: each.until).seen_by if before else frozenset()
+                blamed = sum(each in knew for each in fall.pushed_by)
+                if 3 * blamed >= 2 * len(fall.pushed_by):
+                    yield Breach("cold", fall.at, f"destination {key} was pushed over by {blamed} calls")
+
+    def outages(self) -> Iterator[seen.Outage]:
+        """Each with the senders that saw a call fail in it: the others cannot be blamed."""
+        for key, receiver in self.receivers.items():
+            if not key.isdecimal():
+                continue
+            spans = [(each.at, each.until) for each in receiver.phases if each.is_outage()]
+            spans += [(fell.at, fell.at + receiver.terms.fallen_s) for fell in receiver.falls]
+            for at, until in spans:
+                saw = {s for place, s, when in self.troubles if place == int(key) and at <= when < until}
+                if until - at > TOLD_APART and saw:
+                    yield seen.Outage(at, until, int(key), frozenset(saw))
+
+
+def play(
+    scenario: Scenario,
+    seed: int | None = None,
+    decide: Decide = Dispatcher,
+    traced: bool = False,
+    level: str = "ports",
+) -> Outcomes:
+    """One run of a scenario, at its ports or, with the level `bytes`, over sockets in memory. Raises
+    EmulationError where a sender reaches out of it."""
+    if level == "bytes":
+        from elmglade.emulator.wire import play as play_bytes
+
+        return play_bytes(scenario, seed, decide, traced)
+    quiet = logging.root.manager.disable
+    logging.disable(logging.CRITICAL)
+    try:
+        with tempfile.TemporaryDirectory() as folder, sealed(), warnings.catch_warnings():
+            warnings.simplefilter("ignore", RuntimeWarning)  # coroutines that a kill left unbegun
+            return World(
+                scenario, scenario.seed if seed is None else seed, Path(folder), decide, traced
+            ).run()
+    finally:
+        logging.disable(quiet)
--- a/elmglade/emulator/loop.py
+++ b/elmglade/emulator/loop.py
@@ -7,9 +7,13 @@
 
 import asyncio
 import selectors
+import socket
 from collections.abc import Mapping
 from typing import Any
 
+from elmglade.emulator.net import Net
+
+NEVER = float("inf")
 LIVELOCK = 100_000  # passes of the loop within one instant: far above what any turn needs
 RESOLUTION = 1e-6  # s; timers due within it run together, as the module's clock counts microseconds
 
@@ -27,16 +31,18 @@
 
 
 class Selector(selectors.BaseSelector):
-    """Its only event is the passing of time."""
+    """Its events are the passing of time, and what happens on a network in memory where there is one."""
 
     def __init__(self, now: float) -> None:
         self.now, self.passes = now, 0
         self.keys: dict[int, selectors.SelectorKey] = {}
+        self.net: Net | None = None
 
     def register(self, fileobj: Any, events: int, data: Any = None) -> selectors.SelectorKey:  # noqa: ANN401
-        """The loop's own pipe is let in; anything else reaches for a real descriptor."""
+        """The loop's own pipe is let in, and the network's sockets; anything else reaches for a real
+        descriptor."""
         number = fileobj if isinstance(fileobj, int) else fileobj.fileno()
-        if self.keys:
+        if self.keys and not (self.net and number in self.net.sockets):
             raise EmulationError(f"a real descriptor ({number}) is waited for in emulated time")
         self.keys[number] = key = selectors.SelectorKey(fileobj, number, events, data)
         return key
@@ -48,15 +54,28 @@
         return self.keys
 
     def select(self, timeout: float | None = None) -> list[tuple[selectors.SelectorKey, int]]:
-        if timeout is None:
-            raise DeadlockError("nothing is left to run, and no timer is set")
+        until = NEVER if timeout is None else self.now + max(timeout, 0.0)
+        found = self.look()
+        while not found and self.now < until:
+            self.pass_time(min(until, self.net.next() if self.net else NEVER))
+            found = self.look()
         self.passes += 1
-        if timeout > 0:
-            self.now += timeout
-            self.passes = 0
-        elif self.passes > LIVELOCK:
+        if self.passes > LIVELOCK:
             raise LivelockError(f"{self.passes} passes at {self.now:.6f} s: time does not go on")
-        return []
+        return found
+
+    def pass_time(self, to: float) -> None:
+        if to == NEVER:
+            raise DeadlockError("nothing is left to run, and no timer is set")
+        self.passes = 0 if to > self.now else self.passes
+        self.now = max(self.now, to)
+
+    def look(self) -> list[tuple[selectors.SelectorKey, int]]:
+        """What is ready now."""
+        if self.net is None:
+            return []
+        self.net.happen(self.now)
+        return self.net.ready(self.keys)
 
 
 class VirtualLoop(asyncio.SelectorEventLoop):
@@ -70,6 +89,21 @@
     def time(self) -> float:
         return self.virtual.now
 
+    def pause(self, seconds: float) -> None:
+        """The process has no core for so long, here in the middle of a pass: what is under way arrives
+        meanwhile, and what the pass had found before is acted on after it."""
+        self.virtual.now += seconds
+        self.virtual.look()
+
+    async def getaddrinfo(self, host: Any, port: Any, **more: Any) -> Any:  # noqa: ANN401
+        """On a network in memory a name is an address."""
+        if self.virtual.net is None:
+            raise EmulationError(f"{host} was to be looked up, and there is no network here")
+        return [(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP, "", (host, port))]
+
+    def add_signal_handler(self, sig: int, callback: Any, *args: Any) -> None:  # type: ignore[override]  # noqa: ANN401
+        """Nobody sends signals here."""
+
     def run_in_executor(self, executor: Any, func: Any, *args: Any) -> Any:  # type: ignore[override]  # noqa: ANN401
         raise EmulationError(f"{func} was to run in a thread, which has no emulated time")
 
--- a/elmglade/emulator/seal.py
+++ b/elmglade/emulator/seal.py
@@ -30,6 +30,22 @@
 )
 
 
+#: What stands in for the real clock where a world lends its own: times in s, and in ns.
+CLOCKS = {"time": 1, "monotonic": 1, "perf_counter": 1, "time_ns": 10**9, "monotonic_ns": 10**9}
+
+
+def lent(name: str, real: Callable[..., Any], clock: Callable[[], float]) -> Callable[..., Any]:
+    """The package hears the world's time."""
+
+    def told() -> float:
+        caller = sys._getframe(1).f_globals.get("__name__", "")
+        if not caller.startswith(PACKAGE) or caller.startswith(OPEN_TO):
+            return real()  # type: ignore[no-any-return]
+        return int(clock() * CLOCKS[name]) if name.endswith("_ns") else clock()
+
+    return told
+
+
 def guarded(name: str, real: Callable[..., Any]) -> Callable[..., Any]:
     def door(*told: Any, **more: Any) -> Any:  # noqa: ANN401
         frame = sys._getframe(1)
@@ -42,12 +58,15 @@
 
 
 @contextlib.contextmanager
-def sealed() -> Iterator[None]:
-    """Not for two at once in one process."""
+def sealed(clock: Callable[[], float] | None = None) -> Iterator[None]:
+    """Not for two at once in one process. With a `clock` (s), who of the package asks for the time hears that
+    one's: doors and couriers as they are ask the system."""
     real = [(owner, name, getattr(owner, name)) for owner, name in DOORS]
     try:
         for owner, name, call in real:
-            setattr(owner, name, guarded(f"{getattr(owner, '__name__', owner)}.{name}", call))
+            lends = clock and owner is time and name in CLOCKS
+            door = guarded(f"{getattr(owner, '__name__', owner)}.{name}", call)
+            setattr(owner, name, lent(name, call, clock) if lends and clock else door)
         yield
     finally:
         for owner, name, call in real:
--- a/elmglade/lab/history.py
+++ b/elmglade/lab/history.py
@@ -27,6 +27,7 @@
     destination: int
     until: float  # when its time is up
     key: str = ""
+    sender: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +104,7 @@
 
     at: float
     sender: str = ""
+    back: float = 0.0  # when it was up again, where it was down for a while
 
 
 Event = Taken | Refused | Began | Over | Ended | Drained | Listed | Outage | Restarted
--- a/elmglade/lab/referee.py
+++ b/elmglade/lab/referee.py
@@ -4,7 +4,8 @@
 
 The rules, as the project's terms have them:
 
-1. *one end*: each message that was taken on has exactly one final answer, no later than its time and `late`.
+1. *one end*: each message that was taken on has exactly one final answer, no later than its time and `late`;
+   where its sender is down then, than that one's return and `late`.
 2. *no effect twice*: once a call may have run, another may go only if the class allows it: any time if it is
    safe, within the window of the first such call if it is keyed (and in the same zone, where that counts),
    never if it is unsafe. A refusal promises that trying again is harmless, and binds likewise.
@@ -105,6 +106,7 @@
         self.past_drains: dict[tuple[str, str], list[tuple[float, float]]] = defaultdict(list)
         self.outages: list[Outage] = []
         self.restarts: dict[str, list[float]] = defaultdict(list)  # of each sender
+        self.downs: dict[str, list[tuple[float, float]]] = defaultdict(list)
 
     def judge(self, events: Iterable[Event], until: float | None = None) -> list[Breach]:
         """All breaches, in the order of the rules. `until` is when the history ends, its last event's time
@@ -145,6 +147,7 @@
                 self.outages.append(event)
             case Restarted():
                 self.restarts[event.sender].append(event.at)
+                self.downs[event.sender].append((event.at, event.back))
                 for each in self.calls.values():
                     if each.over is None and each.cut is None and each.began.sender == event.sender:
                         each.cut = event.at
@@ -157,9 +160,10 @@
             ends = self.ends.get(name, [])
             if len(ends) > 1:
                 self.breach("one end", ends[1].at, f"{name} ended {' and '.join(x.state for x in ends)}")
-            if not ends and last > taken.until + self.rules.late:
+            until = self.due(taken)
+            if not ends and last > until + self.rules.late:
                 self.breach("one end", taken.until, f"{name} has no final answer")
-            if ends and ends[0].at > taken.until + self.rules.late:
+            if ends and ends[0].at > until + self.rules.late:
                 self.breach("one end", ends[0].at, f"{name} ended {ends[0].at - taken.until:.3f} s late")
             if ends and ends[0].state == "delivered" and not any(x.may_have_run() for x in self.of[name]):
                 self.breach("one end", ends[0].at, f"{name} is said to be delivered, and no call ran")
@@ -167,6 +171,13 @@
             if name not in self.taken and self.of.get(name):
                 self.breach("one end", self.refused[name].at, f"{name} was turned away, and called for")
 
+    def due(self, taken: Taken) -> float:
+        """When its end is due: a sender that is down as its time is up tells it as it comes back."""
+        until = taken.until
+        for at, back in sorted(self.downs[taken.sender]):
+            until = back if at <= until < back else until
+        return until
+
     def kind_of(self, name: str) -> Kind:
         taken = self.taken.get(name)
         return self.rules.kinds.get(taken.kind, Kind()) if taken else Kind()
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -21,14 +21,15 @@
     "admission": BASE,
     "directory": BASE,
     "core": {*BASE, "breaker", "schedule", "rules", "journal"},
-    "config": {*BASE, "directory"},
+    "tables": set(),
+    "config": {*BASE, "directory", "tables"},
     "http": {*BASE, "admission", "core", "config", "directory"},
     "grpc": {*BASE, "core", "config", "directory", "journal"},
     "lab": {*BASE, "core", "config", "directory", "http", "grpc"},
     "adapter": {"interface", "rules", "settings"},
-    "emulator": {*BASE, "core", "directory", "lab"},
+    "emulator": {*BASE, "core", "directory", "http", "lab", "rules", "tables"},
     "pcap": {"http"},  # a codec's patterns
-    "cli": {"config", "core", "directory", "emulator", "http", "lab", "pcap"},
+    "cli": {"config", "tables", "core", "directory", "emulator", "http", "lab", "pcap"},
     "__main__": {"cli", "core", "http", "settings"},
     "__init__": {"rules"},
 }
@@ -65,10 +66,10 @@
         assert not ALLOWED[name] & {"http", "grpc", "lab", "cli"}
 
 
-EXTRAS = {"click", "grpc", "google", "hdrh", "rich", "hypothesis"}
+EXTRAS = {"click", "pydantic", "structlog", "numpy", "grpc", "google", "hdrh", "rich", "hypothesis"}
 
 
-@pytest.mark.parametrize("module", ["__main__", "cli", "http.serve", "adapter"])
+@pytest.mark.parametrize("module", ["__main__", "http.daemon", "adapter"])
 def test_the_daemon_imports_no_extra(module: str) -> None:
     code = f"import sys, elmglade.{module}; print(sorted({EXTRAS} & set(sys.modules)))"
     words = [sys.executable, "-c", code]
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -222,15 +222,16 @@
 def test_the_command_counts_lives_and_writes_a_trace(
     tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    assert main(["emulate", "--lives", "6", "--processes", "2", "--json"]) == 0
+    assert main(["emulate", "search", "--lives", "6", "--processes", "2", "--json"]) == 0
     sums = json.loads(capsys.readouterr().out)
     assert sums["lives"] == 6 and sums["broken"] == 0 and sums["delivered"] > 100
     files = [tmp_path / "one", tmp_path / "two"]
     for file in files:
-        assert main(["emulate", "--seed", "3", "--trace", str(file)]) == 0
+        assert main(["emulate", "replay", "--seed", "3", str(file)]) == 0
     assert files[0].read_bytes() == files[1].read_bytes() != b""
-    assert main(["emulate", "--lives", "0"]) == 2
-    assert main(["emulate", "--trace", str(tmp_path / "no" / "folder")]) == 1
+    assert main(["emulate", "search", "--lives", "0"]) == 2
+    assert main(["emulate", "replay", "--seed", "0", str(tmp_path / "no" / "folder")]) == 1
+    assert main(["emulate", "replay", str(files[0])]) == 2
 
 
 def test_a_defect_is_cut_to_a_few_happenings_that_break_the_same_rule_again(
@@ -239,30 +240,30 @@
     monkeypatch.setattr(Dispatcher, "rest", no_rest)
     (broken,) = itertools.islice((each for each in search.lives(0, WITHIN, 1) if each.broken()), 1)
     file, trace = tmp_path / "case.json", tmp_path / "trace"
-    assert main(["emulate", "--seed", str(broken.seed), "--shrink", str(file)]) == 1
+    assert main(["emulate", "shrink", "--seed", str(broken.seed), str(file)]) == 1
     case = shrink.Case.read(file)
     left = case.live()
     assert case.rule == "order" and {each.rule for each in left.breaches} == {"order"}
     assert 2 <= len(left.happenings) < 20 and "happenings left" in capsys.readouterr().out
     for each in left.happenings:  # none can be spared
         assert not shrink.breaks(case.seed, case.rule, case.without | {each.number})
-    assert main(["emulate", "--case", str(file), "--trace", str(trace)]) == 1
+    assert main(["emulate", "replay", "--case", str(file), str(trace)]) == 1
     assert trace.read_text().splitlines() == left.trace
     monkeypatch.undo()
-    assert main(["emulate", "--case", str(file), "--trace", str(trace)]) == 0
-    assert main(["emulate", "--seed", str(broken.seed), "--shrink", str(file)]) == 1
+    assert main(["emulate", "replay", "--case", str(file), str(trace)]) == 0
+    assert main(["emulate", "shrink", "--seed", str(broken.seed), str(file)]) == 1
     assert "no rule breaks" in capsys.readouterr().err
     for text in ("", "{}", '{"seed": 1, "rule": "order", "without": 3}'):
         file.write_text(text)
-        assert main(["emulate", "--case", str(file), "--trace", str(trace)]) == 1
+        assert main(["emulate", "replay", "--case", str(file), str(trace)]) == 1
 
 
 def test_a_broken_life_and_one_that_fails_are_told_and_counted(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
     monkeypatch.setattr(Dispatcher, "rest", no_rest)
-    assert main(["emulate", "--lives", "20"]) == 1
+    assert main(["emulate", "search", "--lives", "20"]) == 1
     assert "order: " in capsys.readouterr().out
     monkeypatch.setattr(Engine, "take", lambda *_: asyncio.get_running_loop().call_soon(1 / 0))
-    assert main(["emulate", "--lives", "1"]) == 1
+    assert main(["emulate", "search", "--lives", "1"]) == 1
     assert "ZeroDivisionError" in capsys.readouterr().out
