--- a/elmglade/emulator/hunt.py
+++ b/elmglade/emulator/hunt.py
@@ -19,10 +19,11 @@
 
 from elmglade.emulator import scenario
 from elmglade.emulator.fleet import play
+from elmglade.emulator.receiver import Trouble
 from elmglade.lab.referee import Breach
 from elmglade.tables import ConfigError
 
-TROUBLES = ("shut", "silent", "hangs", "errors", "full", "slow", "degrades", "spoilt", "resets", "limit")
+TROUBLES = tuple(each.value for each in Trouble)
 #: Sizes that a trouble may have; its own meaning is in receiver.py.
 SIZES = {"errors": (0.2, 1.0), "full": (0.0, 1.5), "slow": (2.0, 20.0), "degrades": (2.0, 40.0)}
 SHARES = (0.2, 1.0)
--- a/elmglade/emulator/wire.py
+++ b/elmglade/emulator/wire.py
@@ -21,6 +21,7 @@
 
 from elmglade import interface as face
 from elmglade.core.ports import Answer
+from elmglade.directory.static import Place
 from elmglade.emulator import fleet
 from elmglade.emulator.fleet import Decide, Outcomes, Teller, Try
 from elmglade.emulator.life import EPOCH, RAN, SECOND
@@ -141,6 +142,7 @@
         self.net = Net(self.time, self.way_of, SEGMENT)
         self.loop.virtual.net = self.net
         self.tasks: set[asyncio.Task[None]] = set()
+        self.gone: dict[str, Place] = {}  # endpoints that drained: calls may still be there
         self.out: dict[tuple[str, str], int] = {}  # calls that senders wait for
         self.clients: dict[str, list[tuple[float, HttpClient]]] = defaultdict(list)
         self.zone_of = {each.name: each.zone for each in self.senders}
@@ -315,7 +317,6 @@
         super().drain(incident)
 
     def run(self) -> Outcomes:
-        self.gone: dict[str, Any] = {}
         with self.net.installed():
             return super().run()
 
