Open breakers are counted in fleets; what is listed again is told in the list's order

Need: read once more, the figure of open breakers was nought in every run (the module has no such count to ask for), and endpoints that are listed again were noted in the order of a set, which hash seeds change. Change: the breakers are asked; the list's own order; one way to an SVG in place of two; dead state gone. Nothing that the platform runs has changed.

--- a/elmglade/emulator/fleet.py
+++ b/elmglade/emulator/fleet.py
@@ -266,7 +266,7 @@
         for name, each in self.directory.places.items():
             if each.endpoint.state is EndpointState.READY and name not in ready:
                 self.world.history.note(seen.Drained(self.world.time(), name, self.name))
-        for name in ready - self.directory.places.keys():
+        for name in [x for x in places if x in ready and x not in self.directory.places]:
             self.world.history.note(seen.Listed(self.world.time(), name, self.name))
         self.directory.replace(places.values())
 
@@ -292,7 +292,7 @@
         self.over: set[int] = set()  # calls that have reached their end over there
         self.ends: dict[str, tuple[str, str, int]] = {}  # of each message: state, sender and its life
         self.troubles: list[tuple[int, str, float]] = []  # destination, sender and time of each failure heard
-        self.changed_at, self.emptied_until, self.spare = 0.0, 0.0, 0
+        self.emptied_until, self.spare = 0.0, 0
         self.build()
         self.senders = [self.sender(number, folder) for number in range(scenario.fleet.senders)]
         longest = max(each.deadline_s for each in scenario.classes.values())
@@ -323,7 +323,6 @@
                     if key not in self.receivers:
                         self.receivers[key] = Receiver(terms, self.phases(number, end))
                 number += 1
-        self.count = number
 
     def phases(self, destination: int, end: float) -> list[Any]:
         told = [
@@ -486,7 +485,8 @@
         for each in self.senders:
             if each.alive:
                 second.held += len(each.engine.dispatcher.messages)
-                second.open += getattr(each.engine.dispatcher, "count_open", lambda: 0)()
+                if isinstance(each.engine.dispatcher, Dispatcher):  # plain policies have no such breakers
+                    second.open += sum(x.is_open() for x in each.engine.dispatcher.all_breakers())
         self.later(SAMPLE, self.sample)
 
     # The list of endpoints, and what else happens.
--- a/elmglade/emulator/report.py
+++ b/elmglade/emulator/report.py
@@ -63,6 +63,13 @@
     values: Sequence[float]
 
 
+def svg(figure: Figure) -> str:
+    out = io.StringIO()
+    figure.savefig(out, format="svg", metadata={"Date": None})
+    text = out.getvalue()
+    return text[text.index("<svg") :]
+
+
 def plot(title: str, unit: str, lines: Sequence[Line], marks: Sequence[tuple[float, float]] = ()) -> str:
     """An SVG. `marks` are spans of time that are shaded: troubles."""
     figure = Figure(figsize=(9, 2.6), layout="constrained")
@@ -77,10 +84,7 @@
     axes.set_ylim(bottom=0)
     axes.tick_params(labelsize=8)
     axes.legend(fontsize=7, loc="upper right")
-    out = io.StringIO()
-    figure.savefig(out, format="svg", metadata={"Date": None})
-    text = out.getvalue()
-    return text[text.index("<svg") :]
+    return svg(figure)
 
 
 def plots(scenario: Scenario, outcomes: Outcomes) -> list[str]:
@@ -120,10 +124,7 @@
     axes.tick_params(labelsize=8)
     if told:
         axes.legend(fontsize=7, loc="upper right")
-    out = io.StringIO()
-    figure.savefig(out, format="svg", metadata={"Date": None})
-    text = out.getvalue()
-    return text[text.index("<svg") :]
+    return svg(figure)
 
 
 def page(scenario: Scenario, seed: int, policy: str, outcomes: Outcomes) -> str:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -139,6 +139,12 @@
     assert sum(each.offered for each in back) > 1000 and sum(each.refused for each in back) > 3
 
 
+def test_breakers_that_open_are_counted_while_they_are_open() -> None:
+    told = small(troubles=[{"at": 2.0, "until": 5.0, "what": "shut", "destinations": [0, 1]}])
+    seconds = play(told).figures.seconds
+    assert seconds[4].open == 2 and not seconds[1].open and seconds[4].held > 0
+
+
 # Files.
 
 
