A crowd's gap widens past its told part and shrinks by time, so a lowered limit is met

After a limit was halved the senders went on at 1/1.2 of their told part each: as many calls as the lowered limit takes, half of them refused, for the whole 9 s (told 42/s: 38 calls and 19 served in each span). Afterwards the gap shrank by 3% a served call, of which a sender sees one in a second: 75% of the capacity was used with 190 messages held. At fault: `Breaker.refused`, where the step was the most a told gap could be, and the shares in `Breaker.served`. Change, for fleets above GAP_SENDERS alone: the gap may double up to its bound, served calls shrink it by the time that has passed (to 1/e in 5 s above the step, 15 s below it), and it ends at an eighth of the step in place of a half.

--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -4,8 +4,9 @@
 
 - **closed**: `failures` is under the threshold. Calls go, at least `gap` apart. A served call zeroes the
   count and takes a share off the gap; a refusal as full doubles the gap; a failure adds to the count.
-  Where the list tells rates, a refusal brings the gap to this sender's part of the told one, and it grows
-  further only where all calls are refused for longer than a limit's span: then the destination is shut.
+  Where the list tells rates, a refusal brings the gap to this sender's part of the told one. It grows
+  further where all calls are refused for longer than a limit's span: then the destination is shut; and in
+  a crowd, whose limit may have been lowered: there the share grows with the time since the last change.
 - **open**: the threshold is reached. Nothing goes until `trial_at`, the reset timeout after the last
   failure.
 - **half-open**: one call is out as `trial`. Served, it closes the breaker, with a gap from its small step;
@@ -32,6 +33,11 @@
 TOLD_SHRINK = 0.03  # GAP_SHRINK up to that: many are served before one asks for what others leave
 TOLD_MOST = 4  # times that: the gap at the most; a cold destination takes a fifth, and has its own gap
 SPAN_MOST = 2_000_000  # us, the longest span of a limit: what refuses all calls for longer is shut
+#: Of a crowd, whose members see few calls each: us in which served calls take the gap to 1/e of what it was,
+#: above the step there (a limit that was lowered is up again within seconds) and below it (what one asks for
+#: beyond its part, the others have to leave).
+CROWD_SHRINK, CROWD_SHRINK_TOLD = 5_000_000, 15_000_000
+CROWD_LEAST = 8  # one part of the step at which a crowd's gap ends; at a half, all it holds would go at once
 GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
 GAP_SHRINK = 0.15  # share of the gap that a served call takes off: five serve to undo most of a doubling
 SICK_SHARE = 0.4  # recent failures among calls from which a destination is doubtful: far above stray errors
@@ -201,7 +207,7 @@
             self.full_since = min(self.full_since, now)
             # A limit refuses until its span ends, which is no outage; nor does it tell a longer wait.
             shut = max(now - self.full_since, wait) > SPAN_MOST
-            most = self.most_gap if shut or self.told_gap == NEVER else self.step
+            most = self.most_gap if shut or self.told_gap == NEVER or self.pace.crowd > 1 else self.step
             self.gap, self.gap_changed = min(max(2 * self.gap, self.step), most), now
             self.doubt(now, max(FAILURE_THRESHOLD / self.pace.crowd, 2) if shut else NEVER)
             # Told alike, back apart.
@@ -225,11 +231,19 @@
         if self.unserved == 0 and self.cold_gap(now) == 0 and passed >= 0:
             fade = math.exp(-passed / self.pace.settings.cold)
             self.calls, self.span = self.calls * fade + 1, self.span * fade + passed
+        self.narrow(now, now - self.last_served if passed >= 0 else NEVER)
         self.last_served = now
-        paced = self.told_gap < NEVER and self.gap <= self.step
-        self.gap = max(self.gap, self.step if self.is_open() else 0)
-        self.gap *= 1 - (TOLD_SHRINK if paced else GAP_SHRINK)
-        self.gap *= self.gap >= self.step / 2
         self.failures, self.unserved, self.trial = 0, 0, None
         self.full_since = NEVER
         self.sick *= 1 - MEMORY
+
+    def narrow(self, now: int, passed: float) -> None:
+        """A served call takes a share off the gap; `passed`: us since the one before."""
+        told = self.told_gap < NEVER
+        paced, crowd = told and self.gap <= self.step, told and self.pace.crowd > 1
+        share = TOLD_SHRINK if paced else GAP_SHRINK
+        if crowd and not self.is_open():
+            since = min(passed, now - self.gap_changed)
+            share = 1 - math.exp(-since / (CROWD_SHRINK_TOLD if paced else CROWD_SHRINK))
+        self.gap = max(self.gap, self.step if self.is_open() else 0) * (1 - share)
+        self.gap *= self.gap >= self.step / (CROWD_LEAST if crowd else 2)
--- /dev/null
+++ b/tests/crowds.py
@@ -0,0 +1,84 @@
+"""Forty decision modules on one virtual clock before one receiver with a limit, which is all they share."""
+
+import heapq
+import itertools
+import random
+from collections import Counter
+
+from helpers import MS, SECOND, endpoint, settings
+
+from elmglade import Dispatcher
+from elmglade import interface as face
+from elmglade.interface import Outcome
+
+TRIP = 25 * MS  # one way
+Due = tuple[int, int, int, face.Event]
+
+
+class Spans:
+    """A count in each span of time. What is refused in one is taken off the next, half of it at the most."""
+
+    def __init__(self, rate: float, length: int = 1_500 * MS) -> None:
+        self.rate, self.length = rate, length
+        self.span, self.taken, self.refused = -1, 0, 0
+
+    def call(self, now: int) -> tuple[Outcome, int]:
+        """The outcome, and the wait that it tells."""
+        if (span := now // self.length) != self.span:
+            lost = self.refused if span == self.span + 1 else 0
+            self.span, self.taken, self.refused = span, int(min(lost, self.room() / 2)), 0
+        if self.taken < self.room():
+            self.taken += 1
+            return Outcome.OK, 0
+        self.refused += 1
+        return Outcome.FULL, (span + 1) * self.length - now
+
+    def room(self) -> float:
+        return self.rate * self.length / SECOND
+
+
+class Crowd:
+    """Senders that each get messages as chance has it. `told` is the rate on the list, in calls a second."""
+
+    def __init__(self, told: float, senders: int = 40, seed: int = 1) -> None:
+        self.receiver, self.chance, self.now = Spans(told), random.Random(seed), 0
+        given = settings(fleet_size=senders, rates_told=True, slots=4, max_open=40)
+        self.modules = [Dispatcher(given, seed=100 * seed + each) for each in range(senders)]
+        self.queue: list[Due] = []
+        self.count = itertools.count()
+        self.seen: Counter[tuple[str, int]] = Counter()  # by outcome and second
+        for each in range(senders):
+            listed = endpoint("a", scale=told)
+            self.post(each, 0, face.EndpointsListed(face.Listing.FULL, (listed,)))
+
+    def post(self, sender: int, at: int, event: face.Event) -> None:
+        heapq.heappush(self.queue, (at, next(self.count), sender, event))
+
+    def offer(self, rate: float, until: float) -> None:
+        """From now on so many messages a second come, until that second. Plays up to then."""
+        at, end = self.now, int(until * SECOND)
+        while (at := at + int(self.chance.expovariate(rate) * SECOND)) < end:
+            name = f"m{next(self.count)}"
+            event = face.MessageTaken(name, "safe", 1, 12 * SECOND)
+            self.post(self.chance.randrange(len(self.modules)), at, event)
+        self.play(end)
+
+    def play(self, end: int) -> None:
+        while self.queue and self.queue[0][0] < end:
+            self.now, _, sender, event = heapq.heappop(self.queue)
+            for action in self.modules[sender].handle(self.now, (event,)):
+                self.act(sender, action)
+        self.now = end
+
+    def act(self, sender: int, action: face.Action) -> None:
+        if isinstance(action, face.WakeAfter):
+            self.post(sender, self.now + action.delay, face.WakeUp())
+        elif isinstance(action, face.Send):
+            outcome, wait = self.receiver.call(self.now + TRIP)
+            self.seen[outcome.value, self.now // SECOND] += 1
+            ended = face.AttemptEnded(action.message, action.attempt, outcome, outcome is Outcome.OK, wait)
+            self.post(sender, self.now + 2 * TRIP, ended)
+
+    def rate(self, outcome: Outcome, since: int, until: int) -> float:
+        """Calls a second with that outcome, from one second to another."""
+        return sum(self.seen[outcome.value, each] for each in range(since, until)) / (until - since)
