A crowd spreads its calls for the list, and keeps its connections through an outage

Of 28 senders that were killed, most never had a list again and called endpoints that were gone: 1,300 refused connects in 20 s. Discovery serves about 7 calls a second and goes on working on calls whose callers have given up, so 26 callers that ask every 3.5 s keep it full. Ruled out: a full table of connections (302 not taken). At fault: `subscribe_at` at once on start and its span of 2.5 s at the most; `scarce_until` of the whole sender. Change, for fleets above GAP_SENDERS alone: the first call for the list comes within 0.15 s times the fleet's size, failed ones after twice that and more, up to ask_within, half of it by chance (`ListCalls`, out of `Dispatcher`); connections close after use only at an endpoint that served a call within 1 s of refusing a connect.

--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -52,11 +52,12 @@
 
 
 class Endpoint:
-    __slots__ = ("bad_until", "breaker", "last_sent", "listed", "out", "turns")
+    __slots__ = ("bad_until", "breaker", "last_sent", "listed", "out", "refused_at", "scarce_until", "turns")
 
     def __init__(self, listed: face.Endpoint) -> None:
         self.listed, self.out = listed, 0
         self.bad_until, self.last_sent = 0.0, -NEVER
+        self.refused_at, self.scarce_until = -NEVER, -NEVER  # a connect was refused; others need ours
         self.turns = 0.0  # calls over its weight, since the list of its destination changed
         self.breaker: Breaker | None = None  # while its destination is asleep
 
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -27,18 +27,18 @@
 from elmglade import interface as face
 from elmglade.breaker import NEVER, RESET_TIMEOUT, Breaker, Call, Endpoint, Message, Pace
 from elmglade.interface import Effect, EndpointState, Listing, Outcome
-from elmglade.schedule import Agenda, Destination, Rank, worth
+from elmglade.schedule import Agenda, Destination, ListCalls, Rank, worth
 
 DESTINATION_SLOTS = 0.5  # share of the slots that calls to one destination may hold
 # May still be running:
 UNSETTLED = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.STALE, Outcome.SPOILT, Outcome.CANCELLED})
-SCARCE_TIMES = 3  # idle times for which a refused connect makes a crowd close its connections after use
+SCARCE_TIMES = 3  # idle times for which a crowd closes its connections after use where they are scarce
+SCARCE_WITHIN = 1_000_000  # us from a refused connect to a served call: an outage's refusals last for longer
 IDLE_AGE = 60_000_000  # us after which what is unused and unlisted is forgotten: above any outage's length
 QUIET_AGE = 3_600_000_000  # us of silence after which a listed destination is not judged by old figures
 ROUNDING = 1e-9  # of a message: a share that is whole but for the last bits of a float is whole
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
 REFUSALS_KEPT = 2  # of messages still owed, from which a destination is doubtful after a restart
-AT_HAND_AGAIN = 50_000  # us until a list at hand is asked for again: well within the grace of a drain
 LOOKS = 256  # destinations looked at in a turn; where more wait for a slot, the next turn begins with those
 PROSPECT_AGE = 25  # us for each message held that their order, once made, serves: a bound on what it costs
 
@@ -75,7 +75,6 @@
         self.keys: dict[str, KeyLine] = {}
         self.calls: dict[tuple[str, int], Call] = {}
         self.idle: dict[str, Endpoint] = {}  # with a call just ended
-        self.scarce_until = 0  # connects were refused of late
         self.out: dict[Call, None] = {}  # distinct calls, oldest first
         self.stuck: dict[Call, None] = {}  # of these, the overdue ones
         self.deadlines: list[tuple[float, int, Message]] = []  # a heap: when a message may have to end
@@ -91,7 +90,7 @@
         self.now, self.wake_at = -NEVER, NEVER
         self.count = itertools.count()
         self.stops_at = NEVER
-        self.subscribe_at, self.subscribe_tries = (-NEVER if settings.must_ask else NEVER), 0
+        self.list_calls = ListCalls(settings, self.random)
         self.actions: list[face.Action] = []
         self.looks = 0  # items looked at, ever: what a turn costs is counted by it
 
@@ -241,7 +240,7 @@
             endpoint.out -= 1
             self.idle[endpoint.listed.id] = endpoint
             if ended.outcome is Outcome.CONNECT_FAILED and not call.overdue:
-                self.scarce_until = now + SCARCE_TIMES * self.settings.conn_idle
+                endpoint.refused_at = now
             for kind in (self.out, self.stuck, breaker.fresh, breaker.stuck):
                 kind.pop(call, None)
         if call.settled:
@@ -251,6 +250,8 @@
         if ended.outcome is Outcome.OK:
             breaker.served(now, call)
             endpoint.bad_until = 0.0
+            if now - endpoint.refused_at < SCARCE_WITHIN:
+                endpoint.scarce_until = now + SCARCE_TIMES * self.settings.conn_idle
         elif ended.outcome is Outcome.FULL:
             breaker.refused(now, call, ended.wait)
         elif ended.outcome in face.FAILURES and not call.overdue:
@@ -269,12 +270,11 @@
     def list_endpoints(self, listed: face.EndpointsListed) -> None:
         """Rule: drains are kept, from the moment they are told: only ready endpoints are known here."""
         if listed.listing is Listing.FAILED:
-            self.subscribe_tries += 1
-            span = min(self.settings.ask_within, RESET_TIMEOUT * 2**self.subscribe_tries) / 4
-            later = span * self.random.uniform(0.5, 1)  # guards discovery from all senders at once
-            self.subscribe_at = self.now + (AT_HAND_AGAIN if self.settings.list_at_hand else later)
+            self.list_calls.failed(self.now)
             return
-        self.subscribe_tries, known = 0, self.endpoints
+        if listed.listing is Listing.CACHED:
+            self.list_calls.start(self.now)
+        self.list_calls.tries, known = 0, self.endpoints
         touched: dict[int, None] = {}  # destinations, in the order in which they were named
         if listed.listing is not Listing.CHANGES:
             self.endpoints = {}
@@ -516,8 +516,9 @@
         self.find_in_turn()
         self.send_best(self.find_open())
         # Guards against a crowd's idle connections that fill what endpoints accept.
-        if self.pace.crowd > 1 and self.now < self.scarce_until:
-            self.actions += [face.CloseIdle(name) for name, each in self.idle.items() if not each.out]
+        if self.pace.crowd > 1:
+            scarce = {name: each for name, each in self.idle.items() if self.now < each.scarce_until}
+            self.actions += [face.CloseIdle(name) for name, each in scarce.items() if not each.out]
         self.idle = {}
 
     def send_best(self, found: list[Destination]) -> None:
@@ -707,11 +708,10 @@
             del self.destinations[at.number]
 
     def set_wake(self) -> None:
-        if self.subscribe_at <= self.now:
-            self.subscribe_at = NEVER
+        if self.list_calls.is_due(self.now):
             self.actions.append(face.Subscribe())
         self.set_overdue()
-        due = [self.subscribe_at, self.overdue.next(), self.freed.next()]
+        due = [self.list_calls.at, self.overdue.next(), self.freed.next()]
         due += [each[0] - self.settings.tick for each in self.deadlines[:1]]
         due += [each[0] for each in self.quiet[:1]]
         at = min((each for each in due if each > self.now), default=NEVER)
--- a/elmglade/schedule.py
+++ b/elmglade/schedule.py
@@ -2,6 +2,7 @@
 
 - `Agenda`: items with one time each; what is due comes out, and nothing else is looked at.
 - `Destination`: its endpoints, its breakers while it is awake, and what is held for it.
+- `ListCalls`: when the list of endpoints is asked for.
 - `Group`: messages of one destination, class and share that may go next, by age. All of them lose worth by
   one curve, which rises and falls between a few known ages (`cuts`): the most urgent one stands at an end
   of such a stretch, whatever the number of messages.
@@ -11,15 +12,20 @@
 
 import itertools
 import math
+import random
 from bisect import bisect_left, bisect_right, insort
 from collections.abc import Hashable, Iterator
 from heapq import heapify, heappop, heappush
 from typing import Generic, NamedTuple, TypeVar
 
-from elmglade.breaker import NEVER, Breaker, Endpoint, Message
-from elmglade.interface import MessageClass
+from elmglade.breaker import GAP_SENDERS, NEVER, RESET_TIMEOUT, Breaker, Endpoint, Message
+from elmglade.interface import MessageClass, Settings
 
 PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
+AT_HAND_AGAIN = 50_000  # us until a list at hand is asked for again: well within the grace of a drain
+#: us between two calls for the list, over all senders. Discovery takes a call from each of forty in 2 to 8 s;
+#: it goes on working on calls whose callers have given up, so that what asks faster is never answered.
+CALL_SPACING = 150_000
 STALE = 64  # entries of an agenda that may be stale, above one for each that is not
 FEW = 8  # messages that are compared one by one
 
@@ -59,6 +65,38 @@
             yield item
 
 
+class ListCalls:
+    """When the list of endpoints is asked for next. Discovery is one service for all senders and works through
+    calls in turn: what asks at one time is not answered, nor is what asks again as fast."""
+
+    def __init__(self, settings: Settings, chance: random.Random) -> None:
+        self.settings, self.chance = settings, chance
+        self.tries = 0  # calls that failed since one was answered
+        #: us in which all of the fleet ask; 0 where few senders, or a list at hand, need no care.
+        crowd = settings.fleet_size > GAP_SENDERS and not settings.list_at_hand
+        self.round = min(CALL_SPACING * settings.fleet_size, settings.ask_within) if crowd else 0
+        self.at: float = -NEVER if settings.must_ask else NEVER
+
+    def start(self, now: float) -> None:
+        """The process has just started, as all others may have."""
+        if self.settings.must_ask and self.round:
+            self.at = now + self.chance.uniform(0, self.round)
+
+    def failed(self, now: float) -> None:
+        self.tries += 1
+        first = 2 * self.round or RESET_TIMEOUT / 2
+        most = self.settings.ask_within / (1 if self.round else 4)
+        later = min(most, first * 2 ** (self.tries - 1)) * self.chance.uniform(0.5, 1)
+        self.at = now + (AT_HAND_AGAIN if self.settings.list_at_hand else later)
+
+    def is_due(self, now: float) -> bool:
+        """Whether to ask now; asked once for each time."""
+        if self.at > now:
+            return False
+        self.at = NEVER
+        return True
+
+
 def worth(kind: MessageClass, share: float, age: float, halves: bool) -> float:
     """What a message is worth at that age, in us since its full deadline began to run."""
     if age >= kind.deadline:
