A crowd uses routes apart by their told rates, not the cheapest one first

`Dispatcher.choose` ranks the zone's fee first, so 40 senders all begin at the cheapest route of each, use up its span, and what is refused there is taken off the next span too; only then their gaps send them on. Change, for fleets above GAP_SENDERS alone: of routes apart, the one goes first that rested longest times its rate.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -573,7 +573,7 @@
         return sent is None or self.may_repeat_at(now, sent, sent.risky_since)
 
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
-        options: list[tuple[tuple[float, float, bool, float, bool, float], int, Endpoint]] = []
+        options: list[tuple[tuple[float, ...], int, Endpoint]] = []
         weighted = self.destinations[message.destination].weighted
         pinned = self.holds_pin(message)
         for endpoint in self.destinations[message.destination].endpoints:
@@ -586,13 +586,19 @@
             joins = self.may_join(batches.get(listed.id), listed)
             if not (joins or self.may_call(endpoint.breaker)):
                 continue
-            fee = self.fees.get(listed.zone, 0.0) if self.kinds[listed.kind].apart else 0.0
-            bad, away = max(endpoint.bad_until, self.now), listed.zone != self.settings.zone
-            load = endpoint.turns if weighted else endpoint.out
-            rank = (bad, fee, not joins, load, away, endpoint.last_sent)
-            options.append((rank, len(options), endpoint))
+            options.append((self.rank(endpoint, joins, weighted), len(options), endpoint))
         return min(options)[-1] if options else None
 
+    def rank(self, endpoint: Endpoint, joins: bool, weighted: bool) -> tuple[float, ...]:
+        """The lowest goes first. Guards the cheapest of several routes apart from a whole crowd, which uses up
+        its limit and is refused: there a route's turn comes by its rate times the time that it rested."""
+        listed, apart = endpoint.listed, self.kinds[endpoint.listed.kind].apart
+        bad, load = max(endpoint.bad_until, self.now), endpoint.turns if weighted else endpoint.out
+        if apart and self.pace.crowd > 1:
+            return bad, not joins, load, (endpoint.last_sent - self.now) * listed.scale
+        fee, away = self.fees.get(listed.zone, 0.0) if apart else 0.0, listed.zone != self.settings.zone
+        return bad, fee, not joins, load, away, endpoint.last_sent
+
     def holds_pin(self, message: Message) -> bool:
         """A pin binds while its endpoint is there, and not against the rule on repeats."""
         known = self.endpoints.get(message.pinned) if message.pinned else None
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -113,6 +113,18 @@
         assert sent(actions) == ["m1"]
 
 
+def test_a_crowd_uses_routes_apart_by_their_rates_and_few_senders_the_cheapest() -> None:
+    for fleet, fair in ((4, False), (40, True)):
+        rates = {"x": 60.0, "y": 30.0}
+        routes = [endpoint(name, kind="apart", zone=name, scale=rate) for name, rate in rates.items()]
+        world = World(*routes, fleet_size=fleet, rates_told=True, zone_fees=(("x", 0.05), ("y", 0.0)))
+        used = []
+        for _ in range(60):
+            used += [each.endpoint for each in world.take(after=50 * MS) if isinstance(each, face.Send)]
+            world.answer(f"m{world.count}", Outcome.OK)
+        assert (35 <= used.count("x") <= 45) == fair and (used.count("y") == 60) != fair
+
+
 def test_usual_time_is_learned_from_the_first_calls() -> None:
     world = World()
     for _ in range(3):
