--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -590,8 +590,8 @@
         return min(options)[-1] if options else None
 
     def rank(self, endpoint: Endpoint, joins: bool, weighted: bool) -> tuple[float, ...]:
-        """The lowest goes first. Guards the cheapest of several routes apart from a whole crowd, which uses up
-        its limit and is refused: there a route's turn comes by its rate times the time that it rested."""
+        """The lowest goes first. Guards the cheapest of several routes apart from a crowd, which uses up its
+        limit and is refused: there a route's turn comes by its rate times the time that it rested."""
         listed, apart = endpoint.listed, self.kinds[endpoint.listed.kind].apart
         bad, load = max(endpoint.bad_until, self.now), endpoint.turns if weighted else endpoint.out
         if apart and self.pace.crowd > 1:
--- a/elmglade/schedule.py
+++ b/elmglade/schedule.py
@@ -66,8 +66,8 @@
 
 
 class ListCalls:
-    """When the list of endpoints is asked for next. Discovery is one service for all senders and works through
-    calls in turn: what asks at one time is not answered, nor is what asks again as fast."""
+    """When the list of endpoints is asked for next. Discovery is one service for all senders, which works
+    through calls in turn: what asks at one time is not answered, nor is what asks again as fast."""
 
     def __init__(self, settings: Settings, chance: random.Random) -> None:
         self.settings, self.chance = settings, chance
