In a crowd a refused connect speaks against its endpoint alone while another one serves

Checked: the endpoints refused are those that the list names gone, not full ones. `Dispatcher.settle` counted each against the destination, and in a crowd two of them restart its warm-up of 13 s (`Breaker.count_failure`, `doubt`). Change, for fleets above GAP_SENDERS alone: while another endpoint of the destination is not known to be bad, a refused connect puts its own endpoint last for four reset timeouts and counts for nothing else; where all refuse, and for a trial, it counts as before.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -33,6 +33,7 @@
 # May still be running:
 UNSETTLED = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.STALE, Outcome.SPOILT, Outcome.CANCELLED})
 SCARCE_TIMES = 3  # idle times for which a crowd closes its connections after use where they are scarce
+GONE_TIMES = 4  # reset timeouts for which one that may be gone comes last; the list tells of it meanwhile
 SCARCE_WITHIN = 1_000_000  # us from a refused connect to a served call: an outage's refusals last for longer
 IDLE_AGE = 60_000_000  # us after which what is unused and unlisted is forgotten: above any outage's length
 QUIET_AGE = 3_600_000_000  # us of silence after which a listed destination is not judged by old figures
@@ -255,11 +256,22 @@
         elif ended.outcome is Outcome.FULL:
             breaker.refused(now, call, ended.wait)
         elif ended.outcome in face.FAILURES and not call.overdue:
-            breaker.count_failure(now, ended.outcome)
-            endpoint.bad_until = now + RESET_TIMEOUT
+            alone = ended.outcome is Outcome.CONNECT_FAILED and self.is_alone(call)
+            endpoint.bad_until = now + RESET_TIMEOUT * (GONE_TIMES if alone else 1)
+            if not alone:
+                breaker.count_failure(now, ended.outcome)
         elif call is breaker.trial:
             breaker.trial = None
 
+    def is_alone(self, call: Call) -> bool:
+        """Whether a refused connect speaks against its endpoint alone, as another one is not known to be bad.
+        Guards a crowd, whose list may be old, from holding back what that one would take."""
+        if self.pace.crowd <= 1 or call is call.breaker.trial:
+            return False
+        at = self.destinations[call.breaker.destination]
+        others = [each for each in at.endpoints if each.breaker is call.breaker and each is not call.endpoint]
+        return any(each.bad_until <= self.now for each in others)
+
     def touch(self, breaker: Breaker) -> None:
         """Something happened to it: it may be free now, and its calls may be overdue at another time."""
         self.changed[breaker] = None
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -114,6 +114,21 @@
         assert sent(actions) == ["m1"]
 
 
+def test_a_refused_connect_of_a_crowd_holds_nothing_back_while_another_endpoint_may_serve() -> None:
+    """One of two endpoints is gone and the list is old; where both refuse, the breaker opens as ever."""
+    for fleet, gone, counted in ((4, "a", 1), (40, "a", 0), (40, "ab", 2)):
+        world = World(endpoint("a"), endpoint("b"), fleet_size=fleet)
+        found, calls = 0.0, [each for each in world.take(after=SECOND) if isinstance(each, face.Send)]
+        for _ in range(8):
+            if not calls or calls[0].endpoint not in gone:
+                break
+            actions = world.answer(calls[0].message, Outcome.CONNECT_FAILED)
+            calls = [each for each in actions if isinstance(each, face.Send)]
+            (breaker,) = world.dispatcher.all_breakers()
+            found = max(found, breaker.failures)
+        assert (found >= counted) and (found == 0) == (counted == 0)
+
+
 def test_a_crowd_uses_routes_apart_by_their_rates_and_few_senders_the_cheapest() -> None:
     for fleet, fair in ((4, False), (40, True)):
         rates = {"x": 60.0, "y": 30.0}
