The time between served calls is worked out once

Found on a second reading: `Breaker.served` had the time since the last served call as `passed` and worked it out again for `narrow`. Change: the same value is handed on; behaviour as before. The tests of breakers and crowds pass.

--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -232,7 +232,7 @@
         if self.unserved == 0 and self.cold_gap(now) == 0 and passed >= 0:
             fade = math.exp(-passed / self.pace.settings.cold)
             self.calls, self.span = self.calls * fade + 1, self.span * fade + passed
-        self.narrow(now, now - self.last_served if passed >= 0 else NEVER)
+        self.narrow(now, passed if passed >= 0 else NEVER)
         self.last_served = now
         self.failures, self.unserved, self.trial = 0, 0, None
         self.full_since = NEVER
