Operators can call: figures, receivers out of service, clients sent away

Ruled out: a drain that is too slow (SIGTERM's own closes all within 0.9 s) and the door's refusal of a path that it does not know. Change: manage/ (listener, table of calls, lines of figures), core/counts.py (each message's one end, counted where the engine forgets it), directory/maintenance.py (what is out is told as draining and warmed when it is back; on record before the yes), handover/drain.py (one machine for the call and for SIGTERM).

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from elmglade.core.peer import describe
-from elmglade.http.codec import address_from
+from elmglade.http.codec import Address, address_from
 from elmglade.http.daemon import Config, Sender
 from elmglade.http.platform import Listed
 from elmglade.settings import settings_from
@@ -24,6 +24,15 @@
     """The configuration cannot be used; the text says why, in one line."""
 
 
+def management_from(told: dict[str, Any]) -> Address | None:
+    """Where operators call; None: nowhere. Raises ValueError."""
+    text = told.get("management") or os.environ.get("BALANCER_MANAGEMENT")
+    try:
+        return address_from(text) if text else None
+    except ValueError as error:
+        raise ValueError(f"management: {error}") from None
+
+
 def config_from(told: dict[str, Any], state: Path) -> Config:
     try:
         limits = told["limits"]
@@ -37,6 +46,7 @@
             sockets=int(limits["sockets"]),
             known=Listed(told["known"]),
             settings=settings_from(told["settings"], on_sockets=True),
+            management=management_from(told),
         )
     except KeyError as error:
         raise BadConfig(f"{error.args[0]} is missing or unknown") from None
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -15,6 +15,7 @@
 from typing import Any
 
 from elmglade import interface as face
+from elmglade.core.counts import Counts
 from elmglade.core.lateness import OLD, Lateness
 from elmglade.core.peer import describe
 from elmglade.core.ports import Answer, Caller, Courier, Directory, End, State, Teller, TurnedAway, Why
@@ -94,6 +95,8 @@
         self.withdrawn: set[str] = set()  # called off by their callers while an attempt was out
         self.calls: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.ended: dict[str, int] = {}  # messages that are over: id and content, oldest first, OVER at most
+        self.ending: dict[str, State] = {}  # of those whose end the teller has told and nobody has heard yet
+        self.counts = Counts(each.name for each in config.settings.classes)
         self.chores: list[Callable[[], None]] = []  # of the doors, done in each sweep
         #: The endpoint to which a message is pinned; "" for none.
         self.pin_of: Callable[[HandedIn], str] = lambda message: ""
@@ -122,7 +125,7 @@
             self.directory.remember(entry.message.destination)
             if entry.delivered():  # the process ended between the answer and the end on record
                 self.teller.tell(entry.message.id, End(State.DELIVERED, status=REPLY_LOST))
-                self.message_over(entry.message.id)
+                self.message_over(entry.message.id, State.DELIVERED)
                 continue
             self.post(self.restored(entry))
         log.info("%s: %d messages taken over from the journal", self.config.name, len(self.journal.entries))
@@ -236,9 +239,9 @@
             # Guards a client whose id another one has used: it would take nothing of it on, and the order
             # of its key would not wait for it. It may come again, under a new id.
             log.warning("the id %s is another message's", message.id)
-            caller.turned_away(TurnedAway(Why.OTHER_ID, self.dispatcher.come_again()))
+            self.turn_away(message, caller, Why.OTHER_ID, self.dispatcher.come_again())
         elif len(self.dispatcher.messages) + len(self.arrived) >= self.settings.max_open:
-            caller.turned_away(TurnedAway(Why.NO_ROOM, self.dispatcher.come_again()))
+            self.turn_away(message, caller, Why.NO_ROOM, self.dispatcher.come_again())
         else:
             self.arrived[message.id] = message, caller
             self.post(self.taken(message))
@@ -275,7 +278,7 @@
             for task in out:
                 task.cancel()
         else:
-            self.message_over(name)
+            self.message_over(name, State.WITHDRAWN)
 
     def list_told(self, event: face.EndpointsListed) -> None:
         """The directory has news."""
@@ -292,17 +295,19 @@
         """An answer tells a wait, in us: it binds before the answer's turn comes."""
         self.dispatcher.wait_told(endpoint, self.now() + wait)
 
-    def message_over(self, name: str) -> None:
+    def message_over(self, name: str, state: State) -> None:
         if entry := self.journal.entries.get(name):
             self.ended[name] = content(entry.message)
+            self.counts.ended(entry.message.message_class, state)
         self.journal.ended(name)
         if len(self.ended) > OVER:
             del self.ended[next(iter(self.ended))]
 
     def end_answered(self, name: str) -> None:
         """The end of a message that was told has been heard."""
+        state = self.ending.pop(name, State.FAILED)
         if name in self.journal.entries:
-            self.message_over(name)
+            self.message_over(name, state)
         self.post(face.EndAnswered(name))
         self.attempt_ended()
 
@@ -310,6 +315,7 @@
         """The module's final answer: to the caller that waits, or else to the teller. The journal forgets a
         message before its caller hears, as a crash between the two ends both."""
         caller = self.waiting(name)
+        self.ending[name] = end.state
         if caller is None and self.teller.tell(name, end):
             return
         self.end_answered(name)
@@ -328,7 +334,7 @@
         caller = self.waiting(name)
         if caller is None and name not in self.withdrawn:
             self.teller.tell(name, end)  # before the journal forgets it
-        self.message_over(name)
+        self.message_over(name, state)
         if caller:
             caller.ended(end)
 
@@ -371,7 +377,7 @@
             if answer.finished:
                 self.finished(name, answer)
             elif name in self.withdrawn:
-                self.message_over(name)
+                self.message_over(name, State.WITHDRAWN)
         self.withdrawn.discard(name)
         self.post(face.AttemptEnded(name, number, answer.outcome, answer.finished, answer.wait))
         self.attempt_ended()
@@ -403,24 +409,28 @@
             if name in gone:
                 caller.given_up()
             elif name in refused:
-                self.refuse(refused[name], caller)
+                self.refuse(refused[name], message, caller)
                 untaken.add(name)
             elif self.journal.taken(message):
                 if caller.taken():
                     self.callers[name] = caller
             else:
-                caller.turned_away(TurnedAway(Why.NO_DISK, self.dispatcher.come_again()))
+                self.turn_away(message, caller, Why.NO_DISK, self.dispatcher.come_again())
                 untaken.add(name)
                 self.post(face.MessageWithdrawn(name))
         for action in actions:
             self.act(action, untaken)
 
-    def refuse(self, action: face.Refuse | face.Fail, caller: Caller) -> None:
+    def refuse(self, action: face.Refuse | face.Fail, message: HandedIn, caller: Caller) -> None:
         """The final answer of a message that was never taken on. Nothing of it has run."""
         after = action.retry_after if isinstance(action, face.Refuse) else self.dispatcher.come_again()
-        caller.turned_away(TurnedAway(Why.REFUSED, after))
+        self.turn_away(message, caller, Why.REFUSED, after)
         self.post(face.EndAnswered(action.message))
 
+    def turn_away(self, message: HandedIn, caller: Caller, why: Why, after: int) -> None:
+        self.counts.ended(message.message_class, State.REFUSED)
+        caller.turned_away(TurnedAway(why, after))
+
     def act(self, action: face.Action, untaken: set[str]) -> None:
         match action:
             case face.Send():
--- a/elmglade/http/courier.py
+++ b/elmglade/http/courier.py
@@ -55,6 +55,7 @@
         self.idle_limit = conn_idle * IDLE_SHARE
         self.connect_timeout, self.most, self.dials = connect_timeout, most, dials
         self.wait_told = wait_told
+        self.sent: Callable[[], None] = lambda: None  # a message's last byte is written
         # By endpoint, not by address: a new receiver may stand where another one has gone.
         self.pool: dict[str, list[Connection]] = {}
         self.idle: dict[Connection, str] = {}  # the same, the one idle for longest first
@@ -93,6 +94,7 @@
                 }
                 await connection.send("POST", "/hook", headers, message.body)
                 written = True
+                self.sent()
                 self.out[connection] = endpoint
                 response = await connection.response()
                 if loop.time() >= deadline:
--- a/elmglade/http/daemon.py
+++ b/elmglade/http/daemon.py
@@ -2,6 +2,7 @@
 watch and notices; signals, and how the descriptors are shared out."""
 
 import asyncio
+import json
 import logging
 import signal
 from dataclasses import dataclass
@@ -12,14 +13,18 @@
 from elmglade.core.engine import Config as EngineConfig
 from elmglade.core.engine import Engine
 from elmglade.core.peer import transport_in
-from elmglade.core.ports import Directory, Teller
+from elmglade.core.ports import Directory, State, Teller
+from elmglade.directory.maintenance import MOST_ID, MOST_OUT, ROOM, Maintenance, Record
+from elmglade.handover.drain import GRACE, STOP, Drain, Phase
 from elmglade.http.codec import Address
 from elmglade.http.courier import HttpCourier
 from elmglade.http.door import ACCEPTS, Server
 from elmglade.http.platform import Discovery, Listed
+from elmglade.manage import listener as manage
+from elmglade.manage.calls import Ask, Call, Reply
+from elmglade.manage.figures import Figures
 
-STOP_LISTENING = 0.6  # s after SIGTERM; the front deals out new connections for up to 0.4 s more
-STOP = 3.3  # s after SIGTERM: the process ends, well before SIGKILL may come at 3.7 s
+TIMER_SLACK = 0.001  # s: a timer must not run before the time that it was set for
 
 log = logging.getLogger(__name__)
 
@@ -35,11 +40,7 @@
     sockets: int
     known: Listed
     settings: face.Settings
-
-    def engine(self) -> EngineConfig:
-        return EngineConfig(
-            self.name, self.state, self.seed, self.disk_bytes, self.settings, self.known.endpoints
-        )
+    management: Address | None = None  # where operators call
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,6 +70,7 @@
 
     def __init__(self, engine: Engine, listen: Address, sockets: int) -> None:
         self.engine, self.listen = engine, listen
+        self.drain = Drain()
         settings = engine.settings
         share = Descriptors.of(sockets, settings.slots)
         classes = {each.name: each for each in settings.classes}
@@ -83,6 +85,8 @@
             self.dials,
             engine.wait_told,
         )
+        self.courier.sent = engine.counts.sent
+        self.server.refused_unread = lambda name: engine.counts.ended(name, State.REFUSED)
         engine.chores.append(self.server.expire)
         engine.attempt_ended = self.stop_if_done
 
@@ -120,22 +124,30 @@
 
     def terminate(self) -> None:
         """SIGTERM. Clients are still answered, and what they hand in is taken on: the journal keeps it."""
-        if self.server.stopping:
+        loop = asyncio.get_running_loop()
+        if self.drain.ends_at() is not None:
             return
         log.info("%s: stopping", self.engine.config.name)
-        self.server.stop()
+        self.drain.stop(loop.time())
         self.engine.post(face.Stopping(int(STOP * 1e6)))
-        loop = asyncio.get_running_loop()
-        loop.call_later(STOP_LISTENING, self.stop_listening)
+        self.send_away()
         loop.call_later(STOP, self.engine.stop, 0)
 
-    def stop_listening(self) -> None:
-        self.server.close()
-        self.stop_if_done()
+    def send_away(self) -> None:
+        self.server.send_away()
+        asyncio.get_running_loop().call_later(GRACE + TIMER_SLACK, self.grace_over)
+
+    def grace_over(self) -> None:
+        now = asyncio.get_running_loop().time()
+        if self.drain.phase(now) is Phase.AWAY:
+            self.server.grace_over()
+        if not self.drain.listens(now):
+            self.server.close()
+            self.stop_if_done()
 
     def stop_if_done(self) -> None:
-        engine = self.engine
-        if self.server.stopping and not (self.server.listener or engine.calls or engine.journal.entries):
+        engine, stopping = self.engine, self.drain.ends_at() is not None
+        if stopping and not (self.server.listener or engine.calls or engine.journal.entries):
             engine.stop(0)
 
     def stop(self, code: int) -> None:
@@ -159,10 +171,47 @@
 
     def __init__(self, config: Config) -> None:
         self.config = config
-        engine = Engine(config.engine())
-        self.discovery = Discovery(config.discovery, config.known, engine.list_told, engine.end_answered)
-        super().__init__(engine, config.listen, config.sockets)
+        self.record = Record(config.state)
+        out, self.away = self.record.load()
+        self.maintenance = Maintenance(out)
+        known = face.EndpointsListed(face.Listing.CACHED, config.known.endpoints)
+        room, sockets = (ROOM, manage.DESCRIPTORS) if config.management else (0, 0)
+        engine = Engine(
+            EngineConfig(
+                config.name, config.state, config.seed, config.disk_bytes - room, config.settings,
+                self.maintenance.hear(known).endpoints,
+            )
+        )  # fmt: skip
+        self.discovery = Discovery(config.discovery, config.known, self.listed, engine.end_answered)
+        super().__init__(engine, config.listen, config.sockets - sockets)
         self.plug(self.discovery, self.discovery)
+        self.desk = manage.Listener(self.asked) if config.management else None
+        self.calls = {
+            Ask.TAKES_CLIENTS: self.takes_clients,
+            Ask.FIGURES: self.figures,
+            Ask.TAKE_OUT: self.take_out,
+            Ask.PUT_BACK: self.put_back,
+            Ask.SEND_AWAY: self.order_away,
+            Ask.COME_BACK: self.order_back,
+        }
+
+    async def start(self) -> None:
+        if self.desk and self.config.management:
+            self.desk.listen(*self.config.management)
+        if self.away:
+            self.drain.fail(asyncio.get_running_loop().time())
+            self.send_away()
+        await super().start()
+
+    async def run(self) -> int:
+        try:
+            return await super().run()
+        finally:
+            if self.desk:
+                self.desk.close()
+
+    def listed(self, news: face.EndpointsListed) -> None:
+        self.engine.list_told(self.maintenance.hear(news))
 
     def dials(self) -> dict[str, Address]:
         return self.discovery.dials
@@ -174,3 +223,79 @@
             self.discovery.move(config.discovery)
             if self.engine.watching:  # the watch at the old address goes on until this one has a list
                 self.engine.watching = self.engine.spawn(self.discovery.watch())
+
+    # What operators ask. Whatever changes is on record before the yes.
+
+    def asked(self, call: Call) -> Reply:
+        return self.calls[call.ask](call)
+
+    def takes_clients(self, call: Call) -> Reply:
+        return Reply(200, "yes") if self.server.listener else Reply(503, "not yet, or no more")
+
+    def figures(self, call: Call) -> Reply:
+        engine, listed = self.engine, self.maintenance.listed
+        now, there = engine.now(), engine.dispatcher
+        avoided = sum(1 for name in listed if there.avoids(name, now))
+        counts = engine.counts
+        found = Figures(counts.classes, counts.sends, len(engine.journal.entries), len(listed), avoided)
+        return Reply(200, found.text())
+
+    def take_out(self, call: Call) -> Reply:
+        if not self.maintenance.knows(call.receiver):
+            return Reply(404, "no receiver of this id is known")
+        if len(self.maintenance.out) >= MOST_OUT or len(json.dumps(call.receiver)) > MOST_ID:
+            return Reply(503, "no room for one more that is out")
+        if not self.recorded(self.maintenance.out | {call.receiver}, self.away):
+            return Reply(503, "it could not be put on record, and nothing has changed")
+        self.changed(call.receiver, self.maintenance.take_out(call.receiver))
+        return Reply(200, "out")
+
+    def put_back(self, call: Call) -> Reply:
+        if not self.maintenance.knows(call.receiver):
+            return Reply(404, "no receiver of this id is known")
+        if not self.recorded(self.maintenance.out - {call.receiver}, self.away):
+            return Reply(503, "it could not be put on record, and nothing has changed")
+        self.changed(call.receiver, self.maintenance.put_back(call.receiver))
+        return Reply(200, "back")
+
+    def changed(self, receiver: str, news: face.EndpointsListed | None) -> None:
+        """It was restarted or will be: what is kept open to it is of no use any more."""
+        self.courier.close_idle(receiver)
+        if news:
+            self.engine.list_told(news)
+        log.info(
+            "%s: %s is %s", self.config.name, receiver, "out" if receiver in self.maintenance.out else "in"
+        )
+
+    def order_away(self, call: Call) -> Reply:
+        if not self.recorded(self.maintenance.out, True):
+            return Reply(503, "it could not be put on record, and nothing has changed")
+        if not self.away:
+            log.info("%s: clients are sent away", self.config.name)
+        self.away = True
+        self.drain.fail(asyncio.get_running_loop().time())
+        self.send_away()
+        return Reply(200, "clients are sent away")
+
+    def order_back(self, call: Call) -> Reply:
+        if self.drain.ends_at() is not None:
+            return Reply(503, "this process is ending")
+        if not self.recorded(self.maintenance.out, False):
+            return Reply(503, "it could not be put on record, and nothing has changed")
+        if self.away:
+            log.info("%s: back to work", self.config.name)
+            self.server.come_back()
+        self.away = False
+        self.drain.ok()
+        return Reply(200, "back to work")
+
+    def recorded(self, out: set[str], away: bool) -> bool:
+        """Whether the orders stand on the disk as they are to be."""
+        if (out, away) == (self.maintenance.out, self.away):
+            return True
+        try:
+            self.record.save(out, away)
+        except OSError as error:
+            log.error("the operators' orders cannot be put on record: %s", error)
+            return False
+        return True
--- a/elmglade/http/door.py
+++ b/elmglade/http/door.py
@@ -166,8 +166,8 @@
             if self.dropped > LINGER_BYTES:
                 self.transport.pause_reading()
             return
-        if self.began is None and not self.answering and self.server.turns_away(self, data):
-            self.turn_away_unread()
+        if self.began is None and not self.answering and (found := self.server.turns_away(data)):
+            self.turn_away_unread(found)
             return
         if self.began is None:
             self.began = self.server.now()
@@ -207,7 +207,7 @@
         self.tell_codec()
         return False
 
-    def turn_away_unread(self) -> None:
+    def turn_away_unread(self, request: usual.Request) -> None:
         """The codec has not seen this request, and the connection stands as it did before."""
         self.handed_in = self.proven = True
         self.since = self.server.loop.time()
@@ -215,6 +215,7 @@
             kind.pop(self, None)
         self.server.idle[self] = None
         self.server.backlog.turned_one_away(self.since)
+        self.server.refused_unread(header(request.headers, b"x-service-class") or "")
         try:
             self.transport.write(self.server.unread_answer())
             if self.transport.get_write_buffer_size() > UNREAD_LIMIT:
@@ -409,11 +410,13 @@
             if passed > LINGER:
                 self.close()
         elif self in self.server.silent:
-            if passed > READ_LIMIT:
+            if passed > (LINGER if self.server.away and self.is_spare() else READ_LIMIT):
                 self.close()
         elif self.began is None:
             if passed > IDLE_LIMIT:
                 self.transport.close()
+            elif self.server.away and self.is_spare():
+                self.transport.close()  # not one whose request has come and is not read yet
         elif not self.answering and passed > READ_LIMIT:
             self.refuse(408, "the request did not come in time")
 
@@ -449,6 +452,8 @@
         self.to_read: tuple[deque[Connection], deque[Connection]] = (deque(), deque())  # proven first
         self.backlog = Backlog(self.loop.time(), max(int(most * WAITING_SHARE), 1))
         self.ready = self.stopping = False
+        self.away = False  # what stands idle is closed too
+        self.refused_unread: Callable[[str], None] = lambda message_class: None
         self.accepted = 0  # ever
         self.reports = Reports()
         self.witness: Witness | None = None  # of connections that come from now on
@@ -495,14 +500,14 @@
         self.backlog.taken_up(self.loop.time())
         connection.advance()
 
-    def turns_away(self, connection: Connection, data: memoryview) -> bool:
-        """Whether what has come is a whole request that is refused unread, as the backlog decides. One that
+    def turns_away(self, data: memoryview) -> usual.Request | None:
+        """What has come, where it is a whole request that is refused unread, as the backlog decides. One that
         is taken on already hears so: a refusal would say that it may be handed in elsewhere."""
         if not (self.ready and self.backlog.refuses(self.loop.time())):
-            return False
+            return None
         found = usual.request(bytes(data), BODY_LIMIT)
         name = header(found.headers, b"x-correlation-id") if found else None
-        return bool(name) and not self.known(name or "")
+        return found if name and not self.known(name) else None
 
     def unread_answer(self) -> bytes:
         after = self.backlog.come_again(self.most_wait / 1e6)
@@ -608,10 +613,18 @@
             except Exception as error:
                 connection.broke(error, "ending what stands unused")
 
-    def stop(self) -> None:
-        """From now on each answer closes its connection."""
+    def send_away(self) -> None:
+        """From now on each answer closes its connection, and whoever asks hears that this is not ready."""
         self.ready, self.stopping = False, True
 
+    def come_back(self) -> None:
+        self.ready, self.stopping, self.away = self.listener is not None, False, False
+
+    def grace_over(self) -> None:
+        """Whoever was sent away has heard of it: what stands idle is closed from now on."""
+        self.away = True
+        self.expire()
+
     def close(self) -> None:
         """No new connections; those between requests end. A client whose request crosses that sends again."""
         if self.listener:
--- /dev/null
+++ b/elmglade/manage/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' calls: their listener and the figures' lines. It asks the core and decides nothing."""
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -584,6 +584,12 @@
             return False
         return sent is None or self.may_repeat_at(now, sent, sent.risky_since)
 
+    def avoids(self, endpoint: str, now: int) -> bool:
+        """Whether nothing new goes there: it is not ready, its breaker is open, or it is marked bad."""
+        known = self.endpoints.get(endpoint)
+        opened = known is not None and known.breaker is not None and known.breaker.is_open()
+        return known is None or opened or known.bad_until > now
+
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
         options: list[tuple[tuple[float, ...], int, Endpoint]] = []
         weighted = self.destinations[message.destination].weighted
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -238,6 +238,11 @@
     return HandedIn(name, "c", 3, until, "", "", f"key of {name}", False, body)
 
 
+async def call(address: Address, method: str, path: str) -> Reply:
+    """An operator's call."""
+    return await ask(address, f"{method} {path} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+
+
 class Held:
     """A connection that a test keeps."""
 
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -10,6 +10,7 @@
 from peers import KEYED, PATIENCE, READY, Running, World, ask, host, message, play, read_reply, soon, tell
 
 from elmglade.__main__ import config_from
+from elmglade.handover.drain import GRACE
 from elmglade.http import door as module
 from elmglade.http.daemon import Descriptors, Sender
 from elmglade.interface import Outcome, WakeAfter
@@ -264,7 +265,8 @@
         assert reply.status == 202 and reply.headers["connection"] == "close"
         assert await soon(reader.read()) == b""
         assert (await ask(world.running.address, READY)).status == 503
-        world.sender.stop_listening()
+        world.sender.drain.stopped_at -= GRACE  # it has passed
+        world.sender.grace_over()
         with pytest.raises(OSError):
             await asyncio.open_connection(*world.running.address)
         assert not world.sender.engine.stopped.done()
