The process is replaced under load: one owner handed over, its clients passed on

Ruled out: the state folder (nothing held it) and the operators' address (a new one). Change: handover/ (ownership as a pure machine, the seat, the link), inherit.py (what the decisions know, by name of field), http/succession.py (what is told and the steps), http/orders.py split off; the engine freezes, thaws and lets go; the door keeps a request's raw bytes until it is answered, so that it can go on elsewhere; the module resumes calls that are out.

--- a/elmglade/__main__.py
+++ b/elmglade/__main__.py
@@ -5,14 +5,19 @@
 import logging
 import os
 import signal
+import socket
 import sys
 from pathlib import Path
 from typing import Any
 
 from elmglade.core.peer import describe
+from elmglade.handover.seat import Seat, inherited
 from elmglade.http.codec import Address, address_from
 from elmglade.http.daemon import Config, Sender
 from elmglade.http.platform import Listed
+from elmglade.http.succession import read
+from elmglade.manage.calls import Call, Reply
+from elmglade.manage.listener import Listener
 from elmglade.settings import settings_from
 
 MEGABYTE = 1_000_000
@@ -72,8 +77,36 @@
         log.error("the new configuration is not used: %s", error)
 
 
+def inherited_listener() -> socket.socket | None:
+    """The listening socket that the platform holds; None: it holds none, or nothing that can be used."""
+    if not (text := os.environ.get("BALANCER_SOCKET_FD")):
+        return None
+    try:
+        return inherited(text)
+    except ValueError as error:
+        log.error("$BALANCER_SOCKET_FD is not used: %s", error)
+        return None
+
+
+def not_yet(call: Call) -> Reply:
+    return Reply(503, "not yet: this process does not take clients")
+
+
+async def build(config: Config) -> Sender:
+    """A sender that owns its state folder: taken over from a process that still runs, where there is one. The
+    operators' address is bound first: a start that fails must leave that process serving."""
+    desk = None
+    if config.management:
+        desk = Listener(not_yet)
+        desk.listen(*config.management)
+    if not (listener := inherited_listener()):
+        return Sender(config, desk=desk)
+    seat = Seat(config.state)
+    return Sender(config, seat, await seat.take(read), listener, desk)
+
+
 async def serve(config: Config) -> int:
-    sender = Sender(config)
+    sender = await build(config)
     asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, reread, sender)
     await sender.start()
     return await sender.run()
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -7,9 +7,10 @@
 
 import asyncio
 import logging
+import math
 import time
 from collections.abc import Callable, Coroutine
-from dataclasses import dataclass
+from dataclasses import dataclass, field, replace
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -30,6 +31,7 @@
 #: What a caller hears in place of the reply of a message that an earlier process delivered.
 REPLY_LOST = "UNKNOWN delivered; its reply was lost with the process"
 SETTLE = 0.005  # s that a courier which hears late is given after a late pass
+ANY = -1  # no hash is: of a message that was over before this process began, only the id is known
 OVER = 4096  # ids of messages that are over and still known: more than come in the longest deadline
 
 log = logging.getLogger(__name__)
@@ -48,11 +50,23 @@
     returned: tuple[str, ...] = ()  # of these, ids that were kept out of service
 
 
+@dataclass(frozen=True, slots=True)
+class Handed:
+    """What an engine knows that its journal does not, handed to the engine of the process that follows it."""
+
+    inherited: face.Inherited = field(default_factory=face.Inherited)
+    calls: dict[str, tuple[int, face.CallOut]] = field(default_factory=dict)  # by message: attempt and call
+    ending: dict[str, End] = field(default_factory=dict)  # told to the platform, and not answered yet
+    shares: dict[str, float] = field(default_factory=dict)  # of the worth of messages that are owed
+    ended: tuple[str, ...] = ()  # ids of messages that are over
+
+
 class Clock:
-    """The module's clock: wall time as it was at the start, and from there on one that never goes back."""
+    """The module's clock: wall time as it was at the start, and from there on one that never goes back. A
+    process that follows another one on this machine counts from the same `base`."""
 
-    def __init__(self) -> None:
-        self.base = time.time_ns() - time.monotonic_ns()
+    def __init__(self, base: int | None = None) -> None:
+        self.base = time.time_ns() - time.monotonic_ns() if base is None else base
 
     def now(self) -> int:
         """Microseconds since the epoch."""
@@ -95,7 +109,15 @@
         self.withdrawn: set[str] = set()  # called off by their callers while an attempt was out
         self.calls: dict[tuple[str, int], asyncio.Task[None]] = {}
         self.ended: dict[str, int] = {}  # messages that are over: id and content, oldest first, OVER at most
-        self.ending: dict[str, State] = {}  # of those whose end the teller has told and nobody has heard yet
+        self.ending: dict[str, End] = {}  # of those whose end the teller has told and nobody has heard yet
+        #: Calls of the process before, whose ends it will tell; and how one of them is called off.
+        self.elsewhere: set[tuple[str, int]] = set()
+        self.call_off_elsewhere: Callable[[str, int], None] = lambda name, number: None
+        #: Set while, and after, this engine is handed over: hears the ends of its calls.
+        self.fate_of: Callable[[str, int, Answer], None] | None = None
+        self.fates: list[tuple[str, int, Answer]] = []  # ends since it was frozen
+        self.stopped_at = math.inf  # the module's, before it was frozen
+        self.telling: asyncio.Task[None] | None = None
         self.counts = Counts(each.name for each in config.settings.classes)
         self.chores: list[Callable[[], None]] = []  # of the doors, done in each sweep
         #: The endpoint to which a message is pinned; "" for none.
@@ -118,8 +140,9 @@
     def plug(self, courier: Courier, directory: Directory, teller: Teller) -> None:
         self.courier, self.directory, self.teller = courier, directory, teller
 
-    def start(self) -> None:
-        """Takes over what the journal holds; only then may a door say that it is ready."""
+    def start(self, handed: Handed | None = None) -> None:
+        """Takes over what the journal holds, and what a process that still runs hands over; only then may a
+        door say that it is ready."""
         self.post(face.EndpointsListed(face.Listing.CACHED, self.config.known, self.config.returned))
         for entry in list(self.journal.entries.values()):
             self.directory.remember(entry.message.destination)
@@ -127,14 +150,30 @@
                 self.teller.tell(entry.message.id, End(State.DELIVERED, status=REPLY_LOST))
                 self.message_over(entry.message.id, State.DELIVERED)
                 continue
-            self.post(self.restored(entry))
+            self.post(self.handed(entry, handed) if handed else self.restored(entry))
+        if handed:
+            self.post(handed.inherited)
+            self.ended = {**dict.fromkeys(handed.ended, ANY), **self.ended}
         log.info("%s: %d messages taken over from the journal", self.config.name, len(self.journal.entries))
         self.turn()
-        self.spawn(self.teller.run())
+        self.telling = self.spawn(self.teller.run())
         self.spawn(self.sweep())
 
-    def restored(self, entry: Entry) -> face.MessageRestored:
-        risk = entry.first_risk()
+    def handed(self, entry: Entry, handed: Handed) -> face.MessageRestored:
+        """A message of a process that still runs: its end may be told already, or its call be out there."""
+        name = entry.message.id
+        share, end = handed.shares.get(name), handed.ending.get(name)
+        number, call = handed.calls.get(name, (-1, None))
+        if end:
+            self.ending[name] = end
+            self.teller.tell(name, end)
+        if call:
+            self.elsewhere.add((name, number))
+        kept = self.restored(entry, number)
+        return replace(kept, outcomes=(), handed=True, call=call, ended=end is not None, share=share)
+
+    def restored(self, entry: Entry, but: int = -1) -> face.MessageRestored:
+        risk = entry.first_risk(but)
         return face.MessageRestored(
             taken=self.taken(entry.message),
             attempts=max(entry.attempts, default=-1) + 1,
@@ -168,6 +207,59 @@
         finally:
             self.journal.close()
 
+    # Handed over to the process that follows.
+
+    def freeze(self) -> None:
+        """A last turn: what has come is answered, and nothing new goes. From here on nothing is decided or
+        put on record; the ends of calls are kept, until `thaw` or `let_go`."""
+        self.stopped_at = self.dispatcher.stops_at
+        self.post(face.Stopping(0))
+        while self.inbox and not self.over:
+            self.turn()
+        self.fate_of = lambda name, number, answer: None
+        if self.telling:
+            self.telling.cancel()
+
+    def told_on(self) -> Handed:
+        """Of a frozen engine."""
+        there = self.dispatcher
+        calls = {}
+        for (name, number), call in there.calls.items():
+            listed, trial = call.endpoint.listed, call.breaker.trial is call
+            calls[name] = number, face.CallOut(listed.id, listed.zone, call.sent, trial, call.overdue)
+        shares = {name: message.share for name, message in there.messages.items()}
+        return Handed(there.tell_on(), calls, dict(self.ending), shares, tuple(self.ended))
+
+    def thaw(self) -> None:
+        """The one that was to follow is gone before it owned anything: all goes on."""
+        self.fate_of, self.dispatcher.stops_at = None, self.stopped_at
+        fates, self.fates = self.fates, []
+        for each in fates:
+            self.fate_told(*each)
+        self.telling = self.spawn(self.teller.run())
+        self.turning = False
+        self.post(face.WakeUp())
+
+    def let_go(self, fate_of: Callable[[str, int, Answer], None]) -> None:
+        """Another process owns it all from now on: here calls only come to their ends."""
+        self.fate_of = fate_of
+        fates, self.fates = self.fates, []
+        for each in fates:
+            fate_of(*each)
+        for task in (self.watching, self.wake):
+            if task:
+                task.cancel()
+        self.inbox = []
+        self.journal.close()
+        self.journal.entries = {}
+
+    def fate_told(self, name: str, number: int, answer: Answer) -> None:
+        """The end of a call that another process made, or that came while this one was frozen."""
+        self.elsewhere.discard((name, number))
+        if answer.wait and (call := self.dispatcher.calls.get((name, number))):
+            self.wait_told(call.endpoint.listed.id, answer.wait)
+        self.record_fate(name, number, answer)
+
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         """A task in the background. An exception of its own is a defect."""
         task = self.loop.create_task(work)
@@ -233,7 +325,7 @@
     def take(self, message: HandedIn, caller: Caller) -> None:
         """A door hands a message in. Its caller hears of it in this turn or the next."""
         known = self.known_as(message.id)
-        if known == content(message):
+        if known is not None and known in (content(message), ANY):
             self.known_already(message.id, caller)
         elif known is not None or message.id in self.arrived:
             # Guards a client whose id another one has used: it would take nothing of it on, and the order
@@ -305,9 +397,9 @@
 
     def end_answered(self, name: str) -> None:
         """The end of a message that was told has been heard."""
-        state = self.ending.pop(name, State.FAILED)
+        end = self.ending.pop(name, None)
         if name in self.journal.entries:
-            self.message_over(name, state)
+            self.message_over(name, end.state if end else State.FAILED)
         self.post(face.EndAnswered(name))
         self.attempt_ended()
 
@@ -315,7 +407,7 @@
         """The module's final answer: to the caller that waits, or else to the teller. The journal forgets a
         message before its caller hears, as a crash between the two ends both."""
         caller = self.waiting(name)
-        self.ending[name] = end.state
+        self.ending[name] = end
         if caller is None and self.teller.tell(name, end):
             return
         self.end_answered(name)
@@ -369,6 +461,16 @@
         del self.calls[name, number]
         if self.over:
             return
+        if self.fate_of is None:
+            self.record_fate(name, number, answer)
+            return
+        if self.journal.file >= 0:
+            self.fates.append((name, number, answer))
+        else:
+            self.fate_of(name, number, answer)
+        self.attempt_ended()
+
+    def record_fate(self, name: str, number: int, answer: Answer) -> None:
         if name in self.journal.entries:
             self.journal.outcome(name, number, answer.outcome)
             # Guards against a call whose message was over, and whose id has come again since.
@@ -385,7 +487,7 @@
     # One turn: the module hears what happened and says what to do.
 
     def turn(self) -> None:
-        if self.over:
+        if self.over or self.fate_of:
             return
         try:
             self.one_turn()
@@ -442,7 +544,9 @@
             case face.Fail(name):
                 self.end(name, End(State.FAILED))
             case face.CancelAttempt(name, number):
-                if self.courier.late_reader:
+                if (name, number) in self.elsewhere:
+                    self.call_off_elsewhere(name, number)
+                elif self.courier.late_reader:
                     self.spawn(self.call_off(name, number, self.since))
                 elif task := self.calls.get((name, number)):
                     task.cancel()
--- a/elmglade/core/lock.py
+++ b/elmglade/core/lock.py
@@ -22,6 +22,16 @@
         except BlockingIOError:
             os.close(self.file)
             raise LockTakenError(f"another sender uses {folder}") from None
+        os.ftruncate(self.file, 0)
+        os.pwrite(self.file, str(os.getpid()).encode(), 0)
 
     def release(self) -> None:
         os.close(self.file)
+
+
+def holder(folder: Path) -> int | None:
+    """The number of the process that holds the folder, as it wrote it; None where none is there."""
+    try:
+        return int((folder / FILE).read_text())
+    except (OSError, ValueError):
+        return None
--- a/elmglade/directory/maintenance.py
+++ b/elmglade/directory/maintenance.py
@@ -32,9 +32,10 @@
 
 
 class Maintenance:
-    def __init__(self, out: Iterable[str] = ()) -> None:
+    def __init__(self, out: Iterable[str] = (), back: Iterable[str] = ()) -> None:
+        """`back`: put back while they were not listed as ready."""
         self.out: set[str] = set(out)
-        self.back: set[str] = set()  # put back while they were not listed as ready
+        self.back: set[str] = set(back)
         self.listed: dict[str, Endpoint] = {}
         self.lately: OrderedDict[str, None] = OrderedDict()
 
--- a/elmglade/http/courier.py
+++ b/elmglade/http/courier.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Mapping
+from typing import Any
 
 from elmglade.core.peer import Cause, Reports, cause_of
 from elmglade.core.ports import Answer, told_wait
@@ -63,6 +64,8 @@
         self.out: dict[Connection, str] = {}  # whose answer is waited for, and the endpoint
         self.unread = Unread()
         self.connecting = 0
+        self.unsent: set[asyncio.Task[Any]] = set()  # calls whose first byte has not gone
+        self.closing = False  # no call begins any more
         self.draining: set[asyncio.Task[None]] = set()
         self.reports = Reports()
         self.witness: Witness | None = None  # of connections that are opened from now on
@@ -77,13 +80,16 @@
         kept_one: Connection | None = None
         written = kept = given_up = False
         wait = 0  # a told one binds, whatever becomes of the rest of its answer
+        task = asyncio.current_task()
+        assert task
+        self.unsent.add(task)
         try:
             async with asyncio.timeout_at(deadline):
                 if (address := self.dials().get(endpoint)) is None:
                     return Answer(Outcome.NOT_SENT)  # gone since the module chose it
                 connection = kept_one = self.take_idle(endpoint)
                 connection = connection or await self.connect(address)
-                if not may_go():
+                if self.closing or not may_go():
                     kept = self.keep(endpoint, connection)
                     return Answer(Outcome.NOT_SENT)
                 headers = {
@@ -92,6 +98,7 @@
                     "X-Time-Left": f"{max(deadline - loop.time(), 0.0):.3f}",
                     "Content-Length": str(len(message.body)),
                 }
+                self.unsent.discard(task)
                 await connection.send("POST", "/hook", headers, message.body)
                 written = True
                 self.sent()
@@ -113,6 +120,8 @@
                     kept = self.finish(endpoint, connection)
             return answer
         except asyncio.CancelledError:
+            if self.closing and task in self.unsent:
+                return Answer(Outcome.NOT_SENT)
             if connection and (lying := self.lying(endpoint, connection)):
                 return lying
             given_up = written
@@ -133,6 +142,7 @@
                 return Answer(Outcome.STALE if written else Outcome.NOT_SENT, wait=wait)
             return Answer(Outcome.RESET if written else Outcome.CONNECT_FAILED, wait=wait)
         finally:
+            self.unsent.discard(task)
             if connection:
                 self.out.pop(connection, None)
             # A time-out or a cancel gives the call up: only closing the connection tells the receiver.
@@ -141,6 +151,16 @@
             if given_up:
                 self.close_idle(endpoint)  # they may have fallen silent with it; a repeat goes on a new one
 
+    def hold_back(self) -> None:
+        """Calls whose first byte has not gone never go; those that are out come to their ends."""
+        self.closing = True
+        for task in list(self.unsent):
+            task.cancel()
+
+    def close_all_idle(self) -> None:
+        for connection in list(self.idle):
+            self.close_one(connection)
+
     def look(self) -> None:
         """What lies unread in the sockets of calls out binds now: a wait that an answer tells, and the end of
         a kept connection. Guards calls that are about to go from a loop that comes late to hear of it."""
@@ -287,6 +307,5 @@
     def close(self) -> None:
         for task in self.draining:
             task.cancel()
-        for connection in list(self.idle):
-            self.close_one(connection)
+        self.close_all_idle()
         self.unread.close()
--- a/elmglade/http/daemon.py
+++ b/elmglade/http/daemon.py
@@ -2,27 +2,28 @@
 watch and notices; signals, and how the descriptors are shared out."""
 
 import asyncio
-import json
 import logging
 import signal
+import socket
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, ClassVar
 
 from elmglade import interface as face
+from elmglade.core.engine import Clock, Engine, Handed
 from elmglade.core.engine import Config as EngineConfig
-from elmglade.core.engine import Engine
 from elmglade.core.peer import transport_in
 from elmglade.core.ports import Directory, State, Teller
-from elmglade.directory.maintenance import MOST_ID, MOST_OUT, ROOM, Maintenance, Record
+from elmglade.directory.maintenance import ROOM, Maintenance, Record
 from elmglade.handover.drain import GRACE, STOP, Drain, Phase
+from elmglade.handover.seat import Seat
 from elmglade.http.codec import Address
 from elmglade.http.courier import HttpCourier
 from elmglade.http.door import ACCEPTS, Server
+from elmglade.http.orders import Orders
 from elmglade.http.platform import Discovery, Listed
+from elmglade.http.succession import Succession, Told
 from elmglade.manage import listener as manage
-from elmglade.manage.calls import Ask, Call, Reply
-from elmglade.manage.figures import Figures
 
 TIMER_SLACK = 0.001  # s: a timer must not run before the time that it was set for
 
@@ -68,6 +69,8 @@
     """An engine with an HTTP door and an HTTP courier. Its directory and teller are given by who builds
     it."""
 
+    inherited: socket.socket | None = None  # the listening socket, where somebody else holds it
+
     def __init__(self, engine: Engine, listen: Address, sockets: int) -> None:
         self.engine, self.listen = engine, listen
         self.drain = Drain()
@@ -93,6 +96,10 @@
     def dials(self) -> dict[str, Address]:
         raise NotImplementedError
 
+    def handed(self) -> Handed | None:
+        """What a process that still runs has handed over."""
+        return None
+
     def is_named(self, destination: int) -> bool:
         return self.engine.directory.knows(destination)
 
@@ -105,8 +112,8 @@
         loop.set_exception_handler(lambda _, context: self.loop_failed(context))
         loop.add_signal_handler(signal.SIGTERM, self.terminate)
         loop.add_signal_handler(signal.SIGINT, self.terminate)
-        self.engine.start()
-        self.server.listen(*self.listen)
+        self.engine.start(self.handed())
+        self.server.listen(*self.listen, self.inherited)
         self.server.ready = not self.server.stopping
         host, port = self.server.address()[:2]
         log.info("%s: ready on %s:%d", self.engine.config.name, host, port)
@@ -132,6 +139,7 @@
         self.engine.post(face.Stopping(int(STOP * 1e6)))
         self.send_away()
         loop.call_later(STOP, self.engine.stop, 0)
+        self.stop_if_done()
 
     def send_away(self) -> None:
         self.server.send_away()
@@ -146,8 +154,10 @@
             self.stop_if_done()
 
     def stop_if_done(self) -> None:
-        engine, stopping = self.engine, self.drain.ends_at() is not None
-        if stopping and not (self.server.listener or engine.calls or engine.journal.entries):
+        engine, server = self.engine, self.server
+        if self.drain.ends_at() is None or server.listener or engine.calls or engine.journal.entries:
+            return
+        if not (server.frozen and server.connections):  # of one that has handed over: last answers
             engine.stop(0)
 
     def stop(self, code: int) -> None:
@@ -169,39 +179,57 @@
 class Sender(HttpSender):
     """The same on the platform."""
 
-    def __init__(self, config: Config) -> None:
-        self.config = config
-        self.record = Record(config.state)
-        out, self.away = self.record.load()
-        self.maintenance = Maintenance(out)
-        known = face.EndpointsListed(face.Listing.CACHED, config.known.endpoints)
+    def __init__(
+        self,
+        config: Config,
+        seat: Seat | None = None,
+        told: Told | None = None,
+        inherited: socket.socket | None = None,
+        desk: manage.Listener | None = None,
+    ) -> None:
+        """With a seat it is handed on to the next process; `told` is what the one before told. `inherited`: the
+        listening socket that the platform holds; `desk`: where operators call, if it is open already. Raises
+        OSError where the state folder cannot be used."""
+        self.config, self.told, self.inherited = config, told, inherited
+        record = Record(config.state)
+        out, away = record.load()
+        self.maintenance = Maintenance(out, told.back if told else ())
+        self.orders = Orders(self, record, away)
+        self.clock = Clock(told.clock if told else None)
+        known = told.known if told else config.known
+        listed = self.maintenance.hear(face.EndpointsListed(face.Listing.CACHED, known.endpoints))
         room, sockets = (ROOM, manage.DESCRIPTORS) if config.management else (0, 0)
         engine = Engine(
             EngineConfig(
                 config.name, config.state, config.seed, config.disk_bytes - room, config.settings,
-                self.maintenance.hear(known).endpoints,
-            )
+                listed.endpoints, listed.returned,
+            ),
+            self.clock.now,
         )  # fmt: skip
-        self.discovery = Discovery(config.discovery, config.known, self.listed, engine.end_answered)
+        self.discovery = Discovery(config.discovery, known, self.listed, engine.end_answered)
+        if told:
+            self.discovery.seq = told.seq
+            self.discovery.destinations |= {*told.destinations}
         super().__init__(engine, config.listen, config.sockets - sockets)
         self.plug(self.discovery, self.discovery)
-        self.desk = manage.Listener(self.asked) if config.management else None
-        self.calls = {
-            Ask.TAKES_CLIENTS: self.takes_clients,
-            Ask.FIGURES: self.figures,
-            Ask.TAKE_OUT: self.take_out,
-            Ask.PUT_BACK: self.put_back,
-            Ask.SEND_AWAY: self.order_away,
-            Ask.COME_BACK: self.order_back,
-        }
+        self.desk = desk or (manage.Listener(self.orders.asked) if config.management else None)
+        if self.desk:
+            self.desk.act = self.orders.asked
+        self.succession = Succession(self, seat) if seat else None
 
     async def start(self) -> None:
-        if self.desk and self.config.management:
+        if self.desk and self.config.management and not self.desk.listener:
             self.desk.listen(*self.config.management)
-        if self.away:
-            self.drain.fail(asyncio.get_running_loop().time())
+        if self.orders.away:
+            since = self.told.away_since if self.told else None
+            self.drain.fail(since or asyncio.get_running_loop().time())
             self.send_away()
         await super().start()
+        if self.succession:
+            self.succession.begin()
+
+    def handed(self) -> Handed | None:
+        return self.told.engine if self.told else None
 
     async def run(self) -> int:
         try:
@@ -209,6 +237,8 @@
         finally:
             if self.desk:
                 self.desk.close()
+            if self.succession:
+                self.succession.seat.close()
 
     def listed(self, news: face.EndpointsListed) -> None:
         self.engine.list_told(self.maintenance.hear(news))
@@ -223,79 +253,3 @@
             self.discovery.move(config.discovery)
             if self.engine.watching:  # the watch at the old address goes on until this one has a list
                 self.engine.watching = self.engine.spawn(self.discovery.watch())
-
-    # What operators ask. Whatever changes is on record before the yes.
-
-    def asked(self, call: Call) -> Reply:
-        return self.calls[call.ask](call)
-
-    def takes_clients(self, call: Call) -> Reply:
-        return Reply(200, "yes") if self.server.listener else Reply(503, "not yet, or no more")
-
-    def figures(self, call: Call) -> Reply:
-        engine, listed = self.engine, self.maintenance.listed
-        now, there = engine.now(), engine.dispatcher
-        avoided = sum(1 for name in listed if there.avoids(name, now))
-        counts = engine.counts
-        found = Figures(counts.classes, counts.sends, len(engine.journal.entries), len(listed), avoided)
-        return Reply(200, found.text())
-
-    def take_out(self, call: Call) -> Reply:
-        if not self.maintenance.knows(call.receiver):
-            return Reply(404, "no receiver of this id is known")
-        if len(self.maintenance.out) >= MOST_OUT or len(json.dumps(call.receiver)) > MOST_ID:
-            return Reply(503, "no room for one more that is out")
-        if not self.recorded(self.maintenance.out | {call.receiver}, self.away):
-            return Reply(503, "it could not be put on record, and nothing has changed")
-        self.changed(call.receiver, self.maintenance.take_out(call.receiver))
-        return Reply(200, "out")
-
-    def put_back(self, call: Call) -> Reply:
-        if not self.maintenance.knows(call.receiver):
-            return Reply(404, "no receiver of this id is known")
-        if not self.recorded(self.maintenance.out - {call.receiver}, self.away):
-            return Reply(503, "it could not be put on record, and nothing has changed")
-        self.changed(call.receiver, self.maintenance.put_back(call.receiver))
-        return Reply(200, "back")
-
-    def changed(self, receiver: str, news: face.EndpointsListed | None) -> None:
-        """It was restarted or will be: what is kept open to it is of no use any more."""
-        self.courier.close_idle(receiver)
-        if news:
-            self.engine.list_told(news)
-        log.info(
-            "%s: %s is %s", self.config.name, receiver, "out" if receiver in self.maintenance.out else "in"
-        )
-
-    def order_away(self, call: Call) -> Reply:
-        if not self.recorded(self.maintenance.out, True):
-            return Reply(503, "it could not be put on record, and nothing has changed")
-        if not self.away:
-            log.info("%s: clients are sent away", self.config.name)
-        self.away = True
-        self.drain.fail(asyncio.get_running_loop().time())
-        self.send_away()
-        return Reply(200, "clients are sent away")
-
-    def order_back(self, call: Call) -> Reply:
-        if self.drain.ends_at() is not None:
-            return Reply(503, "this process is ending")
-        if not self.recorded(self.maintenance.out, False):
-            return Reply(503, "it could not be put on record, and nothing has changed")
-        if self.away:
-            log.info("%s: back to work", self.config.name)
-            self.server.come_back()
-        self.away = False
-        self.drain.ok()
-        return Reply(200, "back to work")
-
-    def recorded(self, out: set[str], away: bool) -> bool:
-        """Whether the orders stand on the disk as they are to be."""
-        if (out, away) == (self.maintenance.out, self.away):
-            return True
-        try:
-            self.record.save(out, away)
-        except OSError as error:
-            log.error("the operators' orders cannot be put on record: %s", error)
-            return False
-        return True
--- a/elmglade/http/door.py
+++ b/elmglade/http/door.py
@@ -120,6 +120,8 @@
         self.since = server.loop.time()  # s: when the wait at hand began: for its request, or for it to leave
         self.request: h11.Request | usual.Request | None = None
         self.pending = b""  # what may be a usual request, of which the codec has not heard
+        self.raw = bytearray()  # what the codec has heard of a request that is not answered yet
+        self.stashed = b""  # read while nothing is taken in, and told to nobody
         self.body = bytearray()
         self.dropped = 0  # bytes, after a refusal
         self.answering = self.discarding = False
@@ -136,8 +138,27 @@
             self.transport = cast(asyncio.Transport, SeenTransport(transport, self.seen))
         if self not in self.server.connections:
             transport.abort()  # closed to make room before it was up
+        elif self.server.frozen:
+            transport.pause_reading()
         elif len(self.server.connections) > self.server.most:
             self.refuse(503)
+        elif self.stashed:
+            self.unstash()
+
+    def unstash(self) -> None:
+        """What another process, or this one while it was frozen, has read of a request."""
+        stashed, self.stashed = self.stashed, b""
+        if stashed:
+            self.receive(memoryview(stashed))
+
+    def passed_on(self) -> bytes | None:
+        """What has been read of the request at hand, if it can go on in another process; None: its last
+        answer is still under way, and it ends here."""
+        if self.transport is None or self.transport.is_closing() or self.discarding or self.answering:
+            return None
+        if self.transport.get_write_buffer_size():
+            return None
+        return bytes(self.raw) + self.pending + self.stashed
 
     def broke(self, error: Exception, doing: str) -> None:
         """Whatever a call on this client's socket raised ends this connection and touches nobody else."""
@@ -161,6 +182,9 @@
     def receive(self, data: memoryview) -> None:
         if self.seen:
             self.seen.passed(0, bytes(data))
+        if self.server.frozen and not self.discarding:
+            self.stashed += bytes(data)
+            return
         if self.discarding:
             self.dropped += len(data)
             if self.dropped > LINGER_BYTES:
@@ -193,10 +217,10 @@
     def tell_codec(self, data: bytes = b"") -> None:
         """What lies unread goes the usual way of the codec, and so does what came behind it."""
         pending, self.pending = self.pending, b""
-        if pending:
-            self.codec.receive_data(pending)
-        if data:
-            self.codec.receive_data(data)
+        for each in (pending, data):
+            if each:
+                self.raw += each
+                self.codec.receive_data(each)
 
     def take_usual(self) -> bool:
         """A usual request that lies there whole is at hand; whatever else lies there is the codec's."""
@@ -324,6 +348,7 @@
         if not quick:
             self.codec.start_next_cycle()
         self.request, self.began, self.answering = None, None, False
+        self.raw = bytearray(self.codec.trailing_data[0])
         self.since = self.server.loop.time()
         if self.codec.trailing_data[0]:
             self.began = self.server.now()
@@ -452,6 +477,7 @@
         self.to_read: tuple[deque[Connection], deque[Connection]] = (deque(), deque())  # proven first
         self.backlog = Backlog(self.loop.time(), max(int(most * WAITING_SHARE), 1))
         self.ready = self.stopping = False
+        self.frozen = False  # nothing is read or taken in for now
         self.away = False  # what stands idle is closed too
         self.refused_unread: Callable[[str], None] = lambda message_class: None
         self.accepted = 0  # ever
@@ -460,8 +486,9 @@
         self.listener: socket.socket | None = None
         self.place: Address | None = None  # where it listens, with the port that the system gave
 
-    def listen(self, host: str, port: int) -> None:
-        self.listener = socket.create_server((host, port), backlog=512)
+    def listen(self, host: str, port: int, inherited: socket.socket | None = None) -> None:
+        """On that address, or on a socket that somebody else holds for it. Raises OSError."""
+        self.listener = inherited or socket.create_server((host, port), backlog=512)
         self.listener.setblocking(False)
         self.place = self.listener.getsockname()
         self.loop.add_reader(self.listener, self.accept)
@@ -481,6 +508,8 @@
     def read_some(self) -> None:
         """Guards the calls out from a flood of requests: they are read for a part of each turn of the loop,
         those of clients that have asked well before first, but one of the others in any case."""
+        if self.frozen:
+            return
         until = self.loop.time() + READ_SHARE
         proven, others = self.to_read
         while proven or others:
@@ -517,7 +546,7 @@
     def accept(self) -> None:
         # Guards clients of a storm from a queue in which their patience ends before anybody hears them.
         for _ in range(max(ACCEPTS, min(self.most - len(self.connections), ACCEPTS_FREE))):
-            if self.listener is None:
+            if self.listener is None or self.frozen:
                 return
             try:
                 sock = self.listener.accept()[0]
@@ -549,7 +578,22 @@
         if len(self.connections) >= self.most + self.lingering:
             close(sock)
             return
+        self.hold(Connection(self, sock))
+
+    def adopt(self, sock: socket.socket, read: bytes, began: int | None, handed_in: bool) -> None:
+        """A connection that another process has served: what that one has read of a request, and when (us)
+        that began to come."""
         connection = Connection(self, sock)
+        connection.stashed, connection.began = read, began if read else None
+        connection.handed_in = handed_in
+        self.hold(connection)
+        if read or handed_in:
+            self.silent.pop(connection, None)
+        if handed_in and not read:
+            self.idle[connection] = None
+
+    def hold(self, connection: Connection) -> None:
+        sock = connection.sock
         try:
             sock.setblocking(False)
         except OSError as error:
@@ -562,7 +606,7 @@
         self.loop.create_task(work).add_done_callback(lambda task: self.taken_in(task, connection))
 
     def accept_again(self) -> None:
-        if self.listener is None or self.place is None:
+        if self.listener is None or self.place is None or self.frozen:
             return
         try:
             if self.listener.fileno() < 0:
@@ -613,6 +657,37 @@
             except Exception as error:
                 connection.broke(error, "ending what stands unused")
 
+    def freeze(self) -> None:
+        """Nothing more is taken in or read, until `thaw`; what was read and is not answered stays so."""
+        self.frozen = True
+        if self.listener:
+            self.loop.remove_reader(self.listener)
+        for connection in self.connections:
+            if connection.transport and not connection.discarding:
+                connection.transport.pause_reading()
+
+    def thaw(self) -> None:
+        self.frozen = False
+        if self.listener:
+            self.loop.add_reader(self.listener, self.accept)
+        if any(self.to_read):
+            self.loop.call_soon(self.read_some)
+        for connection in list(self.connections):
+            if connection.transport and not connection.answering:
+                connection.transport.resume_reading()
+                connection.unstash()
+
+    def let_go(self, pass_on: Callable[[Connection, bytes, Callable[[], None]], None]) -> None:
+        """Of a frozen one: another process takes the listener and the connections, each with what has been
+        read of a request; this one's hold on it ends with the call that `pass_on` is given. Those whose last
+        answer is still under way end here."""
+        if self.listener:
+            close(self.listener)
+            self.listener = None
+        for connection in list(self.connections):
+            if (read := connection.passed_on()) is not None:
+                pass_on(connection, read, connection.close)
+
     def send_away(self) -> None:
         """From now on each answer closes its connection, and whoever asks hears that this is not ready."""
         self.ready, self.stopping = False, True
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -157,6 +157,17 @@
     pinned: str = ""  # the endpoint that it is to go to, as long as that one is there
 
 
+@dataclass(frozen=True, slots=True)
+class CallOut:
+    """A call that the process before has out and will tell the end of."""
+
+    endpoint: str
+    zone: str
+    sent: int
+    trial: bool = False
+    overdue: bool = False  # that it is has been counted
+
+
 @dataclass(frozen=True, slots=True)
 class MessageRestored:
     """A message that an earlier process of this sender took on."""
@@ -166,6 +177,21 @@
     risky_since: int | None  # sending of the first attempt that may have run
     risky_zone: str
     outcomes: tuple[tuple[str, Outcome], ...] = ()  # endpoint and outcome of each attempt that has one
+    handed: bool = False  # by a process that still runs: nothing is in doubt, `Inherited` tells the rest
+    call: CallOut | None = None  # of its last attempt, with `handed`
+    ended: bool = False  # its end is told and not answered yet, with `handed`
+    share: float | None = None  # of its worth, as it was taken on; None: as is found now
+
+
+@dataclass(frozen=True, slots=True)
+class Inherited:
+    """What the process before knew besides its messages; times are on the clock that both share."""
+
+    breakers: tuple[tuple[int, str, dict[str, float]], ...] = ()  # destination, route, fields by name
+    endpoints: tuple[tuple[str, dict[str, float]], ...] = ()
+    keys: tuple[tuple[str, int], ...] = ()  # until when each one rests
+    credit: tuple[tuple[str, float, int], ...] = ()  # tenant, left of its share, as of when
+    silent: tuple[tuple[int, float], ...] = ()  # destinations that are asleep, and since when
 
 
 @dataclass(frozen=True, slots=True)
@@ -205,6 +231,7 @@
     EndpointsListed
     | MessageTaken
     | MessageRestored
+    | Inherited
     | AttemptEnded
     | MessageWithdrawn
     | EndAnswered
--- a/elmglade/journal/file.py
+++ b/elmglade/journal/file.py
@@ -47,8 +47,9 @@
     def delivered(self) -> bool:
         return any(each.outcome is Outcome.OK for each in self.attempts.values())
 
-    def first_risk(self) -> Attempt | None:
-        return next((each for each in self.attempts.values() if each.may_have_run()), None)
+    def first_risk(self, but: int = -1) -> Attempt | None:
+        """The first attempt that may have run; `but`: the one that is still out, whose end will be told."""
+        return next((each for at, each in self.attempts.items() if at != but and each.may_have_run()), None)
 
 
 def taken_line(message: HandedIn) -> bytes:
@@ -95,7 +96,10 @@
             self.compact()
 
     def close(self) -> None:
-        os.close(self.file)
+        """A second time does nothing."""
+        if self.file >= 0:
+            os.close(self.file)
+        self.file = -1
 
     # Replay.
 
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -26,6 +26,7 @@
 
 from elmglade import interface as face
 from elmglade.breaker import NEVER, RESET_TIMEOUT, Breaker, Call, Endpoint, Message, Pace
+from elmglade.inherit import believe, tell
 from elmglade.interface import Effect, EndpointState, Listing, Outcome
 from elmglade.schedule import Agenda, Destination, ListCalls, Rank, worth
 
@@ -119,6 +120,8 @@
                 self.take(event)
             case face.MessageRestored():
                 self.restore(event)
+            case face.Inherited():
+                self.inherit(event)
             case face.AttemptEnded():
                 self.attempt_ended(event)
             case face.EndpointsListed():
@@ -130,12 +133,12 @@
             case face.Stopping(left):
                 self.stops_at = self.now + left
 
-    def take(self, taken: face.MessageTaken) -> None:
+    def take(self, taken: face.MessageTaken, share: float | None = None) -> None:
         if taken.message_class not in self.classes:
             raise ValueError(f"unknown class {taken.message_class}")
         if taken.message in self.messages:
             raise ValueError(f"message {taken.message} was taken before")
-        share = self.within_share(taken.tenant)
+        share = self.within_share(taken.tenant) if share is None else share
         message = Message(taken, self.classes[taken.message_class], int(self.now), share)
         self.messages[message.id] = message
         heapq.heappush(self.deadlines, (message.until, next(self.count), message))
@@ -170,11 +173,19 @@
 
     def restore(self, kept: face.MessageRestored) -> None:
         """Rules: a call that was out at the end may have run, and may still; its key rests."""
-        self.take(kept.taken)
+        self.take(kept.taken, kept.share)
         message = self.messages[kept.taken.message]
         message.attempts, message.risky_since = kept.attempts, kept.risky_since
         message.risky_zone = kept.risky_zone
-        self.rest(message.key)
+        if kept.ended:
+            self.unanswered[message.id] = message
+            self.finish(message)
+            return
+        if kept.call:
+            self.resume(message, kept.call)
+            return
+        if not kept.handed:
+            self.rest(message.key)
         self.watch_window(message)
         if not self.may_send_again(message):
             self.end(message)
@@ -187,6 +198,43 @@
             elif breaker and outcome is Outcome.FULL:
                 breaker.doubt(int(self.now), REFUSALS_KEPT)
 
+    def resume(self, message: Message, out: face.CallOut) -> None:
+        """Rules: a call that the process before has out holds its message, key and trial until it ends."""
+        at, number = self.arouse(message.destination), message.destination
+        gone = face.Endpoint(out.endpoint, number, EndpointState.GONE, "", out.zone)
+        endpoint = self.endpoints.get(out.endpoint) or Endpoint(gone)
+        call = Call(self.breaker_of(at, endpoint.listed), endpoint, out.sent, next(self.count))
+        self.begin(call, message, message.attempts - 1)
+        if out.trial:
+            call.breaker.trial = call
+        if out.overdue:
+            call.overdue = True
+            del call.breaker.fresh[call]
+            call.breaker.stuck[call] = self.stuck[call] = None
+
+    def inherit(self, told: face.Inherited) -> None:
+        for number, route, values in told.breakers:
+            own = self.arouse(number).own
+            assert own is not None
+            breaker = own.setdefault(route, Breaker(self.pace, number))
+            believe(breaker, values)
+            self.touch(breaker)
+        for name, values in told.endpoints:
+            if name in self.endpoints:
+                believe(self.endpoints[name], values)
+        for key, until in told.keys:
+            self.keys.setdefault(key, KeyLine()).quiet_until = until
+            heapq.heappush(self.quiet, (until, key))
+        self.credit |= {tenant: (left, at) for tenant, left, at in told.credit if tenant in self.quotas}
+        for number, since in told.silent:
+            if (found := self.destinations.get(number)) and found.own is None:
+                found.silent_since = since
+
+    def tell_on(self) -> face.Inherited:
+        """For the process that follows."""
+        keys = {name: line.quiet_until for name, line in self.keys.items() if line.quiet_until > self.now}
+        return tell(self.destinations.values(), self.endpoints.values(), keys, self.credit)
+
     def within_share(self, tenant: str) -> float:
         if tenant not in self.quotas:
             return 1.0  # no share is told; nothing is kept by a name that any client may make up
@@ -641,18 +689,23 @@
         assert breaker is not None
         if call is None or not self.may_join(call, endpoint.listed):
             call = batches[name] = Call(breaker, endpoint, int(self.now), next(self.count))
-            self.out[call] = breaker.fresh[call] = None
-            breaker.out += 1
-            endpoint.out += 1
             endpoint.turns += 1 / endpoint.listed.weight
             breaker.last_sent = endpoint.last_sent = self.now
             if breaker.is_open():
                 breaker.trial = call
-            self.touch(breaker)
-        call.messages[message.id] = message
-        self.calls[message.id, message.attempts] = call
+        self.begin(call, message, message.attempts)
         self.actions.append(face.Send(message.id, name, message.until - int(self.now), message.attempts))
         message.attempts += 1
+
+    def begin(self, call: Call, message: Message, attempt: int) -> None:
+        """From now on the message is out with this call."""
+        if call not in self.out:
+            self.out[call] = call.breaker.fresh[call] = None
+            call.breaker.out += 1
+            call.endpoint.out += 1
+            self.touch(call.breaker)
+        call.messages[message.id] = message
+        self.calls[message.id, attempt] = call
         message.out = True
         self.destinations[message.destination].release(message)
 
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -15,12 +15,13 @@
     "message": set(),
     "breaker": {"interface"},
     "schedule": {"breaker", "interface"},
-    "rules": {"breaker", "interface", "schedule"},
+    "inherit": {"breaker", "interface", "schedule"},
+    "rules": {"breaker", "inherit", "interface", "schedule"},
     "settings": {"interface"},
     "journal": BASE,
     "admission": BASE,
     "directory": BASE,
-    "handover": BASE,
+    "handover": {*BASE, "core", "directory"},
     "manage": {*BASE, "core"},
     "core": {*BASE, "breaker", "schedule", "rules", "journal"},
     "tables": set(),
@@ -32,7 +33,7 @@
     "emulator": {*BASE, "core", "directory", "http", "lab", "rules", "tables"},
     "pcap": {"http"},  # a codec's patterns
     "cli": {"config", "tables", "core", "directory", "emulator", "http", "lab", "pcap"},
-    "__main__": {"cli", "core", "http", "settings"},
+    "__main__": {"cli", "core", "handover", "http", "manage", "settings"},
     "__init__": {"rules"},
 }
 
