--- a/elmglade/http/daemon.py
+++ b/elmglade/http/daemon.py
@@ -187,9 +187,9 @@
         inherited: socket.socket | None = None,
         desk: manage.Listener | None = None,
     ) -> None:
-        """With a seat it is handed on to the next process; `told` is what the one before told. `inherited`: the
-        listening socket that the platform holds; `desk`: where operators call, if it is open already. Raises
-        OSError where the state folder cannot be used."""
+        """With a seat it is handed on to the next process; `told` is what the one before told. `inherited`:
+        the listening socket that the platform holds; `desk`: where operators call, if it is open already.
+        Raises OSError where the state folder cannot be used."""
         self.config, self.told, self.inherited = config, told, inherited
         record = Record(config.state)
         out, away = record.load()
