--- a/elmglade/http/codec.py
+++ b/elmglade/http/codec.py
@@ -31,6 +31,10 @@
         self.status = status
 
 
+class InPartsError(Spoilt):
+    """A first line of 200 that is true, ahead of a head that is not here to its end."""
+
+
 #: What a broken connection or an unreadable answer raises.
 BROKEN = (OSError, Spoilt)
 
@@ -83,6 +87,7 @@
         self.found: usual.Head | Spoilt | ConnectionResetError | None = None
         self.seen: Seen | None = None  # what a witness of its traffic has of it
         self.quick = False  # requests are written, and usual answers read, without the codec
+        self.believed = False  # the first line has counted: the rest of its head is only read
 
     @classmethod
     async def open(cls, address: Address) -> "Connection":
@@ -281,11 +286,13 @@
 
     def check_unread(self) -> None:
         """A head that is not here to its end: a first line of 200 is true even so, and noise never ends."""
+        if self.believed:
+            return
         unread = self.codec.trailing_data[0]
         if not (unread.startswith(BEGINNING) or BEGINNING.startswith(unread)):
             raise Spoilt(0, "not an answer")
         if (first := FIRST_LINE.match(unread)) and int(first[1]) == 200:
-            raise Spoilt(200, "the head came in parts")
+            raise InPartsError(200, "the head came in parts")
 
     def whole(self) -> bool:
         """Whether the answer, whose head has been read, is here to its end."""
@@ -299,6 +306,13 @@
                 raise Spoilt(0, "the answer is too long")
         return False
 
+    async def skip_answer(self) -> None:
+        """Reads on to the end of an answer of which the first line has counted."""
+        self.found, self.believed = None, True
+        while self.read_head() is None:
+            await self.receive()
+        await self.skip_body()
+
     async def skip_body(self) -> None:
         """Reads the answer to its end, so that the connection can be used again."""
         while not self.whole():
@@ -315,7 +329,7 @@
         if self.codec.trailing_data != (b"", False):
             return False
         self.codec.start_next_cycle()
-        self.found, self.interim = None, 0
+        self.found, self.interim, self.believed = None, 0, False
         return True
 
     def ended(self) -> bool:
--- a/elmglade/http/courier.py
+++ b/elmglade/http/courier.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 from elmglade.core.peer import Cause, Reports, cause_of
 from elmglade.core.ports import Answer, told_wait
 from elmglade.core.witness import Seen, Witness
 from elmglade.http import usual
-from elmglade.http.codec import BODY_LIMIT, BROKEN, Address, Connection, Spoilt, decimal, header
+from elmglade.http.codec import BODY_LIMIT, BROKEN, Address, Connection, InPartsError, Spoilt, decimal, header
 from elmglade.http.unread import Unread
 from elmglade.interface import NEVER_RAN, Outcome
 from elmglade.message import HandedIn
@@ -134,6 +134,8 @@
         except Spoilt as error:
             # It may have run; a first line of 200 is true all the same.
             if error.status == 200:
+                if isinstance(error, InPartsError) and connection:
+                    kept = self.read_rest(endpoint, connection, connection.skip_answer())
                 return Answer(Outcome.OK, finished=True)
             return Answer(Outcome.SPOILT, wait=wait)
         except BROKEN:
@@ -239,16 +241,20 @@
                 return connection.next_cycle() and self.keep(endpoint, connection)
         except BROKEN:
             return False
-        task = asyncio.get_running_loop().create_task(self.drain(endpoint, connection))
+        return self.read_rest(endpoint, connection, connection.skip_body())
+
+    def read_rest(self, endpoint: str, connection: Connection, rest: Coroutine[Any, Any, None]) -> bool:
+        """In a task of its own; whatever becomes of it, the connection is in its hands."""
+        task = asyncio.get_running_loop().create_task(self.drain(endpoint, connection, rest))
         self.draining.add(task)
         task.add_done_callback(self.draining.discard)
         return True
 
-    async def drain(self, endpoint: str, connection: Connection) -> None:
+    async def drain(self, endpoint: str, connection: Connection, rest: Coroutine[Any, Any, None]) -> None:
         kept = False
         try:
             async with asyncio.timeout(BODY_PATIENCE):
-                await connection.skip_body()
+                await rest
             kept = connection.next_cycle() and self.keep(endpoint, connection)
         except BROKEN:
             pass  # TimeoutError too; whatever becomes of the rest, the outcome stands
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -403,3 +403,36 @@
         (await receiver.next()).write(head("429 Wait", "Retry-After: 2", "Content-Length: 9") + "half")
         assert await soon(heard.get()) == ("r", 2_000_000)
         going.cancel()
+
+
+@play
+async def test_a_delivery_in_parts_counts_at_once_and_its_connection_is_kept(_: Path) -> None:
+    async with client_and_receiver() as (client, receiver):
+        for rest in ("Content-", "Length: 2\r\n", "\r\no", "k"), ("Content-Length: 0\r\n\r\n",):
+            going = call(client, receiver.address)
+            request = await receiver.next()
+            request.write("HTTP/1.1 200 It\r\n")
+            assert await soon(going) == DELIVERED
+            assert not client.idle
+            for part in rest:
+                request.write(part)
+                await turn()
+            while client.draining:
+                await turn()
+            assert receiver.accepted == 1 and list(client.idle.values()) == ["r"]
+
+
+def test_the_rest_of_a_delivery_is_waited_for_only_so_long(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(module, "BODY_PATIENCE", 0.01)
+
+    async def test(_: Path) -> None:
+        async with client_and_receiver() as (client, receiver):
+            for rest in ("", "no head at all\r\n\r\n"):
+                going = call(client, receiver.address)
+                request = await receiver.next()
+                request.write("HTTP/1.1 200 It\r\n" + rest)
+                assert await soon(going) == DELIVERED
+                await soon(receiver.ends.get())
+                assert not (client.idle or client.draining or client.open)
+
+    play(test)(Path())
