--- a/tests/conformance/test_replaced.py
+++ b/tests/conformance/test_replaced.py
@@ -162,7 +162,7 @@
 
 
 def ends_of(history: History) -> list[Event]:
-    """The history with an end for each message that was delivered: the endpoint's first answer is its end, and a
+    """The history with an end for each message that was delivered: the endpoint's first answer is its end; a
     notice that comes after it, from a process that could not know, does no harm (the protocol's page)."""
     names = {each.call: each.message for each in history.events if isinstance(each, Began)}
     found: list[Event] = []
