A call given up for its message's sake says nothing of the destination

What kept it cold were 50 time-outs 0.00 to 1.97 s after sending, at a patience of 1.0 to 5.8 s: messages sent with that little time left. `Dispatcher.settle` counted each as a failure, which restarts the warm-up. Change: a time-out before the call is overdue counts for its message and key alone; a trial's counts as before.

--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -303,7 +303,7 @@
                 endpoint.scarce_until = now + SCARCE_TIMES * self.settings.conn_idle
         elif ended.outcome is Outcome.FULL:
             breaker.refused(now, call, ended.wait)
-        elif ended.outcome in face.FAILURES and not call.overdue:
+        elif self.speaks(call, ended.outcome):
             alone = ended.outcome is Outcome.CONNECT_FAILED and self.is_alone(call)
             endpoint.bad_until = now + RESET_TIMEOUT * (GONE_TIMES if alone else 1)
             if not alone:
@@ -311,6 +311,13 @@
         elif call is breaker.trial:
             breaker.trial = None
 
+    def speaks(self, call: Call, outcome: Outcome) -> bool:
+        """Whether this end speaks against the destination, and has not done so before. Guards it from messages
+        that go with little time left: a call that is not overdue was given up for its message's sake."""
+        if outcome not in face.FAILURES or call.overdue:
+            return False
+        return outcome is not Outcome.TIMEOUT or call is call.breaker.trial
+
     def is_alone(self, call: Call) -> bool:
         """Whether a refused connect speaks against its endpoint alone, as another one is not known to be bad.
         Guards a crowd, whose list may be old, from holding back what that one would take."""
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -247,3 +247,24 @@
         world.take("once")
         world.answer(f"m{world.count}", Outcome.STALE)
     assert breaker.failures == 0 and breaker.sick == 0
+
+
+def test_a_call_given_up_for_its_message_says_nothing_of_the_destination() -> None:
+    """Messages that go with little time left time out long before a call is overdue."""
+    world = World()
+    for _ in range(2 * FAILURE_THRESHOLD):
+        assert sent(world.take("safe", time_left=50 * MS))
+        world.answer(f"m{world.count}", Outcome.TIMEOUT, after=40 * MS)
+    breaker = world.dispatcher.all_breakers()[0]
+    assert not breaker.failures and not breaker.sick and not breaker.cold_gap(world.now)
+    assert sent(world.take("safe"))
+
+
+def test_a_trial_that_times_out_restarts_the_timeout() -> None:
+    world = World()
+    world.open_breaker()
+    world.step(face.WakeUp(), after=RESET_TIMEOUT)
+    assert sent(world.take("safe", time_left=50 * MS))
+    world.answer(f"m{world.count}", Outcome.TIMEOUT, after=40 * MS)
+    assert not sent(world.take("safe"))
+    assert sent(world.step(face.WakeUp(), after=RESET_TIMEOUT))
