--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -312,7 +312,7 @@
             breaker.trial = None
 
     def speaks(self, call: Call, outcome: Outcome) -> bool:
-        """Whether this end speaks against the destination, and has not done so before. Guards it from messages
+        """Whether this end speaks against the destination, and has not done so before. Guards it from those
         that go with little time left: a call that is not overdue was given up for its message's sake."""
         if outcome not in face.FAILURES or call.overdue:
             return False
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -263,8 +263,8 @@
 def test_a_trial_that_times_out_restarts_the_timeout() -> None:
     world = World()
     world.open_breaker()
-    world.step(face.WakeUp(), after=RESET_TIMEOUT)
-    assert sent(world.take("safe", time_left=50 * MS))
-    world.answer(f"m{world.count}", Outcome.TIMEOUT, after=40 * MS)
+    trial = sent(world.step(face.WakeUp(), after=RESET_TIMEOUT))
+    assert len(trial) == 1
+    world.answer(trial[0], Outcome.TIMEOUT, after=40 * MS)
     assert not sent(world.take("safe"))
     assert sent(world.step(face.WakeUp(), after=RESET_TIMEOUT))
