A refusal holds a busy sender of a crowd to what it usually sends

`Breaker.refused` took the gap of whoever was refused from 0 to the told step (3.9 s, the mean one's part), and `narrow` needs 30 s from there to an eighth. A sender that sees several times the mean was cut to it. Ruled out: told waits (0.02 to 0.15 s), warm-ups (0.00 to 0.09 s), slots (2 held, 0.1 s a call). Change, above four senders alone: the first refusal brings the gap to the own usual time between served calls, where that is shorter, and not under an eighth of the step.

--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -209,12 +209,18 @@
             # A limit refuses until its span ends, which is no outage; nor does it tell a longer wait.
             shut = max(now - self.full_since, wait) > SPAN_MOST
             most = self.most_gap if shut or self.told_gap == NEVER or self.pace.crowd > 1 else self.step
-            self.gap, self.gap_changed = min(max(2 * self.gap, self.step), most), now
+            self.gap, self.gap_changed = min(max(2 * self.gap, self.first_gap()), most), now
             self.doubt(now, max(FAILURE_THRESHOLD / self.pace.crowd, 2) if shut else NEVER)
             # Told alike, back apart.
             late = self.pace.chance.uniform(0, 2 * self.gap) * (1 - 1 / self.pace.crowd)
             self.wait_until = max(self.wait_until, now) + math.ceil(late)
 
+    def first_gap(self) -> float:
+        """Where the first refusal brings the gap. Members of a crowd see unlike parts of the traffic: at the
+        mean one's part, a busy one would leave unused what the others never ask for."""
+        own = max(self.span / self.calls, self.step / CROWD_LEAST)
+        return self.step if self.pace.crowd <= 1 else min(self.step, own)
+
     def doubt(self, now: int, run: float) -> None:
         """What may be an outage restarts the warm-up: a run of unserved calls, or many failures of late."""
         self.unserved += 1
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -164,3 +164,18 @@
 def test_a_fleet_size_that_is_no_count_is_refused_by_name(told: object) -> None:
     with pytest.raises(ValueError, match="fleet_size must be"):
         settings_from(ENV | {"fleet_size": told}, on_sockets=True)
+
+
+def test_a_refusal_holds_a_busy_member_of_a_crowd_to_what_it_usually_sends() -> None:
+    """Its part of the traffic is several times the mean one's; in a small fleet the told step holds."""
+    for fleet, usual in ((CROWD, True), (2, False)):
+        told = endpoint("a", scale=fleet / 4)  # the mean member's part: a call in 4 s
+        world = World(told, fleet_size=fleet, rates_told=True)
+        for _ in range(60):
+            assert sent(world.take(after=800 * MS))
+            world.answer(f"m{world.count}", Outcome.OK, after=0)
+        (breaker,) = world.dispatcher.all_breakers()
+        assert sent(world.take(after=800 * MS))
+        world.answer(f"m{world.count}", Outcome.FULL)
+        assert (700 * MS < breaker.gap < 900 * MS) == usual
+        assert usual or breaker.gap == breaker.step
