--- /dev/null
+++ b/tests/conformance/test_figures.py
@@ -0,0 +1,91 @@
+"""The figures that operators read, against what an endpoint and the platform saw: equal to the last one."""
+
+import asyncio
+import json
+import random
+from pathlib import Path
+
+import pytest
+from peers import Platform as Discovery
+from peers import Running, call, config_json, host, play
+
+from elmglade.lab.history import Began, Ended, History
+from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.script import Act, Does, Script
+
+MESSAGES = 30
+TIME_LEFT = 1.5  # s
+ACTS = [
+    Act(Does.SERVE),
+    Act(Does.SERVE, 0.05),
+    Act(Does.ERROR),
+    Act(Does.FULL),
+    Act(Does.FULL, 0.05),
+    Act(Does.RESET),
+]
+STATES = {"returned": "deferred", "failed": "errored"}
+
+
+async def answer_notices(discovery: Discovery, history: History) -> None:
+    """Each notice is answered; a message that is told twice has one end."""
+    while True:
+        request = await discovery.requests.get()
+        for line in request.body.decode().split("\n"):
+            if request.target == "/v1/notices" and line.strip():
+                told = json.loads(line)
+                history.note(Ended(history.clock(), told["id"], STATES[told["state"]]))
+        request.answer(204)
+
+
+def seen(history: History) -> dict[str, int]:
+    """What the figures must say."""
+    ends = {each.message: each.state for each in history.events if isinstance(each, Ended)}
+    told = {name: sum(state == name for state in ends.values()) for name in STATES.values()}
+    sends = sum(isinstance(each, Began) for each in history.events)
+    return told | {"sends": sends, "ended": len(ends)}
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_the_figures_are_what_was_seen(seed: int, tmp_path: Path) -> None:
+    @play
+    async def test(folder: Path) -> None:
+        chance, history = random.Random(seed), History()
+        acts = {f"m{at}": [chance.choice(ACTS) for _ in range(chance.randrange(3))] for at in range(MESSAGES)}
+        async with (
+            HttpEndpoint("r", Script(acts, usual=Act(Does.SERVE)), history) as endpoint,
+            Discovery() as there,
+        ):
+            task = asyncio.create_task(answer_notices(there, history))
+            told = config_json(there, host(f"127.0.0.1:{endpoint.port}")) | {"management": "127.0.0.1:0"}
+            async with Running(told, folder) as running:
+                client, refused = HttpClient(running.address), 0
+                for name in acts:
+                    status, _ = await client.post("/c", fields(name, chance), b"x")
+                    refused += status != 202
+                while running.sender.engine.journal.entries or running.sender.engine.calls:
+                    await asyncio.sleep(0.01)
+                client.close()
+                reply = await call(running.sender.desk.address(), "GET", "/stats")
+            task.cancel()
+        lines = (each.removeprefix("edge_balancer.").split("=") for each in reply.body.decode().split())
+        figures = {name.removeprefix("transactions.c."): int(value) for name, value in lines}
+        found = seen(history)
+        assert figures["sends"] == found["sends"]
+        assert figures["errored"] == found["errored"]
+        assert figures["deferred"] == found["deferred"] + refused
+        assert figures["answered"] == MESSAGES - refused - found["ended"]
+        assert figures["current"] == 0
+
+    test(tmp_path)
+
+
+def fields(name: str, chance: random.Random) -> dict[str, str]:
+    """Some messages have next to no time, and are handed back."""
+    left = chance.choice([TIME_LEFT, TIME_LEFT, 0.06])
+    told = {
+        "X-Correlation-Id": name,
+        "X-Service-Class": "c",
+        "X-Time-Left": str(left),
+        "X-Route-To": "dest=3",
+    }
+    return told | {"Idempotency-Key": name}
