--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -313,10 +313,11 @@
 
     def speaks(self, call: Call, outcome: Outcome) -> bool:
         """Whether this end speaks against the destination, and has not done so before. Guards it from those
-        that go with little time left: a call that is not overdue was given up for its message's sake."""
+        that go with little time left: a call that is not overdue was given up for its message's sake. In a
+        crowd, whose members see few calls, each counts: a returning destination is not to be pushed over."""
         if outcome not in face.FAILURES or call.overdue:
             return False
-        return outcome is not Outcome.TIMEOUT or call is call.breaker.trial
+        return outcome is not Outcome.TIMEOUT or call is call.breaker.trial or self.pace.crowd > 1
 
     def is_alone(self, call: Call) -> bool:
         """Whether a refused connect speaks against its endpoint alone, as another one is not known to be bad.
