A flag of the succession that nobody reads is gone

Found on a second reading: Succession set let_gone and nothing asked for it; the engine's fate_of and the ownership's side say the same. Change: two lines less, behaviour as before.

--- a/elmglade/http/succession.py
+++ b/elmglade/http/succession.py
@@ -86,7 +86,6 @@
     def __init__(self, sender: "Sender", seat: Seat) -> None:
         self.sender, self.seat = sender, seat
         self.spared = 0  # descriptors left to the process before
-        self.let_gone = False
 
     # As the one that follows.
 
@@ -164,7 +163,6 @@
         self.sender.server.thaw()
 
     def let_go(self) -> None:
-        self.let_gone = True
         sender = self.sender
         sender.engine.let_go(self.tell_fate)
         sender.server.let_go(self.pass_on)
