One reader of notices serves both conformance tests that had their own

Found on a second reading: test_figures and test_replaced each read and answered the platform's notices by the same loop. Change: answer_notices in tests/peers.py; no assertion differs.

--- a/tests/conformance/test_figures.py
+++ b/tests/conformance/test_figures.py
@@ -1,13 +1,12 @@
 """The figures that operators read, against what an endpoint and the platform saw: equal to the last one."""
 
 import asyncio
-import json
 import random
 from pathlib import Path
 
 import pytest
 from peers import Platform as Discovery
-from peers import Running, call, config_json, host, play
+from peers import Running, answer_notices, call, config_json, host, play
 
 from elmglade.lab.history import Began, Ended, History
 from elmglade.lab.http import HttpClient, HttpEndpoint
@@ -26,19 +25,8 @@
 STATES = {"returned": "deferred", "failed": "errored"}
 
 
-async def answer_notices(discovery: Discovery, history: History) -> None:
-    """Each notice is answered; a message that is told twice has one end."""
-    while True:
-        request = await discovery.requests.get()
-        for line in request.body.decode().split("\n"):
-            if request.target == "/v1/notices" and line.strip():
-                told = json.loads(line)
-                history.note(Ended(history.clock(), told["id"], STATES[told["state"]]))
-        request.answer(204)
-
-
 def seen(history: History) -> dict[str, int]:
-    """What the figures must say."""
+    """What the figures must say; a message that is told twice has one end."""
     ends = {each.message: each.state for each in history.events if isinstance(each, Ended)}
     told = {name: sum(state == name for state in ends.values()) for name in STATES.values()}
     sends = sum(isinstance(each, Began) for each in history.events)
@@ -55,7 +43,8 @@
             HttpEndpoint("r", Script(acts, usual=Act(Does.SERVE)), history) as endpoint,
             Discovery() as there,
         ):
-            task = asyncio.create_task(answer_notices(there, history))
+            heard = lambda name, state: history.note(Ended(history.clock(), name, STATES[state]))  # noqa: E731
+            task = asyncio.create_task(answer_notices(there, heard))
             told = config_json(there, host(f"127.0.0.1:{endpoint.port}")) | {"management": "127.0.0.1:0"}
             async with Running(told, folder) as running:
                 client, refused = HttpClient(running.address), 0
--- a/tests/conformance/test_replaced.py
+++ b/tests/conformance/test_replaced.py
@@ -1,13 +1,12 @@
 """Real processes replaced under load, one of them killed at each step of it, judged by the referee."""
 
 import asyncio
-import json
 from contextlib import AsyncExitStack
 from pathlib import Path
 
 import pytest
 from peers import Platform as Discovery
-from peers import config_json, host, play
+from peers import answer_notices, config_json, host, play
 from successors import Platform, Process
 
 from elmglade.interface import Effect
@@ -58,23 +57,16 @@
         told = config_json(self.discovery, host(dial), **KEYED)
         told["settings"]["safety"]["key_quiet"] = 100_000
         self.platform = await enter(Platform(self.state, told))
-        self.tasks = [asyncio.create_task(self.notices())]
+        self.task = asyncio.create_task(answer_notices(self.discovery, self.notice))
         return self
 
     async def __aexit__(self, *_: object) -> None:
-        for each in self.tasks:
-            each.cancel()
+        self.task.cancel()
         await self.stack.aclose()
 
-    async def notices(self) -> None:
-        while True:
-            request = await self.discovery.requests.get()
-            for line in request.body.decode().split("\n"):
-                if request.target == "/v1/notices" and line.strip():
-                    told = json.loads(line)
-                    state = {"returned": "refused", "failed": "failed"}[told["state"]]
-                    self.history.note(Ended(self.history.clock(), told["id"], state))
-            request.answer(204)
+    def notice(self, name: str, state: str) -> None:
+        told = {"returned": "refused", "failed": "failed"}[state]
+        self.history.note(Ended(self.history.clock(), name, told))
 
     async def client(self, number: int) -> None:
         """Hands in its messages, one after another, each until it is taken on; a connection that breaks is a
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -125,6 +125,17 @@
         self.watched.append(request)
 
 
+async def answer_notices(platform: Platform, heard: Callable[[str, str], None]) -> None:
+    """Answers whatever comes but watches, for ever; `heard` is told id and state of each notice."""
+    while True:
+        request = await platform.requests.get()
+        for line in request.body.decode().split("\n"):
+            if request.target == "/v1/notices" and line.strip():
+                told = json.loads(line)
+                heard(told["id"], told["state"])
+        request.answer(204)
+
+
 def list_line(seq: int, *hosts: dict[str, Any], whole: bool = False) -> str:
     return json.dumps({"seq": seq, "whole": whole, "hosts": hosts}) + "\n"
 
