What was spent is part of the model check; a new life gives nothing of the old one back

Need: the model check knew of parts, not of what was spent of them, so that spans, starts and settling were not in it. Worlds now hold what each life may have spent in two ticks. Mended: settle and give_back say nothing before what the life before spent is over.

--- a/elmglade/budget/desk.py
+++ b/elmglade/budget/desk.py
@@ -234,19 +234,20 @@
         keeper = self.keeper(book)
         if not book.unsettled or not keeper or book.spender.used(self.clock()) > self.part(book):
             return
-        book.unsettled = False
-        word = lease.settle(book.member, book.numbers[keeper])
-        if keeper == self.name:
-            book.member = lease.hear_back(book.member, word)
-        else:
-            self.say(book, keeper, Kind.BACK, self.session, word.asked)
+        for word in lease.settle(book.member, book.budget.terms(), book.numbers[keeper]):
+            book.unsettled = False
+            if keeper == self.name:
+                book.member = lease.hear_back(book.member, word)
+            else:
+                self.say(book, keeper, Kind.BACK, self.session, word.asked)
 
     def leave(self) -> None:
         """What is not in use is given back at once; the rest runs out."""
         for book in self.books.values():
             keeper = self.keeper(book)
-            book.member, words = lease.give_back(book.member, book.numbers.get(keeper, MINE))
-            if keeper not in ("", self.name) and book.spender.used(self.clock()) <= self.part(book):
+            terms, number = book.budget.terms(), book.numbers.get(keeper, MINE)
+            book.member, words = lease.give_back(book.member, terms, number)
+            if words and keeper not in ("", self.name) and book.spender.used(self.clock()) <= self.part(book):
                 self.say(book, keeper, Kind.BACK, self.session, words[0].asked)
 
     def say(self, book: Book, to: str, kind: Kind, session: int, asked: int, amount: int = 0) -> None:
--- a/elmglade/budget/lease.py
+++ b/elmglade/budget/lease.py
@@ -19,7 +19,8 @@
   any more, and only then says so.
 - **Spent counts on** for `after`: the span of a rate, or the longest that a thing is held. A keeper counts
   what ran out for so long; who starts spends nothing for so long, as the life before it may have spent.
-- **Less than before** binds at once; the rest is said to be over (`settle`) by who has no more in use.
+- **Less than before** binds at once; the rest is said to be over (`settle`) by who has no more in use, and
+  whose life before has none.
 - **The floor** is everybody's without asking; what is given out is the whole less the floors of `size`.
 
 `margin` covers the rate of two clocks: at 1% each, 2.1% of the longer of lease and term, and a unit.
@@ -108,11 +109,16 @@
 
 def spendable(member: Member, terms: Terms) -> int:
     """What it may spend at this moment of its clock."""
-    if member.clock < member.since + terms.after:
+    if not is_rested(member, terms):
         return 0
     return terms.floor + (member.held if member.clock < member.held_until else 0)
 
 
+def is_rested(member: Member, terms: Terms) -> bool:
+    """Whether nothing that the life before spent still counts."""
+    return member.clock >= member.since + terms.after
+
+
 def is_settled(member: Member, terms: Terms) -> bool:
     """Whether no promise of a life before can still stand."""
     return member.clock >= member.since + terms.term + terms.margin
@@ -227,15 +233,17 @@
     return member._replace(held=word.amount, held_until=until, held_asked=word.asked)
 
 
-def give_back(member: Member, keeper: int) -> Step:
+def give_back(member: Member, terms: Terms, keeper: int) -> Step:
     """Spends none of it from now on, nor of anything it has asked for so far."""
     member = member._replace(held=0, held_until=LONG_AGO, held_asked=member.clock)
-    return member, (Word(Kind.BACK, member.name, keeper, member.session, member.clock),)
+    word = Word(Kind.BACK, member.name, keeper, member.session, member.clock)
+    return member, (word,) if is_rested(member, terms) else ()
 
 
-def settle(member: Member, keeper: int) -> Word:
+def settle(member: Member, terms: Terms, keeper: int) -> tuple[Word, ...]:
     """Of all that it asked for before what it holds nothing is in use, which is the caller's to know."""
-    return Word(Kind.BACK, member.name, keeper, member.session, member.held_asked - 1)
+    word = Word(Kind.BACK, member.name, keeper, member.session, member.held_asked - 1)
+    return (word,) if is_rested(member, terms) else ()
 
 
 def hear_back(member: Member, word: Word) -> Member:
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -134,9 +134,7 @@
         #: may come again, 0 for one that is taken on; whether a call may go to an endpoint, asked as its
         #: first byte goes; that one goes; that an endpoint told a wait, us.
         self.admits: Callable[[HandedIn], int] = lambda message: 0
-        self.beginnings: list[
-            Callable[[], None]
-        ] = []  # once all that is owed is posted
+        self.beginnings: list[Callable[[], None]] = []  # once all that is owed is posted
         self.allows: Callable[[str], bool] = lambda endpoint: True
         self.call_begins: Callable[[str], None] = lambda endpoint: None
         #: Of budgets that a fleet shares: whether a message's call to an endpoint is within them as its first
--- a/elmglade/emulator/explore.py
+++ b/elmglade/emulator/explore.py
@@ -3,6 +3,9 @@
 behind the others by a unit once. Nobody ever has to act or to hear, so that members that stand still and wake
 are among them. Breadth first: what breaks the rule is found by a shortest way.
 
+Where what was spent counts on (`Terms.after`), what each may have spent in two ticks counts with it,
+also over a start; a member says that something is over only once no more than its part was spent in these.
+
 Worlds are told apart by times from each member's own clock on, and by nothing that is long over: there is an
 end to them without a limit on time."""
 
@@ -24,6 +27,9 @@
     words: frozenset[Word] = frozenset()  # that are out; one that was heard may come again
     lagged: frozenset[int] = frozenset()  # whose clock has fallen behind
     restarts: int = 0
+    #: The most that each might spend before the last tick, and since, and behind them the same of lives that
+    #: ended; none: that is no matter.
+    lately: tuple[tuple[int, int], ...] = ()
 
 
 @dataclass(frozen=True)
@@ -47,13 +53,41 @@
     members = tuple(
         lease.started(name, 0)._replace(since=-(terms.term + terms.margin)) for name in range(terms.size)
     )
-    return World(tuple(from_now(each, terms, members) for each in members))
+    return World(
+        tuple(from_now(each, terms, members) for each in members),
+        lately=((terms.floor, terms.floor),) * terms.size if terms.after else (),
+    )
 
 
-def sum_spendable(world: World, terms: Terms) -> int:
+def sum_spent(world: World, terms: Terms) -> int:
+    if world.lately:
+        return sum(map(max, world.lately))
     return sum(lease.spendable(each, terms) for each in world.members)
 
 
+def noted(world: World, terms: Terms) -> World:
+    """What each might spend now is added to what it might before."""
+    if not terms.after:
+        return world
+    now = (lease.spendable(each, terms) for each in world.members)
+    own, ended = world.lately[: terms.size], world.lately[terms.size :]
+    lately = ((old, max(new, each)) for (old, new), each in zip(own, now, strict=True))
+    return world._replace(lately=(*lately, *ended))
+
+
+def forgotten(world: World, number: int) -> World:
+    """A life of a member is over; what it spent counts on."""
+    if not world.lately:
+        return world
+    lately = (*world.lately, world.lately[number])
+    return world._replace(lately=tuple((0, 0) if at == number else x for at, x in enumerate(lately)))
+
+
+def in_use(world: World, number: int, terms: Terms) -> bool:
+    """Whether more than its part may have been spent in the two ticks."""
+    return bool(terms.after) and max(world.lately[number]) > lease.spendable(world.members[number], terms)
+
+
 def long_over(terms: Terms) -> int:
     """From when on it is alike how long ago a thing was asked for."""
     return -max(terms.lease, terms.term) - 1
@@ -68,7 +102,7 @@
     )
     return member._replace(
         clock=0,
-        since=max(member.since - clock, -(terms.term + terms.margin)),
+        since=max(member.since - clock, -(terms.term + terms.margin + terms.after)),
         promised_until=max(member.promised_until - clock, 0),
         elected_at=max(member.elected_at - clock, old),
         votes=member.votes if member.elected_at - clock > old else (),
@@ -116,9 +150,12 @@
     )
     old = long_over(terms)
     words = (x._replace(asked=max(x.asked - members[owner(x)].clock, old)) for x in world.words)
-    return world._replace(
+    after = world._replace(
         members=tuple(from_now(each, terms, members) for each in members), words=frozenset(words)
     )
+    own, ended = world.lately[: terms.size], world.lately[terms.size :]
+    lately = (*((new, 0) for _, new in own), *((new, 0) for _, new in ended if new))
+    return noted(after._replace(lately=lately), terms)
 
 
 def member_acts(world: World, number: int, terms: Terms, limits: Limits) -> Iterator[tuple[str, World]]:
@@ -127,13 +164,18 @@
         fresh = lease.started(number, member.session + 1)
         found = changed(world, number, from_now(fresh, terms, world.members), (), limits)
         if found:
-            yield f"{number} starts anew", found._replace(restarts=world.restarts + 1)
+            yield f"{number} starts anew", forgotten(found, number)._replace(restarts=world.restarts + 1)
     steps = [("elects itself", lease.elect(member, terms)), ("abandons it", (lease.abandon(member), ()))]
     for keeper, other in enumerate(world.members):
         if lease.keeps(other):
-            steps.append((f"asks {keeper}", lease.ask(member, terms, keeper, terms.whole)))
+            wants = (terms.whole, 1) if terms.after and terms.whole > 1 else (terms.whole,)
+            steps += [(f"asks {keeper} for {want}", lease.ask(member, terms, keeper, want)) for want in wants]
             if member.held:
-                steps.append((f"gives back to {keeper}", lease.give_back(member, keeper)))
+                after, out = lease.give_back(member, terms, keeper)
+                at_once = not terms.after or max(world.lately[number]) <= terms.floor
+                steps.append((f"gives back to {keeper}", (after, out if at_once else ())))
+                if terms.after and not in_use(world, number, terms):
+                    steps.append((f"settles with {keeper}", (member, lease.settle(member, terms, keeper))))
     for what, (after, out) in steps:
         if (after is not member or out) and (found := changed(world, number, after, out, limits)):
             yield f"{number} {what}", found
@@ -155,11 +197,12 @@
         found.states += 1
         if found.states % SOME == 0:
             found.some.append(world)
-        for what, there in nexts(world, terms, limits):
+        for what, raw in nexts(world, terms, limits):
+            there = noted(raw, terms)
             if there in ways:
                 continue
             ways[there] = world, what
-            if sum_spendable(there, terms) > terms.whole:
+            if sum_spent(there, terms) > terms.whole:
                 found.trace = way(ways, there)
                 return found
             ahead.append(there)
--- a/tests/test_budget.py
+++ b/tests/test_budget.py
@@ -12,12 +12,13 @@
 from elmglade.emulator.explore import Limits, explore, quiet
 
 TWO = Terms(whole=1, size=2, lease=1, term=2, margin=1)
+SPENT = TWO._replace(after=1)  # what was spent counts on for a tick
 
 
 @pytest.mark.parametrize(
     ("terms", "limits", "whole"),
     [
-        (TWO, Limits(words=1, restarts=1, lags=0), True),
+        (SPENT, Limits(words=1, restarts=1, lags=0), True),
         (TWO, Limits(words=1, restarts=0, lags=1), True),
         (TWO._replace(whole=3), Limits(words=1, restarts=0, lags=0), True),
         (TWO._replace(size=3, whole=2), Limits(words=2, restarts=1, lags=1, states=20_000), False),
@@ -42,7 +43,7 @@
     return member
 
 
-def keeps_what_it_gives_back(member: Member, keeper: int) -> tuple[Member, tuple[Word, ...]]:
+def keeps_what_it_gives_back(member: Member, terms: Terms, keeper: int) -> tuple[Member, tuple[Word, ...]]:
     return member, (Word(Kind.BACK, member.name, keeper, member.session, member.clock),)
 
 
@@ -52,6 +53,14 @@
         ("", None, TWO._replace(margin=0), Limits(words=1, restarts=0)),
         ("record", forgets, TWO, Limits(words=1, restarts=0, lags=0)),
         ("give_back", keeps_what_it_gives_back, TWO, Limits(words=1, restarts=0, lags=0)),
+        ("is_rested", lambda member, terms: True, SPENT, Limits(words=1, restarts=1, lags=0)),
+        ("longest", lambda terms: terms.lease + terms.margin, SPENT, Limits(words=1, restarts=1, lags=1)),
+        (
+            "elmglade.emulator.explore.in_use",
+            lambda world, number, terms: False,
+            SPENT._replace(whole=2),
+            Limits(words=1, restarts=0, lags=0),
+        ),
         (
             "Terms.divisible",
             lambda terms: terms.whole,
@@ -63,6 +72,9 @@
         "no margin",
         "grant not on record",
         "spent after it is back",
+        "a start spends and gives back at once",
+        "what ran out counts no longer",
+        "settled while in use",
         "floor twice",
     ],
 )
@@ -70,7 +82,7 @@
     what: str, defect: Callable[..., Any], terms: Terms, limits: Limits, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     if what:
-        monkeypatch.setattr(f"elmglade.budget.lease.{what}", defect)
+        monkeypatch.setattr(what if what.startswith("elmglade.") else f"elmglade.budget.lease.{what}", defect)
     found = explore(terms, limits)
     assert found.trace and found.trace[0] == "all have been up for long"
     print("\n".join(found.trace))
