--- a/elmglade/budget/desk.py
+++ b/elmglade/budget/desk.py
@@ -6,10 +6,11 @@
 - Each budget has a keeper of its own, chosen by a hash of its name among those that are there, so that the
   work is spread. One that keeps it goes on as long as it is there. The first of them asks to be chosen as
   soon as nobody is promised, each next one an eighth of a lease later: the first may be gone unnoticed. Of
-  several that ask, those behind abandon it.
+  several that ask, those behind abandon it, and all do for one that keeps it.
 - A member asks four times a lease for what it needs: what is in use, and what is held for it. A need falls by
-  an eighth a question only, so that a pause of a moment moves nothing.
-- A need that has grown past what is held is asked for at once, but not more often than each `RUSH`.
+  an eighth each time only, so that a pause of a moment moves nothing.
+- A need that has grown past what is held is asked for at once, but not more often than each `RUSH`; so is
+  what was not answered.
 - Members may have different figures under one name while a change goes round: the smallest whole and the
   largest floor that a keeper heard of within two of its leases bind, by whatever word. The largest size that
   was ever heard of binds, and whoever counts on a smaller one is promised nothing. With another form (what
@@ -110,6 +111,7 @@
     need: Callable[[], int]  # what is held for it, besides what is in use
     numbers: dict[str, int]  # of names, to the machine
     asked_at: int = -NEVER
+    fell_at: int = -NEVER  # when the need last fell
     elected_at: int = -NEVER
     free_since: int = -NEVER  # when somebody was promised last
     wanted: int = 0  # the need that falls slowly
@@ -196,13 +198,13 @@
         place = sum(rank(budget.name, each) < rank(budget.name, self.name) for each in others)
         if not keeping and now < book.free_since + place * (budget.lease // 8):
             return
-        if now < book.elected_at + budget.lease // 3:
+        if now < book.elected_at + budget.lease // 4:
             return
         book.member, words = lease.elect(book.member, budget.terms())
         if words:
             book.elected_at = now
             for each in others:
-                self.say(book, each, Kind.ELECT, self.session, book.member.elected_at)
+                self.say(book, each, Kind.ELECT, self.session, book.member.elected_at, int(keeping))
 
     def keeper(self, book: Book) -> str:
         return next((name for name, number in book.numbers.items() if number == book.member.promised), "")
@@ -214,12 +216,13 @@
 
     def ask(self, book: Book) -> None:
         now, keeper, fresh = self.clock(), self.keeper(book), self.wants(book)
-        due = now >= book.asked_at + book.budget.lease // 4
+        answered = book.member.held_asked >= book.asked_at
+        due = now >= book.asked_at + (book.budget.lease // 4 if answered else RUSH)
         short = fresh > max(book.member.held, book.wanted) and now >= book.asked_at + RUSH
         if not keeper or not (due or short):
             return
-        if due:
-            book.wanted = max(fresh, book.wanted - max(book.wanted // 8, 1))
+        if now >= book.fell_at + book.budget.lease // 4:
+            book.wanted, book.fell_at = book.wanted - max(book.wanted // 8, 1), now
         book.wanted, book.asked_at = max(fresh, book.wanted), now
         if keeper == self.name:
             word = Word(Kind.ASK, MINE, MINE, self.session, now, book.wanted)
@@ -283,7 +286,8 @@
         elif kind is Kind.BACK:
             book.member = lease.hear_back(book.member, word)
         else:
-            if kind is Kind.ELECT and rank(said.budget, by) < rank(said.budget, self.name):
+            behind = said.amount or rank(said.budget, by) < rank(said.budget, self.name)
+            if kind is Kind.ELECT and behind:
                 book.member = lease.abandon(book.member)
             book.member, answers = lease.hear(book.member, book.budget.terms(), word)
             for each in answers:
--- a/tests/test_budgeted.py
+++ b/tests/test_budgeted.py
@@ -96,7 +96,10 @@
 
 
 def nothing_is_held(cluster: Cluster) -> bool:
-    told = [ask(each.state, {"do": "fleet"})["value"] for each in cluster.members.values()]
+    try:
+        told = [ask(each.state, {"do": "fleet"})["value"] for each in cluster.members.values()]
+    except OSError:  # one of them has not opened its socket yet
+        return False
     return not any(x["members"][name]["owed"] for x, name in zip(told, cluster.members, strict=True))
 
 
