Who lost its disk keeps out of service what others do

Need: after a power loss a sender whose disk is empty or old called endpoints that its operators had taken out of service, as the other senders still knew. Each word on the link now tells what is kept out, by an override or a draining list, with the time left; a start that was not clean and not a mere restart of the process takes it over as an override of its own, in the name of who told it, with that end. A restart of the process alone takes nothing: its disk is the latest. Result: three processes, one loses its disk: 0 of 6 calls to the endpoint that is out (before: it was called); the override is there in the list, by n1.

--- a/benchmarks/power.py
+++ b/benchmarks/power.py
@@ -2,8 +2,8 @@
 
 cost: one journal on a real file system, messages that come as fast as they are answered, so many at once:
 how many a second have their 202, and how long it took, for none, group and each; door: the
-same through a whole sender. return: five senders hold
-messages for a hub that is down, the power goes, the hub is back; with and without the link.
+same through a whole sender. return: five senders (--size) hold
+600 messages for a hub that is down, the power goes, the hub is back; with and without the link.
 
     ./with-env python -m benchmarks.power cost --folder DIR
     ./with-env python -m benchmarks.power door --folder DIR
@@ -25,7 +25,7 @@
 from elmglade.message import HandedIn
 
 LIMIT = 200_000_000  # bytes
-HELD = 120  # messages that each sender holds as the power goes
+HELD = 600  # messages that all senders hold as the power goes
 CONFIG = """
 [limits]
 max_open = 400
@@ -89,7 +89,7 @@
         cluster.more = CONFIG.format(size=size) + hub.listed()
         async with cluster:
             await cluster.start()
-            whole = HELD * size
+            whole = HELD
             for number in range(whole):
                 name = f"m{number}"
                 assert await cluster.hand_in(name, "charge", 1, 60, f"k{number}", [f"n{number % size}"])
@@ -149,6 +149,7 @@
     parser.add_argument("what", choices=["cost", "door", "return"])
     parser.add_argument("--folder", type=Path, help="on the file system to be measured")
     parser.add_argument("--count", type=int, default=6000)
+    parser.add_argument("--size", type=int, default=5, help="senders")
     told = parser.parse_args()
     if told.what == "cost":
         for at_once in (1, 16, 128):
@@ -165,7 +166,7 @@
         return
     for sync, link in (("none", False), ("group", False), ("each", True), ("group", True)):
         with tempfile.TemporaryDirectory(dir=told.folder) as folder:
-            print(await returned(Path(folder), sync, link), flush=True)
+            print(await returned(Path(folder), sync, link, told.size), flush=True)
 
 
 if __name__ == "__main__":
--- a/elmglade/http/fleet.py
+++ b/elmglade/http/fleet.py
@@ -32,6 +32,9 @@
 
     def __init__(self, engine: Engine) -> None:
         self.engine = engine
+        #: What is kept out of service here, s left; and what another one keeps so.
+        self.away: Callable[[], dict[str, float]] = dict
+        self.keep_away: Callable[[str, float, str], None] = lambda endpoint, left, by: None
 
     def now(self) -> int:
         return self.engine.now()
@@ -92,7 +95,8 @@
         self.engine, self.ready = engine, ready
         me = Me(engine.config.name, config.advertise, config.seeds, config.size)
         self.link = Link(me, config.listen, config.key_file, state)
-        self.coordinator = Coordinator(self.link.node, View(engine), engine.settings, self.link.loop.time)
+        self.view = View(engine)
+        self.coordinator = Coordinator(self.link.node, self.view, engine.settings, self.link.loop.time)
         self.link.step = self.step
         self.budgets: Budgets | None = None
         if budgets:
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -22,7 +22,7 @@
 from elmglade.directory.control import Command, Control
 from elmglade.directory.file import FileDirectory
 from elmglade.directory.overridden import OverriddenDirectory
-from elmglade.directory.overrides import Kind
+from elmglade.directory.overrides import Kind, OverrideError
 from elmglade.directory.static import Dial, StaticDirectory
 from elmglade.directory.store import Store
 from elmglade.http.daemon import HttpSender
@@ -90,6 +90,10 @@
     return Beginning(config.settings, config.durability.gather, machine.clock.now, machine.disk, machine.boot)
 
 
+DRAINS = 60.0  # s for which an endpoint that another one's list drains is left alone after a power loss
+MOST_AWAY = 6 * 86_400.0  # s
+
+
 class PlainSender(HttpSender):
     """An HTTP sender over a static directory."""
 
@@ -141,10 +145,31 @@
             from elmglade.http.fleet import join
 
             self.membership = join(engine, config.fleet, state, self.set_ready, config.budgets)
+        if self.membership:
+            self.membership.view.away, self.membership.view.keep_away = self.away, self.keep_away
 
     def dials(self) -> dict[str, Dial]:
         return self.directory.dials()
 
+    def away(self) -> dict[str, float]:
+        """Endpoints that are out of service here, by an override or as the list drains them, s left."""
+        now, overlay = self.engine.now(), self.overrides.overlay
+        listed = overlay.listed.values()
+        found = {each.id: DRAINS for each in listed if each.state is face.EndpointState.DRAINING}
+        return found | {name: max(x.until - now, 0) / 1e6 for name, x in overlay.force.out.items()}
+
+    def keep_away(self, endpoint: str, left: float, by: str) -> None:
+        """Another one keeps it out of service: that counts where this one's disk may not tell the latest."""
+        assert self.membership
+        if self.beginning and self.beginning.is_latest() and not self.membership.link.node.behind:
+            return
+        now = self.engine.now()
+        until = now + int(min(left, MOST_AWAY) * 1e6)
+        try:
+            self.overrides.set(Kind.OUT, endpoint, by, "it keeps it out of service", now, until)
+        except (OverrideError, OSError) as error:
+            log.warning("fleet: %s keeps %s out of service, which is not done here: %s", by, endpoint, error)
+
     def set_ready(self, ready: bool) -> None:
         self.server.ready = ready and self.server.listener is not None and not self.server.stopping
 
--- a/elmglade/recovery/begin.py
+++ b/elmglade/recovery/begin.py
@@ -46,6 +46,10 @@
         before what it has said."""
         return self.clock() + self.start.behind
 
+    def is_latest(self) -> bool:
+        """Whether its disk tells all that the life before knew."""
+        return self.start.ended in (Ended.CLEAN, Ended.PROCESS)
+
     def open(self, folder: Path, limit: int) -> DurableJournal:
         return DurableJournal(folder, limit, self.gather, self.disk, self.boot, self.now, self.trust)
 
--- a/elmglade/recovery/coordinator.py
+++ b/elmglade/recovery/coordinator.py
@@ -9,6 +9,7 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
+from dataclasses import replace
 from typing import Protocol
 
 import msgspec
@@ -36,6 +37,7 @@
     owed: dict[int, int]
     seen: dict[int, tuple[bool, float, float, bool, float]]
     trials: dict[int, float]
+    away: dict[str, float] = {}
 
 
 def encode(word: Word) -> bytes:
@@ -44,7 +46,7 @@
         for number, x in word.seen.items()
     }
     trials = {number: round(each, 3) for number, each in word.trials.items()}
-    return msgspec.msgpack.encode(Saying(int(word.stage), dict(word.owed), seen, trials))
+    return msgspec.msgpack.encode(Saying(int(word.stage), dict(word.owed), seen, trials, dict(word.away)))
 
 
 def decode(text: bytes) -> Word | None:
@@ -52,9 +54,11 @@
         told = msgspec.msgpack.decode(text, type=Saying)
         seen = {number: Seen(*each) for number, each in told.seen.items()}
         figures = [x for each in told.seen.values() for x in (each[1], each[2], each[4])]
-        if not all(math.isfinite(x) and x >= 0 for x in [*figures, *told.trials.values()]):
+        if not all(
+            math.isfinite(x) and x >= 0 for x in [*figures, *told.trials.values(), *told.away.values()]
+        ):
             return None
-        return Word(Stage(told.stage), told.owed, seen, told.trials)
+        return Word(Stage(told.stage), told.owed, seen, told.trials, told.away)
     except (msgspec.DecodeError, msgspec.ValidationError, ValueError):
         return None
 
@@ -85,6 +89,12 @@
     def doubt(self, name: str) -> None:
         """A message held may have run elsewhere."""
 
+    def away(self) -> dict[str, float]:
+        """Endpoints that it keeps out of service, and for how long, s."""
+
+    def keep_away(self, endpoint: str, left: float, by: str) -> None:
+        """Another one keeps it out of service for so long, s. What this one knows itself counts."""
+
 
 class Coordinator:
     def __init__(
@@ -110,7 +120,10 @@
         if word is None:
             log.warning("fleet: what %s says of itself cannot be read", name)
             return
+        first = name not in self.stages.words
         self.stages.heard(name, word, said.at)
+        if first and Stage.ASKING < self.stages.stage < Stage.OPEN:
+            self.borrow(name, word)
 
     def hear_answer(self, name: str, number: int, text: bytes) -> None:
         """What comes after `asking` is too late: calls may be out."""
@@ -120,6 +133,13 @@
             log.warning("stage: %s is known to %s: %s; here it may have run", each, name, known.name.lower())
             self.sender.doubt(each)
 
+    def borrow(self, name: str, word: Word) -> None:
+        """What others keep out of service may be out for a reason that this one's disk has lost."""
+        own = self.sender.away()
+        for endpoint, left in word.away.items():
+            if endpoint not in own:
+                self.sender.keep_away(endpoint, left, name)
+
     def ask(self, now: float) -> None:
         others = self.node.others()
         for name, piece, text in self.inquiry.due(others, now):
@@ -138,6 +158,9 @@
         before = self.stages.stage
         self.stages.tick(self.sender.owed(), now)
         while self.stages.stage is not before:
+            if before is Stage.ASKING:
+                for name, word in sorted(self.stages.words.items()):
+                    self.borrow(name, word)
             before = self.stages.stage
             log.info("stage: %s: %s", before.name.lower(), self.stages.why)
             self.changed(before)
@@ -149,7 +172,8 @@
         calm = self.stages.stage is Stage.OPEN and not any(not x.up for x, _ in self.stages.seen.values())
         if at_once or now >= self.next_word:
             self.next_word = now + (REST if calm else spacing(len(self.stages.words)))
-            self.node.publish(encode(self.stages.word(now)), now)
+            word = replace(self.stages.word(now), away=self.sender.away())
+            self.node.publish(encode(word), now)
 
     # The engine's side.
 
--- a/elmglade/recovery/stages.py
+++ b/elmglade/recovery/stages.py
@@ -73,6 +73,7 @@
     owed: Mapping[int, int] = field(default_factory=dict)  # held messages by destination
     seen: Mapping[int, Seen] = field(default_factory=dict)
     trials: Mapping[int, float] = field(default_factory=dict)  # its trials that are out, and for how long
+    away: Mapping[str, float] = field(default_factory=dict)  # endpoints kept out of service, s left
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_cluster.py
+++ b/tests/test_cluster.py
@@ -4,6 +4,7 @@
 import base64
 import random
 import signal
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from functools import partial
@@ -253,6 +254,34 @@
     asyncio.run(play())
 
 
+@pytest.mark.parametrize("by", ["cut", "kill"])
+def test_what_others_keep_out_of_service_is_kept_so_by_who_lost_its_disk(tmp_path: Path, by: str) -> None:
+    async def play() -> None:
+        cluster = Cluster(tmp_path, 3, 1)
+        async with Hub("hub", cluster.history, RATE) as hub, Hub("old", cluster.history, RATE) as old:
+            cluster.more = MORE.format(size=3) + hub.listed() + "\n" + old.listed()
+            async with cluster:
+                await cluster.start()
+                now = time.time_ns() // 1000
+                out = {"do": "set", "kind": "out", "endpoint": "old", "who": "op", "why": "moved"}
+                for each in ("n1", "n2"):
+                    ask(cluster.members[each].state, out | {"begins": now, "until": now + 60_000_000})
+                await getattr(cluster, by)("n0")
+                if by == "cut":
+                    await cluster.lose_disk("n0")
+                await cluster.start("n0")
+                assert all([await cluster.hand_in(f"m{x}", "safe", 1, 8, to=["n0"]) for x in range(6)])
+                await over(cluster)
+                kept = ask(cluster.members["n0"].state, {"do": "list"})["value"]["overrides"]
+                if by == "cut":
+                    assert not old.calls and len(hub.calls) == 6
+                    assert [(each["endpoint"], each["who"]) for each in kept] == [("old", "n1")]
+                else:
+                    assert old.calls and not kept, "what its own disk tells is the latest"
+
+    asyncio.run(play())
+
+
 @pytest.mark.parametrize("kind", ["keyed", "unsafe"])
 def test_an_id_that_another_one_took_on_meanwhile_runs_once(tmp_path: Path, kind: str) -> None:
     async def play() -> None:
