--- a/benchmarks/power.py
+++ b/benchmarks/power.py
@@ -29,6 +29,7 @@
 CONFIG = """
 [limits]
 max_open = 700
+max_attempts = 100
 [rules]
 rates_told = true
 fleet_size = {size}
