--- a/benchmarks/power.py
+++ b/benchmarks/power.py
@@ -82,12 +82,23 @@
     )
 
 
-async def returned(folder: Path, sync: str, link: bool, size: int = 5) -> str:
+BUDGET = """
+[[budgets]]
+name = "rate"
+of = "calls"
+destination = "each"
+whole = "told"
+per_ms = 1000
+lease_ms = 1000
+"""
+
+
+async def returned(folder: Path, sync: str, link: bool, size: int = 5, budget: bool = False) -> str:
     """Seconds are from the moment at which the processes are started again."""
     cluster = Cluster(folder, size, 1, sync, link)
     async with Hub("hub", cluster.history, 60) as hub:
         hub.down = True
-        cluster.more = CONFIG.format(size=size) + hub.listed()
+        cluster.more = CONFIG.format(size=size) + BUDGET * budget + hub.listed()
         async with cluster:
             await cluster.start()
             whole = HELD
@@ -105,6 +116,7 @@
             at = f"first {ran[0]:.2f} s, 90% {ran[int(len(ran) * 0.9)]:.1f} s" if ran else "nothing came"
             twice = sum(len(each) > 1 for each in hub.ran.values())
             spent, how = time.monotonic() - began, "link" if link else "alone"
+            how += ", budget" * budget
             told = f"{len(ran)} of {whole} ran by {spent:.1f} s; {at}; twice {twice}; refused {hub.refused}"
             return f"{sync:<6} {how}: {told}; most in 100 ms {hub.most_in(0.1)}"
 
@@ -165,9 +177,10 @@
                 with tempfile.TemporaryDirectory(dir=told.folder) as folder:
                     print(await door(Path(folder), sync, clients), flush=True)
         return
-    for sync, link in (("none", False), ("group", False), ("each", True), ("group", True)):
+    ways = (("none", False), ("group", False), ("each", True), ("group", True), ("group", True, True))
+    for sync, link, *budget in ways:
         with tempfile.TemporaryDirectory(dir=told.folder) as folder:
-            print(await returned(Path(folder), sync, link, told.size), flush=True)
+            print(await returned(Path(folder), sync, link, told.size, *budget), flush=True)
 
 
 if __name__ == "__main__":
