Budgets of destinations that nobody needs are forgotten after a minute

A passing budget that no member has needed for a minute is not renewed nor asked for; once nothing of it is held, given, promised or spent it is forgotten, and opened again as if it had not been there (what was spent of it is over its span). Result: a test on virtual time, forgotten by all and then used to over 0.9 again, never above the whole.

--- a/elmglade/budget/desk.py
+++ b/elmglade/budget/desk.py
@@ -18,6 +18,9 @@
 - Each asks with how warm it believes what is spent from to be, by its own eyes. A keeper divides the share of
   the whole that the middle one of those in need believes in: one of few that has lost its way there binds
   nobody, and what comes back cold is not given all at once.
+- A passing budget, one of many that come and go with destinations, is let rest once nobody has needed any of
+  it for `IDLE`: its keeper renews nothing, nobody asks. What has nothing out any more can be forgotten, and
+  opened anew as if it had never been there.
 - Names are known to the machine as numbers of this member's own; a start, or another epoch, begins anew.
 """
 
@@ -33,6 +36,7 @@
 FAST = 1.0102  # by a clock that is 1% fast, how long a true time takes, with something over
 APART = 0.021  # what two clocks may differ by, 1% each
 RUSH = 100_000  # us
+IDLE = 60_000_000  # us
 WARM = 1000  # thousandths of the whole
 MINE = 0  # this member, to the machine
 
@@ -117,6 +121,8 @@
     need: Callable[[], int]  # what is held for it, besides what is in use
     warm: Callable[[], int]  # thousandths of the whole that may be spent, by its own eyes
     numbers: dict[str, int]  # of names, to the machine
+    passing: bool = False
+    needed_at: int = -NEVER  # when somebody needed some of it last, as far as is known here
     asked_at: int = -NEVER
     fell_at: int = -NEVER  # when the need last fell
     elected_at: int = -NEVER
@@ -140,8 +146,15 @@
         self.grew: Callable[[str], None] = lambda budget: None
         self.began = self.born = clock()
 
-    def open(self, budget: Budget, need: Callable[[], int], warm: Callable[[], int] = lambda: WARM) -> Book:
-        book = Book(budget, self.fresh(), self.spender(budget), need, warm, {self.name: MINE})
+    def open(
+        self,
+        budget: Budget,
+        need: Callable[[], int],
+        warm: Callable[[], int] = lambda: WARM,
+        passing: bool = False,
+    ) -> Book:
+        numbers, now = {self.name: MINE}, self.clock()
+        book = Book(budget, self.fresh(), self.spender(budget), need, warm, numbers, passing, now)
         self.books[budget.name] = book
         return book
 
@@ -192,11 +205,33 @@
         others = sorted(there)
         for book in self.books.values():
             book.member = lease.at(book.member, self.clock())
-            self.elect(book, others)
-            self.ask(book)
+            if not self.rests(book):
+                self.elect(book, others)
+                self.ask(book)
             self.settle(book)
             self.look(book)
 
+    def rests(self, book: Book) -> bool:
+        now = self.clock()
+        since = now - 2 * book.budget.lease
+        asked = any(each.need > 0 and each.at > since for each in book.askers.values())
+        if asked or book.wanted > 0 or self.wants(book) > 0:
+            book.needed_at = now
+        return book.passing and now >= book.needed_at + IDLE
+
+    def forget_idle(self) -> list[str]:
+        """Names of passing budgets that rest with nothing out, promised or spent; they are gone."""
+        gone = [name for name, book in self.books.items() if self.rests(book) and self.is_empty(book)]
+        for name in gone:
+            del self.books[name]
+        return gone
+
+    def is_empty(self, book: Book) -> bool:
+        member, now = lease.at(book.member, self.clock()), self.clock()
+        out = member.promised != lease.NOBODY or lease.keeps(member) or member.given or member.held
+        asked = now < book.asked_at + book.budget.lease
+        return not (out or asked or book.spender.used(now))
+
     def elect(self, book: Book, others: list[str]) -> None:
         budget, now = book.budget, self.clock()
         keeping = lease.keeps(book.member)
--- a/elmglade/http/budgets.py
+++ b/elmglade/http/budgets.py
@@ -104,9 +104,18 @@
             self.budget(told, name, destination),
             partial(self.need, told, name, destination),
             partial(self.warm, told, destination),
+            passing=each,
         )
         return name
 
+    def close_idle(self) -> None:
+        for name in self.desk.forget_idle():
+            number = int(name.partition("/")[2])
+            self.by_destination[number].remove(name)
+            if not self.by_destination[number]:
+                del self.by_destination[number]
+            log.info("budget %s: nobody has needed any of it; it is forgotten", name)
+
     def budget(self, told: Shared, name: str, destination: int | None) -> Budget:
         whole = told.whole if told.whole is not None else self.rate(destination, told.span or 0)
         floor = min(told.floor, whole // self.size)
@@ -249,6 +258,7 @@
         self.post()
         if now >= self.next_turn:
             self.next_turn = now + TURN
+            self.close_idle()
             self.follow_list()
             self.record()
 
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -124,6 +124,22 @@
     assert fleet.ledger.most() <= 20 and fleet.ledger.used(14, 20, 20) > 0.9
 
 
+def test_a_passing_budget_that_nobody_needs_is_forgotten_and_comes_again() -> None:
+    fleet = Fleet(budget(3, 30), 3, 7, [20.0] * 3)
+    for desk in fleet.desks.values():
+        desk.books["hub"].passing = True
+    fleet.hall.run(8.0)
+    fleet.works = dict.fromkeys(fleet.works, 0.0)
+    fleet.hall.run(90.0)
+    quiet = fleet.hall.sent
+    assert [desk.forget_idle() for desk in fleet.desks.values()] == [["hub"]] * 3
+    for name, desk in fleet.desks.items():
+        desk.open(fleet.budget, lambda name=name: int(fleet.held[name]))  # type: ignore[misc]
+    fleet.works = dict.fromkeys(fleet.works, 20.0)
+    fleet.hall.run(105.0)
+    assert fleet.hall.sent > quiet and fleet.ledger.used(98, 105, 30) > 0.9 and fleet.ledger.most() <= 30
+
+
 def alone(size: int = 3) -> tuple[Desk, dict[str, int]]:
     time = {"now": 10**9}
     desk = Desk("a", 7, lambda: time["now"])
