A call that outlasts its forgotten budget ends as any other

Seen on reading the change again: a call of over a minute, whose budget nobody needed meanwhile, ended with a KeyError in Budgets.spent, which would have ended the engine (http/budgets.py, spent). It now leaves a budget that is gone alone; a test plays it (KeyError without the mend).

--- a/elmglade/http/budgets.py
+++ b/elmglade/http/budgets.py
@@ -206,6 +206,8 @@
     def spent(self, message: str) -> None:
         """A call is over."""
         for name in self.out.pop(message, ()):
+            if name not in self.desk.books:  # forgotten while a call was out for longer than that takes
+                continue
             spender = self.desk.books[name].spender
             held = message in spender.held
             spender.ended(message)
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -3,15 +3,18 @@
 
 import os
 from collections.abc import Callable
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
 
+from elmglade import interface as face
 from elmglade.budget import desk as desks
 from elmglade.budget import division, lease
 from elmglade.budget.desk import Budget, Desk, Said
 from elmglade.budget.lease import Kind
 from elmglade.budget.spend import NEVER, Spender
+from elmglade.emulator.joined import Links
 from elmglade.emulator.shared import Fleet
 
 SEEDS = int(os.environ.get("SHARED_SEEDS", "40"))
@@ -197,6 +200,36 @@
     assert division.divide(whole, needs) == parts
 
 
+def test_a_call_that_outlasts_its_budget_ends_as_any_other() -> None:
+    listed = face.Endpoint("e", 3, face.EndpointState.READY, "plain", "", 8.0)
+    at = SimpleNamespace(held={"m": 1}, endpoints=[SimpleNamespace(listed=listed)], breakers=())
+    there = SimpleNamespace(
+        endpoints={"e": at.endpoints[0]}, destinations={3: at}, kinds={"plain": face.Kind()},
+        leave_grew=lambda number: None,
+    )  # fmt: skip
+    engine: Any = SimpleNamespace(
+        dispatcher=there, config=SimpleNamespace(known=(listed,)), post=lambda event: None
+    )
+    time = {"now": 0.0}
+    links = Links(lambda: time["now"], lambda *told: None, 1, US, 0.0, 1)
+    links.join("n0", engine, 1)
+    _, budgets = links.ends["n0"]
+    for second in range(200):
+        time["now"] = second / 10
+        budgets.step(time["now"])
+        if budgets.free_at(listed, 0) <= 0 and not budgets.out:
+            budgets.reserve(listed, "m")
+            assert budgets.spends("e", "m")
+    assert budgets.out == {"m": ["rate/3"]}
+    at.held = {}
+    for second in range(20, 100):
+        time["now"] = float(second)
+        budgets.step(time["now"])
+    assert not budgets.desk.books
+    engine.spent("m")
+    assert not budgets.out and budgets.free_at(listed, 0) > 0, "opened anew, and asked for"
+
+
 def test_keepers_are_spread_over_members() -> None:
     names = [f"n{each}" for each in range(10)]
     assert len({min(names, key=lambda x: desks.rank(str(each), x)) for each in range(30)}) > 6
