A told whole halved by a reload while all is out, over three processes

Hard case of the issue: the list's rate is halved and read anew by SIGHUP on all members while the whole is out. Result: two leases and a span later the hub's count stays at half, and reaches over a quarter of it in each span.

--- a/tests/test_budgeted.py
+++ b/tests/test_budgeted.py
@@ -5,6 +5,7 @@
 import json
 import os
 import random
+import signal
 import tempfile
 from collections.abc import Callable
 from pathlib import Path
@@ -18,6 +19,7 @@
 
 SEEDS = int(os.environ.get("BUDGET_SEEDS", "20"))
 WHOLE, SPAN = 20, 0.5  # calls, s
+RATE = int(WHOLE / SPAN)
 #: s by which the time from a check to the receiver may differ while this machine is busy with other tests:
 #: the sender's own slack of 10 ms is for the way alone.
 SLACK = 0.15
@@ -120,13 +122,13 @@
 Act = Callable[[Cluster, Hub], Any]
 
 
-def played(act: Act, budget: str = CALLS, floor: int = 0) -> None:
+def played(act: Act, budget: str = CALLS, floor: int = 0, rate: float = 1e9) -> None:
     """A fleet that is up, with a hub that notes what comes."""
 
     async def play() -> None:
         with tempfile.TemporaryDirectory() as folder:
             cluster = Cluster(Path(folder), 3, 1, "none")
-            async with HubApart("hub", cluster.history, 1e9) as hub:
+            async with HubApart("hub", cluster.history, rate) as hub:
                 cluster.more = configuration(budget, hub, floor)
                 async with cluster:
                     await cluster.start()
@@ -171,6 +173,24 @@
     played(act, OUT)
 
 
+def test_a_told_whole_that_is_halved_while_all_is_out_binds_within_its_leases() -> None:
+    async def act(cluster: Cluster, hub: Hub) -> None:
+        await feed(cluster, 40)
+        await cluster.until(lambda: len(hub.calls) > WHOLE)
+        for each in cluster.members.values():
+            file = each.folder / "config.toml"
+            file.write_text(file.read_text().replace(f"rate = {RATE}", f"rate = {RATE // 2}"))
+            cluster.signal(each, signal.SIGHUP)
+        told = [f"the whole is {WHOLE // 2} from now on"]
+        await cluster.until(lambda: all(told[0] in str(part(cluster, name)) for name in cluster.members))
+        await asyncio.sleep(2 * 0.3 + SPAN)  # two leases, and a span
+        hub.calls.clear()
+        await cluster.until(lambda: len(hub.ran) == 120)
+        assert WHOLE // 4 < hub.most_in(SPAN - SLACK) <= WHOLE // 2
+
+    played(act, 'destination = 1\nof = "calls"\nwhole = "told"\nper_ms = 500\n', rate=RATE)
+
+
 def test_without_a_budget_the_same_work_passes_the_whole() -> None:
     async def act(cluster: Cluster, hub: Hub) -> None:
         await feed(cluster, 20)
