--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -27,15 +27,13 @@
 FAILURE_THRESHOLD = 3  # failures in a row; a small destination would take too long to show the paper's five
 RESET_TIMEOUT = 2_000_000  # us from the last failure to the trial; the design page's figure
 GAP_STEP = 100_000  # us, the smallest gap: about one call's time at a destination of usual pace
-#: Times the time between calls at this sender's part of the told rate: the step there. Where refused calls
-#: use the limit up too, calls beyond it are lost twice; a sixth less makes up for an uneven split.
-TOLD_STEP = 1.2
+#: Times the time between calls at this sender's part of the told rate: the step there; for uneven splits.
+TOLD_STEP = 1.2  # where refused calls use the limit up too, calls beyond it are lost twice
 TOLD_SHRINK = 0.03  # GAP_SHRINK up to that: many are served before one asks for what others leave
 TOLD_MOST = 4  # times that: the gap at the most; a cold destination takes a fifth, and has its own gap
 SPAN_MOST = 2_000_000  # us, the longest span of a limit: what refuses all calls for longer is shut
-#: Of a crowd, whose members see few calls each: us in which served calls take the gap to 1/e of what it was,
-#: above the step there (a limit that was lowered is up again within seconds) and below it (what one asks for
-#: beyond its part, the others have to leave).
+#: Of a crowd, whose members see few calls: us in which served calls take the gap to 1/e, above the step (a
+#: lowered limit is up again within seconds) and below it (what one asks for beyond its part, others leave).
 CROWD_SHRINK, CROWD_SHRINK_TOLD = 5_000_000, 15_000_000
 CROWD_LEAST = 8  # one part of the step at which a crowd's gap ends; at a half, all it holds would go at once
 GAP_SENDERS = 4  # senders up to which the gap ends at the reset timeout; more share a limit more thinly
--- a/elmglade/emulator/fleet.py
+++ b/elmglade/emulator/fleet.py
@@ -499,7 +499,7 @@
             if each.alive:
                 second.held += len(each.engine.dispatcher.messages)
                 if isinstance(each.engine.dispatcher, Dispatcher):  # plain policies have no such breakers
-                    second.open += sum(x.is_open() for x in each.engine.dispatcher.all_breakers())
+                    second.open += sum(x.is_open() for x in each.engine.dispatcher.roster.all_breakers())
         self.later(SAMPLE, self.sample)
 
     # The list of endpoints, and what else happens.
--- a/elmglade/http/budgets.py
+++ b/elmglade/http/budgets.py
@@ -86,7 +86,7 @@
     def bind(self) -> None:
         """From here on they bind."""
         engine = self.engine
-        engine.dispatcher.leave = self
+        engine.dispatcher.roster.leave = self
         engine.spends, engine.spent, engine.call_limit = self.spends, self.spent, self.call_limit
 
     # Which there are.
@@ -176,7 +176,7 @@
     def grew(self, name: str) -> None:
         number = self.destination(*self.opened[name])
         if number >= 0:
-            self.engine.dispatcher.leave_grew(number)
+            self.engine.dispatcher.roster.leave_grew(number)
             self.engine.post(face.WakeUp())
 
     # The engine's side.
--- a/elmglade/http/orders.py
+++ b/elmglade/http/orders.py
@@ -46,7 +46,7 @@
     def figures(self, call: Call) -> Reply:
         engine, listed = self.sender.engine, self.maintenance.listed
         now, there, counts = engine.now(), engine.dispatcher, engine.counts
-        avoided = sum(1 for name in listed if there.avoids(name, now))
+        avoided = sum(1 for name in listed if there.roster.avoids(name, now))
         current = len(engine.journal.entries)
         return Reply(200, Figures(counts.classes, counts.sends, current, len(listed), avoided).text())
 
--- a/elmglade/inherit.py
+++ b/elmglade/inherit.py
@@ -8,7 +8,8 @@
 
 from elmglade import interface as face
 from elmglade.breaker import Breaker, Endpoint
-from elmglade.schedule import Destination
+from elmglade.held import Held
+from elmglade.roster import Roster
 
 BREAKER = (
     "calls", "cold_since", "failures", "full_since", "gap", "gap_changed", "known", "last_sent",
@@ -28,22 +29,14 @@
             setattr(of, name, told[name])
 
 
-def tell(
-    destinations: Iterable[Destination],
-    endpoints: Iterable[Endpoint],
-    keys: Mapping[str, int],
-    credit: Mapping[str, tuple[float, int]],
-) -> face.Inherited:
-    """`keys`: until when each one rests."""
-    found = list(destinations)
+def tell(roster: Roster, held: Held) -> face.Inherited:
+    """For the process that follows."""
+    found, now = list(roster.destinations.values()), held.turn.now
+    own = [(at.number, route, each) for at in found for route, each in (at.own or {}).items()]
     return face.Inherited(
-        breakers=tuple(
-            (at.number, route, fields(each, BREAKER))
-            for at in found
-            for route, each in (at.own or {}).items()
-        ),
-        endpoints=tuple((each.listed.id, fields(each, ENDPOINT)) for each in endpoints),
-        keys=tuple(keys.items()),
-        credit=tuple((tenant, left, since) for tenant, (left, since) in credit.items()),
+        breakers=tuple((number, route, fields(each, BREAKER)) for number, route, each in own),
+        endpoints=tuple((name, fields(each, ENDPOINT)) for name, each in roster.endpoints.items()),
+        keys=tuple((key, line.quiet_until) for key, line in held.keys.items() if line.quiet_until > now),
+        credit=tuple((tenant, left, since) for tenant, (left, since) in held.credit.items()),
         silent=tuple((at.number, at.silent_since) for at in found if at.silent_since is not None),
     )
--- /dev/null
+++ b/elmglade/outgoing.py
@@ -0,0 +1,151 @@
+"""The calls of a sender: which are out, what their ends say of their destinations, which take too long."""
+
+from itertools import takewhile
+
+from elmglade import interface as face
+from elmglade.breaker import RESET_TIMEOUT, Call, Endpoint, Message
+from elmglade.held import Held
+from elmglade.interface import Outcome
+from elmglade.roster import Roster
+from elmglade.schedule import Turn
+
+SCARCE_TIMES = 3  # idle times for which a crowd closes its connections after use where they are scarce
+GONE_TIMES = 4  # reset timeouts for which one that may be gone comes last; the list tells of it meanwhile
+SCARCE_WITHIN = 1_000_000  # us from a refused connect to a served call: an outage's refusals last for longer
+
+
+class Outgoing:
+    def __init__(self, turn: Turn, roster: Roster, held: Held) -> None:
+        self.turn, self.settings, self.roster, self.held = turn, turn.settings, roster, held
+        self.calls: dict[tuple[str, int], Call] = {}
+        self.idle: dict[str, Endpoint] = {}  # with a call just ended
+        self.out: dict[Call, None] = {}  # distinct calls, oldest first
+        self.stuck: dict[Call, None] = {}  # of these, the overdue ones
+
+    def begin(self, call: Call, message: Message, attempt: int) -> None:
+        """From now on the message is out with this call."""
+        if call not in self.out:
+            self.out[call] = call.breaker.fresh[call] = None
+            call.breaker.out += 1
+            call.endpoint.out += 1
+            self.roster.touch(call.breaker)
+        call.messages[message.id] = message
+        self.calls[message.id, attempt] = call
+        message.out = True
+        self.roster.destinations[message.destination].release(message)
+
+    def settle(self, call: Call, ended: face.AttemptEnded) -> None:
+        """The first result of a call speaks for all its messages."""
+        breaker, endpoint, now = call.breaker, call.endpoint, int(self.turn.now)
+        self.roster.touch(breaker)
+        if ended.wait:  # rule: told waits are heeded, from each answer that tells one
+            breaker.wait_until = max(breaker.wait_until, now + ended.wait)
+        if not call.messages:
+            breaker.out -= 1
+            endpoint.out -= 1
+            self.idle[endpoint.listed.id] = endpoint
+            if ended.outcome is Outcome.CONNECT_FAILED and not call.overdue:
+                endpoint.refused_at = now
+            for kind in (self.out, self.stuck, breaker.fresh, breaker.stuck):
+                kind.pop(call, None)
+        if call.settled:
+            return  # a batch has one fate
+        call.settled = True
+        breaker.fresh.pop(call, None)
+        if ended.outcome is Outcome.OK:
+            breaker.served(now, call)
+            endpoint.bad_until = 0.0
+            if now - endpoint.refused_at < SCARCE_WITHIN:
+                endpoint.scarce_until = now + SCARCE_TIMES * self.settings.conn_idle
+        elif ended.outcome is Outcome.FULL:
+            breaker.refused(now, call, ended.wait)
+        elif self.speaks(call, ended.outcome):
+            alone = ended.outcome is Outcome.CONNECT_FAILED and self.is_alone(call)
+            endpoint.bad_until = now + RESET_TIMEOUT * (GONE_TIMES if alone else 1)
+            if not alone:
+                breaker.count_failure(now, ended.outcome)
+        elif call is breaker.trial:
+            breaker.trial = None
+
+    def speaks(self, call: Call, outcome: Outcome) -> bool:
+        """Whether this end speaks against the destination, and has not done so before. Guards it from those
+        that go with little time left: a call that is not overdue was given up for its message's sake. In a
+        crowd, whose members see few calls, each counts: a returning destination is not to be pushed over."""
+        if outcome not in face.FAILURES or call.overdue:
+            return False
+        return outcome is not Outcome.TIMEOUT or call is call.breaker.trial or self.turn.pace.crowd > 1
+
+    def is_alone(self, call: Call) -> bool:
+        """Whether a refused connect speaks against its endpoint alone, as another one is not known to be bad.
+        Guards a crowd, whose list may be old, from holding back what that one would take."""
+        if self.turn.pace.crowd <= 1 or call is call.breaker.trial:
+            return False
+        at = self.roster.destinations[call.breaker.destination]
+        others = [each for each in at.endpoints if each.breaker is call.breaker and each is not call.endpoint]
+        return any(each.bad_until <= self.turn.now for each in others)
+
+    def find_overdue(self) -> None:
+        """Guards against hangs, silence and slowness: a call far too slow counts as a failure at once; with
+        no slot free the oldest far overdue is called off, harmless first. May lose a heavy message. Where
+        calls sent later have been served, it is not the destination that is slow: the call or its
+        connection is lost, and what may be sent again is called off and sent again."""
+        changed, now = self.roster.set_overdue(), self.turn.now
+        late: list[Call] = []
+        for breaker in self.roster.overdue.due(now):
+            self.roster.touch(breaker)
+            patience = breaker.patience()
+            late += takewhile(lambda call, p=patience: now >= call.sent + p, breaker.fresh)  # type: ignore[misc]
+        for call in sorted(late, key=lambda each: each.number):
+            self.is_overdue(call)
+        if not self.settings.may_cancel:
+            return
+        changed |= self.roster.set_overdue()
+        short = len(self.out) >= self.settings.slots
+        # Nothing else can have become hopeless; but where slots are short, time alone tells.
+        stuck = self.stuck if short else [call for breaker in changed for call in breaker.stuck]
+        for call in sorted(stuck, key=lambda each: (each.risks(), each.number)):
+            self.turn.looks += 1
+            if not call.called_off and self.is_hopeless(call, short):
+                call.called_off, short = True, False
+                for each in call.messages.values():
+                    self.turn.actions.append(face.CancelAttempt(each.id, each.attempts - 1))
+
+    def is_overdue(self, call: Call) -> None:
+        self.turn.looks += 1
+        call.overdue = True
+        del call.breaker.fresh[call]
+        call.breaker.stuck[call] = self.stuck[call] = None
+        call.breaker.failed(int(self.turn.now))
+        call.endpoint.bad_until = self.turn.now + RESET_TIMEOUT
+        self.roster.touch(call.breaker)
+
+    def is_hopeless(self, call: Call, short: bool) -> bool:
+        """Whether an overdue call is called off."""
+        lost = self.turn.now - call.sent > 1.5 * call.breaker.patience()
+        alone = call.breaker.served_sent > call.sent and self.may_repeat(call)
+        harmless = not call.risks() and call.breaker.is_open()
+        return alone or harmless or (short and lost)
+
+    def may_repeat(self, call: Call) -> bool:
+        """Whether all its messages may go once more, though this call may have run."""
+        return all(
+            each.attempts < self.settings.max_attempts
+            and self.held.may_repeat_at(self.turn.now, each, call.sent)
+            for each in call.messages.values()
+        )
+
+    def wait_told(self, endpoint: str, until: int) -> None:
+        """Rule: waits. It binds calls that are about to go before their turn of events comes."""
+        told = {call.breaker for call in self.out if call.endpoint.listed.id == endpoint}
+        if known := self.roster.endpoints.get(endpoint):  # else it drains or has gone, and that one waits on
+            self.roster.arouse(known.listed.destination)
+            assert known.breaker is not None
+            told.add(known.breaker)
+        for breaker in told:
+            breaker.wait_until = max(breaker.wait_until, until)
+
+    def close_scarce(self) -> None:
+        """Guards against a crowd's idle connections that fill what endpoints accept."""
+        idle, self.idle = self.idle if self.turn.pace.crowd > 1 else {}, {}
+        scarce = [name for name, each in idle.items() if not each.out and self.turn.now < each.scarce_until]
+        self.turn.actions += map(face.CloseIdle, scarce)
--- /dev/null
+++ b/elmglade/roster.py
@@ -0,0 +1,199 @@
+"""Who is there: endpoints as listed, destinations, their breakers, and when to look at each.
+
+What something happened to is noted where it happens, so that a turn costs what changed:
+- `open`: destinations that may take a call now, as far as is known; looked at while slots are free. One
+  that takes none leaves, and stands in `freed` for when its gap, wait or timeout ends.
+- `changed`: breakers that something happened to; `overdue`: when the oldest call of one is overdue;
+  `ages`: when a destination may have been silent for long enough.
+"""
+
+from collections import defaultdict
+
+from elmglade import interface as face
+from elmglade.breaker import NEVER, Breaker, Endpoint
+from elmglade.schedule import Agenda, Destination, ListCalls, Turn
+
+IDLE_AGE = 60_000_000  # us after which what is unused and unlisted is forgotten: above any outage's length
+QUIET_AGE = 3_600_000_000  # us of silence after which a listed destination is not judged by old figures
+
+
+class Roster:
+    def __init__(self, turn: Turn) -> None:
+        self.turn, self.settings = turn, turn.settings
+        self.kinds = defaultdict(face.Kind, turn.settings.kinds)
+        self.endpoints: dict[str, Endpoint] = {}
+        self.destinations: dict[int, Destination] = {}
+        self.open: dict[int, None] = {}
+        self.freed, self.ages = Agenda[int](), Agenda[int]()
+        self.overdue = Agenda[Breaker]()
+        self.changed: dict[Breaker, None] = {}
+        self.list_calls = ListCalls(turn.settings, turn.random)
+        self.leave: face.Leave | None = None  # of a budget that a fleet shares
+
+    def arouse(self, number: int) -> Destination:
+        """A destination that is needed. One that was silent for long is warmed like one that was out."""
+        if (at := self.destinations.get(number)) is None:
+            at = self.destinations[number] = Destination(number)
+        if at.own is None:
+            at.own = {}
+            self.set_breakers(at)
+            for each in at.breakers if at.silent_since is not None else ():
+                each.cold_since = self.turn.now
+            self.ages.set(number, self.turn.now + IDLE_AGE)
+        return at
+
+    def all_breakers(self) -> list[Breaker]:
+        return [each for at in self.destinations.values() for each in (at.own or {}).values()]
+
+    def list_endpoints(self, listed: face.EndpointsListed) -> None:
+        """Rule: drains are kept, from the moment they are told: only ready endpoints are known here."""
+        if listed.listing is face.Listing.FAILED:
+            self.list_calls.failed(self.turn.now)
+            return
+        if listed.listing is face.Listing.CACHED:
+            self.list_calls.start(self.turn.now)
+        self.list_calls.tries, known = 0, self.endpoints
+        touched: dict[int, None] = {}  # destinations, in the order in which they were named
+        if listed.listing is not face.Listing.CHANGES:
+            known = self.endpoints.copy()
+            self.endpoints.clear()
+            for each in known.values():
+                self.destinations[each.listed.destination].endpoints.clear()
+                each.breaker = None
+                touched[each.listed.destination] = None
+        for told in listed.endpoints:
+            self.list_one(told, known, touched)
+        for destination in touched:
+            self.relist(self.destinations[destination])
+        if listed.returned:
+            self.warm(frozenset(listed.returned))
+
+    def list_one(self, told: face.Endpoint, known: dict[str, Endpoint], touched: dict[int, None]) -> None:
+        endpoint = known.get(told.id) or self.endpoints.get(told.id) or Endpoint(told)
+        if endpoint.listed.destination != told.destination and told.id in self.endpoints:
+            self.unlist(endpoint)
+            touched[endpoint.listed.destination] = None
+        endpoint.listed = told
+        if told.state is not face.EndpointState.READY:
+            if told.id in self.endpoints:
+                self.unlist(endpoint)
+                touched[told.destination] = None
+            return
+        touched[told.destination] = None
+        if told.id not in self.endpoints:
+            self.endpoints[told.id] = endpoint
+            if told.destination not in self.destinations:
+                self.destinations[told.destination] = Destination(told.destination)
+            self.destinations[told.destination].endpoints.append(endpoint)
+
+    def unlist(self, endpoint: Endpoint) -> None:
+        del self.endpoints[endpoint.listed.id]
+        self.destinations[endpoint.listed.destination].endpoints.remove(endpoint)
+        endpoint.breaker = None
+
+    def warm(self, returned: frozenset[str]) -> None:
+        """Guards what was kept out of service, all of its endpoints, from what was held for it meanwhile."""
+        found = {self.endpoints[name].listed.destination: None for name in returned if name in self.endpoints}
+        for at in map(self.destinations.__getitem__, found):
+            before = [each.breaker for each in at.endpoints if each.listed.id not in returned]
+            for breaker in at.breakers:
+                if breaker not in before:
+                    breaker.cold_since = int(self.turn.now)
+            if at.own is None and not before:
+                at.silent_since = self.turn.now
+
+    def relist(self, at: Destination) -> None:
+        """What follows from a destination's endpoints; the others cost nothing."""
+        at.weighted = any(each.listed.weight != 1 for each in at.endpoints)
+        for each in at.endpoints:
+            each.turns = 0.0
+        if at.own is not None:
+            self.set_breakers(at)
+        elif not at.endpoints:
+            del self.destinations[at.number]
+
+    def set_breakers(self, at: Destination) -> None:
+        for endpoint in at.endpoints:
+            endpoint.breaker = breaker = self.breaker_of(at, endpoint.listed)
+            if self.settings.rates_told and endpoint.listed.scale > 0:
+                breaker.told_rate(endpoint.listed.scale)
+        at.breakers = tuple(dict.fromkeys(each.breaker for each in at.endpoints if each.breaker))
+        self.open[at.number] = None
+
+    def breaker_of(self, at: Destination, listed: face.Endpoint) -> Breaker:
+        assert at.own is not None
+        key = listed.id if self.kinds[listed.kind].apart else ""
+        if key not in at.own:
+            at.own[key] = Breaker(self.turn.pace, at.number)
+        return at.own[key]
+
+    def touch(self, breaker: Breaker) -> None:
+        """Something happened to it: it may be free now, and its calls may be overdue at another time."""
+        self.changed[breaker] = None
+        self.open[breaker.destination] = None
+
+    def set_overdue(self) -> dict[Breaker, None]:
+        """The breakers that something happened to since, each due again when its oldest call is overdue."""
+        changed, self.changed = self.changed, {}
+        for breaker in changed:
+            self.overdue.set(breaker, breaker.overdue_at())
+        return changed
+
+    def shut(self, at: Destination) -> None:
+        """It takes no call before its time, or before something happens to it."""
+        self.open.pop(at.number, None)
+        free = at.free_at(int(self.turn.now))
+        if self.leave and at.endpoints:
+            now = int(self.turn.now)
+            free = max(free, min(self.leave.free_at(each.listed, now) for each in at.endpoints))
+        self.freed.set(at.number, free if free > self.turn.now else NEVER)
+
+    def leave_grew(self, number: int) -> None:
+        """A part of a budget has grown; the next turn looks at its destination."""
+        if number in self.destinations:
+            self.open[number] = None
+
+    def age_out(self) -> None:
+        """Guards a process that lasts from what past destinations leave behind, and quiet ones from being
+        judged by old figures."""
+        for number in self.ages.due(self.turn.now):
+            self.turn.looks += 1
+            if (at := self.destinations.get(number)) is None or at.own is None:
+                continue
+            self.turn.looks += len(at.own)
+            for key, each in list(at.own.items()):
+                if each not in at.breakers and self.is_unused(each, IDLE_AGE):
+                    self.forget(at, key)
+            if at.held or not all(self.is_unused(each, QUIET_AGE) for each in at.own.values()):
+                self.ages.set(number, self.turn.now + IDLE_AGE)
+            else:
+                self.fall_asleep(at)
+
+    def is_unused(self, breaker: Breaker, age: int) -> bool:
+        return not breaker.out and max(breaker.last_sent, breaker.wait_until) + age <= self.turn.now
+
+    def forget(self, at: Destination, key: str) -> None:
+        """A breaker that was not used for so long; when that was is all that is kept of it."""
+        assert at.own is not None
+        breaker = at.own.pop(key)
+        if breaker.last_sent > -NEVER:
+            at.silent_since = max(breaker.last_sent, at.silent_since or 0)
+        self.overdue.set(breaker, NEVER)
+        self.changed.pop(breaker, None)
+
+    def fall_asleep(self, at: Destination) -> None:
+        for key in list(at.own or ()):
+            self.forget(at, key)
+        self.freed.set(at.number, NEVER)
+        self.open.pop(at.number, None)
+        at.own, at.breakers = None, ()
+        for endpoint in at.endpoints:
+            endpoint.breaker = None
+        if not at.endpoints:
+            del self.destinations[at.number]
+
+    def avoids(self, endpoint: str, now: int) -> bool:
+        """Whether nothing new goes there: it is not ready, its breaker is open, or it is marked bad."""
+        known = self.endpoints.get(endpoint)
+        opened = known is not None and known.breaker is not None and known.breaker.is_open()
+        return known is None or opened or known.bad_until > now
--- a/elmglade/schedule.py
+++ b/elmglade/schedule.py
@@ -18,8 +18,8 @@
 from heapq import heapify, heappop, heappush
 from typing import Generic, NamedTuple, TypeVar
 
-from elmglade.breaker import GAP_SENDERS, NEVER, RESET_TIMEOUT, Breaker, Endpoint, Message
-from elmglade.interface import MessageClass, Settings
+from elmglade.breaker import GAP_SENDERS, NEVER, RESET_TIMEOUT, Breaker, Endpoint, Message, Pace
+from elmglade.interface import Action, MessageClass, Settings
 
 PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
 AT_HAND_AGAIN = 50_000  # us until a list at hand is asked for again: well within the grace of a drain
@@ -32,6 +32,16 @@
 Item = TypeVar("Item", bound=Hashable)
 
 
+class Turn:
+    """What the rooms of a sender's decisions share: its clock, its chance, what is to be done."""
+
+    def __init__(self, settings: Settings, chance: random.Random) -> None:
+        self.settings, self.random, self.pace = settings, chance, Pace.of(settings, chance)
+        self.now, self.count = -NEVER, itertools.count()
+        self.looks = 0  # items looked at, ever: what a turn costs is counted by it
+        self.actions: list[Action] = []
+
+
 class Agenda(Generic[Item]):
     """A heap in which an item has one time at most; entries that were overtaken are passed over."""
 
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -13,35 +13,66 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from elmglade import held, rules, schedule
 from elmglade import interface as face
-from elmglade import rules, schedule
 from elmglade.breaker import NEVER, Call, Message
+from elmglade.held import Held
 from elmglade.interface import EndpointState, Listing, Outcome
 from elmglade.lab.stream import Recorder, Shape, StreamWorld, read
-from elmglade.rules import IDLE_AGE, QUIET_AGE, Dispatcher
+from elmglade.outgoing import Outgoing
+from elmglade.roster import IDLE_AGE, QUIET_AGE
+from elmglade.rules import Dispatcher
 from elmglade.schedule import Agenda, Destination, Group, urgency
 
 
-class Plain(Dispatcher):
-    """The slow and plain one: looks at all that is held, out and listed, each time."""
-
+class PlainHeld(Held):
     def find_in_turn(self) -> None:
         super().find_in_turn()
         for each in self.messages.values():
-            at = self.destinations[each.destination]
+            at = self.roster.destinations[each.destination]
             if self.is_held(each) and self.in_turn(each) and not each.queued:
                 at.queue(each, self.settings.halves)
             elif each.queued and not (self.is_held(each) and self.in_turn(each)):
                 at.leave(each)
 
+    def keep_room(self) -> None:
+        self.room, self.room_until = [], -NEVER
+        super().keep_room()
+        self.room, self.room_until = [], -NEVER
+
+
+class PlainOutgoing(Outgoing):
+    def find_overdue(self) -> None:
+        now = self.turn.now
+        late = [x for x in self.out if not (x.overdue or x.settled)]
+        for call in late:
+            if now >= call.sent + call.breaker.patience():
+                self.is_overdue(call)
+        short = len(self.out) >= self.settings.slots
+        for call in sorted((x for x in self.out if x.overdue), key=Call.risks):
+            if not call.called_off and self.is_hopeless(call, short):
+                call.called_off, short = True, False
+                off = [face.CancelAttempt(x.id, x.attempts - 1) for x in call.messages.values()]
+                self.turn.actions += off
+        self.roster.changed = {}
+
+
+class Plain(Dispatcher):
+    """The slow and plain one: looks at all that is held, out and listed, each time."""
+
+    def __init__(self, settings: face.Settings, seed: int) -> None:
+        super().__init__(settings, seed)
+        self.held.__class__, self.outgoing.__class__ = PlainHeld, PlainOutgoing
+
     def find_open(self) -> list[Destination]:
         if len(self.out) >= self.settings.slots:
             return []
         return [x for x in self.destinations.values() if x.groups and any(map(self.may_call, x.breakers))]
 
     def push_best(self, heap: list[Any], at: Destination) -> None:
+        now = self.turn.now
         ranked = [
-            (schedule.Rank(-urgency(*each.curve[:2], self.now - born, each.curve[2]), born, number), message)
+            (schedule.Rank(-urgency(*each.curve[:2], now - born, each.curve[2]), born, number), message)
             for each in (at.groups or {}).values()
             for born, number, message in each.line
         ]
@@ -49,31 +80,15 @@
             heap.append((*min(ranked), at))
             heap.sort()
 
-    def find_overdue(self) -> None:
-        late = [x for x in self.out if not (x.overdue or x.settled)]
-        for call in late:
-            if self.now >= call.sent + call.breaker.patience():
-                self.is_overdue(call)
-        short = len(self.out) >= self.settings.slots
-        for call in sorted((x for x in self.out if x.overdue), key=Call.risks):
-            if not call.called_off and self.is_hopeless(call, short):
-                call.called_off, short = True, False
-                self.actions += [face.CancelAttempt(x.id, x.attempts - 1) for x in call.messages.values()]
-        self.changed = {}
-
-    def keep_room(self) -> None:
-        self.room, self.room_until = [], -NEVER
-        super().keep_room()
-        self.room, self.room_until = [], -NEVER
-
     def due(self) -> float:
         """When something is to be done next, found by a walk."""
+        now = self.turn.now
         held = [x for x in self.destinations.values() if x.groups]
         free = len(self.out) < self.settings.slots  # else whatever ends first is heard anyway
-        due = [x.free_at(int(self.now)) for x in held if free]
+        due = [x.free_at(int(now)) for x in held if free]
         due += [x.sent + x.breaker.patience() for x in self.out if not (x.overdue or x.settled)]
         due += [x.until - self.settings.tick for x in self.messages.values() if not x.out]
-        return min((each for each in due if each > self.now), default=NEVER)
+        return min((each for each in due if each > now), default=NEVER)
 
 
 def told(actions: list[face.Action]) -> list[face.Action]:
@@ -95,12 +110,12 @@
 @pytest.mark.parametrize("name", SHAPES)
 def test_schedule_and_walk_decide_alike(name: str, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """On what the schedule's own wakes bring about; and it never sleeps past what a walk finds due."""
-    monkeypatch.setattr(rules, "PROSPECT_AGE", 0)  # else the order of what makes room may be some ms old
+    monkeypatch.setattr(held, "PROSPECT_AGE", 0)  # else the order of what makes room may be some ms old
     world = StreamWorld(SHAPES[name], seed)
     module, plain = Dispatcher(world.settings, seed), Plain(world.settings, seed)
 
     def heard(now: int, events: list[face.Event], actions: list[face.Action]) -> None:
-        module.room_until = -NEVER
+        module.held.room_until = -NEVER
         assert told(plain.handle(now, events)) == told(actions), (now, events)
         due = plain.due()
         assert due == NEVER or module.wake_at <= max(due, now + world.settings.tick), (now, due)
@@ -192,12 +207,12 @@
     def heard(now: int, events: list[face.Event], actions: list[face.Action]) -> None:
         nonlocal heard_of, before
         if now < until * SECOND:
-            before = module.looks
+            before = module.turn.looks
         else:
             heard_of += len(events)
 
     world.run(module.handle, heard)
-    return (module.looks - before) / heard_of
+    return (module.turn.looks - before) / heard_of
 
 
 ROOMY = {"max_open": 10**6, "slots": 64, "rates_told": False, "fleet_size": 1}
@@ -220,17 +235,17 @@
     for each in range(10_000):
         world.take("ordered", key=f"k{each}", after=MS)
         world.answer(f"m{each + 1}", Outcome.OK, after=MS)
-    assert not world.dispatcher.keys and not world.dispatcher.examined and not world.dispatcher.messages
+    assert not world.dispatcher.keys and not world.dispatcher.held.examined and not world.dispatcher.messages
 
 
 def test_a_queue_of_one_key_costs_what_goes_and_not_what_waits() -> None:
     world = World(max_open=10**6)
     for _ in range(3000):
         world.take("ordered", key="k")
-    before = world.dispatcher.looks
+    before = world.dispatcher.turn.looks
     for each in range(100):
         assert sent(world.answer(f"m{each + 1}", Outcome.OK)) == [f"m{each + 2}"]
-    assert world.dispatcher.looks - before <= 100 * 8
+    assert world.dispatcher.turn.looks - before <= 100 * 8
 
 
 def test_names_of_tenants_that_were_never_seen_leave_nothing() -> None:
@@ -238,7 +253,7 @@
     for each in range(2000):
         world.take(tenant=f"made up {each}", after=MS)
         world.answer(f"m{each + 1}", Outcome.OK, after=MS)
-    assert list(world.dispatcher.credit) == ["known"]
+    assert list(world.dispatcher.held.credit) == ["known"]
 
 
 def test_more_destinations_than_a_turn_looks_at_all_get_their_turn() -> None:
@@ -250,9 +265,9 @@
     for _ in range(many):
         (out,) = [name for name, _ in world.dispatcher.calls]
         gone.append(out)
-        before = world.dispatcher.looks
+        before = world.dispatcher.turn.looks
         world.answer(out, Outcome.OK, after=MS)
-        assert world.dispatcher.looks - before <= 2 * rules.LOOKS + 10
+        assert world.dispatcher.turn.looks - before <= 2 * rules.LOOKS + 10
     assert sorted(gone) == sorted(f"m{each + 1}" for each in range(many))
 
 
@@ -290,11 +305,11 @@
     awake = bytes_of(use_all)
     assert awake / MANY <= AWAKE
     world.step(face.WakeUp(), after=25 * SECOND)
-    assert len(world.dispatcher.all_breakers()) == MANY
+    assert len(world.dispatcher.roster.all_breakers()) == MANY
     for _ in range(3):
         world.step(face.WakeUp(), after=QUIET_AGE + IDLE_AGE)
-    assert not world.dispatcher.all_breakers() and not world.dispatcher.deadlines
-    assert len(world.dispatcher.destinations) == MANY and not world.dispatcher.overdue.times
+    assert not world.dispatcher.roster.all_breakers() and not world.dispatcher.held.deadlines
+    assert len(world.dispatcher.destinations) == MANY and not world.dispatcher.roster.overdue.times
 
 
 def asleep(silence: int, outcome: Outcome, **changes: object) -> World:
@@ -316,11 +331,11 @@
     outcome: Outcome, days: int
 ) -> None:
     world = asleep(days * 24 * 3600 * SECOND, outcome)
-    assert not world.dispatcher.messages and not world.dispatcher.all_breakers()
+    assert not world.dispatcher.messages and not world.dispatcher.roster.all_breakers()
     assert len(sent(world.take())) == 1  # no old count holds it back
     for _ in range(30):
         world.take()
-    (breaker,) = world.dispatcher.all_breakers()
+    (breaker,) = world.dispatcher.roster.all_breakers()
     assert breaker.cold_since == world.now and breaker.failures == 0
     gone = []
     for _ in range(400):
@@ -335,7 +350,7 @@
 
 def test_one_that_is_asked_again_soon_keeps_its_figures() -> None:
     world = asleep(QUIET_AGE // 2, Outcome.RESET)
-    (breaker,) = world.dispatcher.all_breakers()
+    (breaker,) = world.dispatcher.roster.all_breakers()
     assert breaker.is_open() and len(sent(world.take())) == 1 and breaker.trial is not None
 
 
@@ -365,7 +380,7 @@
     for name, other in (("x", "b"), ("y", "a")):
         actions = world.answer(name, Outcome.CONNECT_FAILED)
         assert [x.endpoint for x in actions if isinstance(x, face.Send) and x.message == name] == [other]
-    assert {each.destination for each in world.dispatcher.all_breakers()} == {1, 2}
+    assert {each.destination for each in world.dispatcher.roster.all_breakers()} == {1, 2}
 
 
 def test_ten_thousand_that_wake_within_a_minute_each_get_their_message() -> None:
@@ -373,14 +388,14 @@
     world = World(*(endpoint(f"e{each}", each) for each in range(many)), slots=64, max_open=10**6)
     places = list(range(many))
     chance.shuffle(places)
-    before, out = world.dispatcher.looks, []
+    before, out = world.dispatcher.turn.looks, []
     for number in places:
         out += sent(world.take(destination=number, after=6 * MS))
         if len(out) > 8:
             world.answer(out.pop(0), Outcome.OK, after=0)
     for name in out:
         world.answer(name, Outcome.OK)
-    assert not world.dispatcher.messages and (world.dispatcher.looks - before) / many < 10
+    assert not world.dispatcher.messages and (world.dispatcher.turn.looks - before) / many < 10
 
 
 def test_a_list_sent_whole_again_and_again_changes_nothing() -> None:
@@ -390,7 +405,7 @@
     world.take(destination=7)
     for _ in range(20):
         assert told(world.step(listed, after=SECOND // 10)) == []
-    assert sent(world.take(destination=7)) == ["m2"] and len(world.dispatcher.all_breakers()) == 1
+    assert sent(world.take(destination=7)) == ["m2"] and len(world.dispatcher.roster.all_breakers()) == 1
 
 
 def test_a_share_that_is_whole_but_for_rounding_is_whole() -> None:
