The port of budgets tells trials and repeats apart

Need: budgets of trials and of repeats (docs/design/budgets.md, Left). Change: Leave.free_at and reserve say whether a call is a trial or goes again; a repeat that waits for its budget alone is set aside, as what is bound to a zone is, so that first attempts go.

--- a/elmglade/held.py
+++ b/elmglade/held.py
@@ -1,7 +1,7 @@
 """The messages of a sender: what each may still do, their order within a key, their room, their one end.
 
-- `examined`: held messages whose turn within their key may have come; `quiet`: when a key has rested.
-- `deadlines`: when a message may have to end.
+`examined`: held messages whose turn within their key may have come; `quiet`: when a key has rested;
+`deadlines`: when a message may have to end.
 """
 
 import heapq
@@ -35,7 +35,7 @@
         self.turn, self.settings, self.roster = turn, (settings := turn.settings), roster
         self.classes = {each.name: each for each in settings.classes}
         self.quotas = {name: rate / settings.fleet_size for name, rate in settings.tenants if rate > 0}
-        self.credit = {name: (rate, 0) for name, rate in self.quotas.items()}  # left, as of when; at most a second's
+        self.credit = {name: (rate, 0) for name, rate in self.quotas.items()}  # left, and when
         self.messages: dict[str, Message] = {}
         self.unanswered: dict[str, Message] = {}  # ended, but not over yet
         self.keys: dict[str, KeyLine] = {}
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -303,7 +303,9 @@
     """What a budget that the fleet shares leaves this sender. Nothing here decides anything: the module asks,
     and reserves what it is about to use."""
 
-    def free_at(self, listed: Endpoint, now: int) -> float:
-        """When one more call may go there: now, later, or not before a part grows or a call ends."""
+    def free_at(self, listed: Endpoint, now: int, trial: bool = False, again: bool = False) -> float:
+        """When one more call may go there: now, later, or not before a part grows or a call ends; what was
+        denied is made known then (`Roster.leave_grew`). `trial`: of a destination that is in doubt; `again`:
+        of a message that went before."""
 
-    def reserve(self, listed: Endpoint, message: str) -> None: ...
+    def reserve(self, listed: Endpoint, message: str, trial: bool = False, again: bool = False) -> None: ...
--- a/elmglade/roster.py
+++ b/elmglade/roster.py
@@ -65,8 +65,7 @@
             self.list_one(told, known, touched)
         for destination in touched:
             self.relist(self.destinations[destination])
-        if listed.returned:
-            self.warm(frozenset(listed.returned))
+        self.warm(frozenset(listed.returned))
 
     def list_one(self, told: face.Endpoint, known: dict[str, Endpoint], touched: dict[int, None]) -> None:
         endpoint = known.get(told.id) or self.endpoints.get(told.id) or Endpoint(told)
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -36,12 +36,10 @@
         self.outgoing = Outgoing(self.turn, self.roster, self.held)
         self.fees = dict(settings.zone_fees)
         self.batches = any(kind.batch > 1 for _, kind in settings.kinds)
-        self.wake_at, self.stops_at = NEVER, NEVER
-        # What the engine, and who explains it, read here.
+        self.wake_at, self.stops_at, self.come_again = NEVER, NEVER, self.held.come_again
         self.endpoints, self.destinations = self.roster.endpoints, self.roster.destinations
         self.messages, self.keys, self.classes = self.held.messages, self.held.keys, self.held.classes
         self.calls, self.out, self.wait_told = self.outgoing.calls, self.outgoing.out, self.outgoing.wait_told
-        self.come_again = self.held.come_again
 
     def handle(self, now_us: int, events: Iterable[face.Event]) -> list[face.Action]:
         """What follows from these events at that time. Raises ValueError for a clock that went back, a class
@@ -199,7 +197,7 @@
                 at.leave(message)  # its key rests after all; `quiet` brings it back
             elif endpoint := self.choose(message, batches):
                 self.send(message, endpoint, batches)
-            elif message.risky_zone or message.pinned:
+            elif message.risky_zone or message.pinned or self.spares_others(message, at, aside):
                 at.leave(message)
                 aside.append(message)
             elif len(self.out) < self.settings.slots:
@@ -213,6 +211,13 @@
         for message in aside:
             self.destinations[message.destination].queue(message, self.settings.halves)
 
+    def spares_others(self, message: Message, at: Destination, aside: list[Message]) -> bool:
+        """Whether a repeat alone has to wait, for its budget: what has not gone yet may go."""
+        if (leave := self.roster.leave) is None or not message.attempts or len(aside) >= LOOKS:
+            return False
+        now, ways = int(self.turn.now), [x for x in at.endpoints if x.breaker and self.may_call(x.breaker)]
+        return any(leave.free_at(x.listed, now, bool(x.breaker and x.breaker.is_open())) <= now for x in ways)
+
     def push_best(self, heap: list[tuple[Rank, Message, Destination]], at: Destination) -> None:
         if best := at.best(int(self.turn.now)):
             heapq.heappush(heap, (*best, at))
@@ -239,7 +244,8 @@
             joins = self.may_join(batches.get(listed.id), listed)
             if not (joins or self.may_call(endpoint.breaker)):
                 continue
-            if leave and not joins and leave.free_at(listed, int(self.turn.now)) > self.turn.now:
+            trial, again, now = endpoint.breaker.is_open(), message.attempts > 0, int(self.turn.now)
+            if leave and not joins and leave.free_at(listed, now, trial, again) > now:
                 continue
             options.append((self.rank(endpoint, joins, weighted), len(options), endpoint))
         return min(options)[-1] if options else None
@@ -262,25 +268,23 @@
         return not message.kind.window_by_zone or message.risky_zone in ("", known.listed.zone)
 
     def may_join(self, call: Call | None, listed: face.Endpoint) -> bool:
-        if call is None or call.breaker.trial is call:
-            return False
-        return len(call.messages) < self.roster.kinds[listed.kind].batch
+        most = self.roster.kinds[listed.kind].batch
+        return call is not None and call.breaker.trial is not call and len(call.messages) < most
 
     def may_call(self, breaker: Breaker) -> bool:
-        now = int(self.turn.now)
-        if len(self.out) >= self.settings.slots or breaker.ready_at(now) > now:
+        now, slots = int(self.turn.now), self.settings.slots
+        # What might be out when the process ends may have run.
+        if len(self.out) >= slots or breaker.ready_at(now) > now or now + breaker.patience() > self.stops_at:
             return False
-        if self.turn.now + breaker.patience() > self.stops_at:
-            return False  # it might be out when the process ends, and then may have run
-        return breaker.out < max(2, self.settings.slots * DESTINATION_SLOTS)
+        return breaker.out < max(2, slots * DESTINATION_SLOTS)
 
     def send(self, message: Message, endpoint: Endpoint, batches: dict[str, Call]) -> None:
         call, breaker = batches.get(name := endpoint.listed.id), endpoint.breaker
         assert breaker is not None
         if call is None or not self.may_join(call, endpoint.listed):
             call = batches[name] = Call(breaker, endpoint, int(self.turn.now), next(self.turn.count))
-            if self.roster.leave:
-                self.roster.leave.reserve(endpoint.listed, message.id)
+            if leave := self.roster.leave:
+                leave.reserve(endpoint.listed, message.id, breaker.is_open(), message.attempts > 0)
             endpoint.turns += 1 / endpoint.listed.weight
             breaker.last_sent = endpoint.last_sent = self.turn.now
             if breaker.is_open():
--- a/elmglade/schedule.py
+++ b/elmglade/schedule.py
@@ -6,8 +6,6 @@
 - `Group`: messages of one destination, class and share that may go next, by age. All of them lose worth by
   one curve, which rises and falls between a few known ages (`cuts`): the most urgent one stands at an end
   of such a stretch, whatever the number of messages.
-
-Pure: times are whole microseconds that the caller tells.
 """
 
 import itertools
