--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -61,15 +61,10 @@
 
 
 class Message:
-    __slots__ = (
-        "attempts", "born", "destination", "ended", "id", "key", "kind", "number", "out", "pinned",
-        "queued", "risky_since", "risky_zone", "share", "until",
-    )  # fmt: skip
-
     def __init__(self, taken: face.MessageTaken, kind: face.MessageClass, now: int, share: float) -> None:
         self.id, self.kind, self.destination = taken.message, kind, taken.destination
         self.key, self.pinned = taken.key if kind.in_order else "", taken.pinned
-        self.until, self.born = now + taken.time_left, now + taken.time_left - kind.deadline
+        self.until, self.born, self.came = now + taken.time_left, now + taken.time_left - kind.deadline, now
         self.share = share  # 1, or what is left of its worth over its tenant's share
         self.attempts, self.out, self.ended = 0, False, False
         self.risky_since: int | None = None  # sending of the first attempt that may have run
@@ -81,8 +76,6 @@
 class Call:
     """One call at a destination; several messages share it where they travel as a batch."""
 
-    __slots__ = ("breaker", "called_off", "endpoint", "messages", "number", "overdue", "sent", "settled")
-
     def __init__(self, breaker: "Breaker", endpoint: Endpoint, now: int, number: int) -> None:
         self.breaker, self.endpoint, self.sent, self.number = breaker, endpoint, now, number
         self.messages: dict[str, Message] = {}
--- a/elmglade/held.py
+++ b/elmglade/held.py
@@ -15,14 +15,13 @@
 
 ROUNDING = 1e-9  # of a message: a share that is whole but for the last bits of a float is whole
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
+RETURN_FROM = 0.7  # of its time: the operators price what was taken on and is returned sooner
 PROSPECT_AGE = 25  # us for each message held that their order, once made, serves: a bound on what it costs
 
 
 class KeyLine:
     """Rule: messages of one key go one at a time, as taken, and rest after an attempt left unsettled."""
 
-    __slots__ = ("queue", "quiet_until")
-
     def __init__(self) -> None:
         self.queue, self.quiet_until = OrderedDict(), 0  # type: OrderedDict[str, Message], int
 
@@ -178,6 +177,12 @@
         value = worth(kind, message.share, then - message.born, self.settings.halves)
         return value, message.number, message
 
+    def may_return(self, message: Message, value: float) -> bool:
+        """Whether it may be ended for room: in its first turn, in which it is not taken on yet, or late, or
+        with nothing left to hope for. Guards who was taken on from new ones that would only wait too."""
+        waited, life = self.turn.now - message.came, message.until - message.came
+        return value <= 0 or not 0 < waited < RETURN_FROM * life
+
     def keep_room(self) -> None:
         """Ends the least promising of what is held where no room is left for one more. Their order is made
         anew only now and then: a walk over all that is held costs so much of a core at the most."""
@@ -187,8 +192,8 @@
             if excess > 0:
                 self.order_room()
         while excess > 0 and self.room:
-            message = self.room.pop(0)[-1]
-            if self.is_held(message) and self.may_refuse(message):
+            value, _, message = self.room.pop(0)
+            if self.is_held(message) and self.may_refuse(message) and self.may_return(message, value):
                 self.end(message)
                 excess -= 1
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -160,6 +160,28 @@
     assert [each.message for each in ended(world.take())] == ["m2"]
 
 
+@pytest.mark.parametrize(("passed", "gone"), [(SECOND, "m7"), (13 * SECOND, "m7"), (14 * SECOND, "m3")])
+def test_who_was_taken_on_is_not_returned_for_room_before_seven_tenths_of_its_time(
+    passed: int, gone: str
+) -> None:
+    """Two calls take all slots and last; the newcomer would only wait too."""
+    world = World(max_open=7, slots=2, max_attempts=1)
+    for _ in range(6):
+        world.take("once")
+    (first,) = ended(world.take("once", after=passed))
+    assert first.message == gone
+
+
+def test_who_can_only_go_when_its_time_is_up_makes_room_at_once() -> None:
+    world = World(endpoint("a"), endpoint("b", destination=2), max_open=5)
+    assert sent(world.take())
+    world.answer("m1", Outcome.FULL, wait=40 * SECOND)
+    for _ in range(3):
+        world.take()
+    actions = world.take(destination=2, after=SECOND)
+    assert sent(actions) == ["m5"] and len(ended(actions)) == 1
+
+
 @pytest.mark.parametrize("told", [0, -3, None, "forty", 2.5, float("nan"), float("inf"), True, 1e308])
 def test_a_fleet_size_that_is_no_count_is_refused_by_name(told: object) -> None:
     with pytest.raises(ValueError, match="fleet_size must be"):
