Budgets of trials, repeats, connections and new connections; by zone, or of each

Need: the kinds that docs/design/budgets.md left. Change: the port's trials and repeats, the courier asks before it opens a connection and tells when it is closed, retires one at half of the time that it may be held, and closes kept ones above a part that shrank; repeats as a share of first attempts need no word (budget/earned.py); endpoints, zones and known tenants may have one of each; a told whole follows RateLimit-Policy of an answer, the smaller of it and a list that tells rates. Measured, three processes: trials 1 at once, repeats and new connections at most 4 in half a second, 3 connections at once for work of many, 5 calls in half a second where answers tell 10 a second.

--- a/elmglade/cli/fleet.py
+++ b/elmglade/cli/fleet.py
@@ -105,7 +105,10 @@
 
 
 def whole_of(told: dict[str, Any]) -> str:
-    what = {"calls": "calls", "in_flight": "calls out at once", "tenant": "messages"}[told["of"]]
+    what = {
+        "calls": "calls", "in_flight": "calls out at once", "trials": "trials at once", "repeats": "repeats",
+        "connections": "connections", "handshakes": "new connections", "tenant": "messages",
+    }[told["of"]]  # fmt: skip
     return f"{told['whole']} {what}" + (f" in {told['per_ms']:g} ms" if told["per_ms"] else "")
 
 
--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -21,6 +21,8 @@
 WHOLE = 10**9
 HEADER_NAME = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}")
 BLANK = ("authorization", "proxy-authorization", "cookie", "set-cookie")
+BY = ("destination", "endpoint", "zone", "tenant")  # what a budget may be bound to
+HELD = frozenset({"in_flight", "trials", "connections"})  # what is held at once, and has no rate
 BUDGET_NAME = re.compile(r"[A-Za-z0-9.-]{1,48}")
 ADDRESS = re.compile(r"(\[[0-9a-fA-F:.]+\]|[^:\s]+):([0-9]{1,5})")
 
@@ -72,11 +74,11 @@
     """A budget that all senders of the fleet spend from. Times in us."""
 
     name: str
-    of: str  # calls, in_flight or tenant
-    destination: int | None  # None: of the endpoint, the tenant, or of each destination by itself
-    endpoint: str
-    tenant: str
-    whole: int | None  # None: what the list tells of the destination's rate
+    of: str  # as in BudgetTable
+    by: str  # what it is bound to: destination, endpoint, zone or tenant
+    value: int | str | None  # which one; None: each of them has one of its own
+    whole: int | None  # None: what the list, or an answer, tells of the destination's rate
+    share: float | None  # of repeats, in place of a whole: so many for each first attempt
     span: int | None  # of a rate; None: things that are held
     floor: int
     lease: int
@@ -84,8 +86,7 @@
     held: int  # the longest that a thing is held
 
     def is_each(self) -> bool:
-        """Whether it is one for each destination."""
-        return self.of != "tenant" and not self.endpoint and self.destination is None
+        return self.value is None
 
 
 @dataclass(frozen=True, slots=True)
@@ -300,11 +301,13 @@
 
 class BudgetTable(Table):
     name: str
-    of: Literal["calls", "in_flight", "tenant"]
+    of: Literal["calls", "in_flight", "trials", "repeats", "connections", "handshakes", "tenant"]
     destination: Annotated[int | str, PlainValidator(number_or_each)] | None = None
     endpoint: str = ""
+    zone: str = ""
     tenant: str = ""
-    whole: Annotated[int | str, PlainValidator(whole_or_told)]
+    whole: Annotated[int | str, PlainValidator(whole_or_told)] | None = None
+    share: Annotated[float, within(0.001, 100)] | None = None
     per_ms: Annotated[float, within(10, 3_600_000)] | None = None
     floor: Annotated[int, within(0, WHOLE)] = 0
     lease_ms: Annotated[float, within(200, 60_000)] = 2000.0
@@ -316,26 +319,29 @@
         wrong = []
         if not BUDGET_NAME.fullmatch(self.name):
             wrong.append("name: must be letters, digits, dots and dashes, 48 of them at the most")
-        if (self.of == "in_flight") is not (self.per_ms is None):
-            wrong.append("per_ms: must be told for calls and tenants, and not for what is held at once")
-        if self.of == "tenant":
-            if not self.tenant or self.destination is not None or self.endpoint:
-                wrong.append("tenant: must name one, with neither destination nor endpoint")
-        elif self.tenant or (self.destination is None) is not bool(self.endpoint):
-            wrong.append('destination: must be a number or "each", or endpoint must name one')
-        if self.whole == "told" and (self.of != "calls" or self.destination is None):
+        if (self.of in HELD) is not (self.per_ms is None):
+            wrong.append("per_ms: must be told for what has a rate, and not for what is held at once")
+        bound = [by for by in BY if getattr(self, by) not in ("", None)]
+        if len(bound) != 1 or (self.of == "tenant") is not (bound == ["tenant"]):
+            of = "tenant" if self.of == "tenant" else "destination, endpoint or zone"
+            wrong.append(f'{bound[-1] if bound else "destination"}: must name one {of}, or "each"')
+        if (self.whole is None) is (self.share is None) or (self.share and self.of != "repeats"):
+            wrong.append("whole: must be told, or for repeats a share in its place")
+        if self.whole == "told" and (self.of != "calls" or bound != ["destination"]):
             wrong.append("whole: can be told for the calls of a destination alone")
         if wrong:
             raise ValueError("\n".join(wrong))
         return self
 
-    def place(self) -> tuple[str, object]:
-        return self.of, self.tenant or self.endpoint or self.destination
+    def place(self) -> tuple[str, str, object]:
+        (by,) = (by for by in BY if getattr(self, by) not in ("", None))
+        return self.of, by, getattr(self, by)
 
     def told(self) -> Shared:
+        _, by, value = self.place()
         return Shared(
-            self.name, self.of, self.destination if isinstance(self.destination, int) else None,
-            self.endpoint, self.tenant, self.whole if isinstance(self.whole, int) else None,
+            self.name, self.of, by, None if value == "each" else value,  # type: ignore[arg-type]
+            self.whole if isinstance(self.whole, int) else None, self.share,
             None if self.per_ms is None else us(self.per_ms), self.floor, us(self.lease_ms),
             us(self.slack_ms), us(self.held_ms),
         )  # fmt: skip
@@ -359,7 +365,7 @@
 
     @model_validator(mode="after")
     def shared(self) -> Self:
-        wrong, names, places = [], set[str](), set[tuple[str, object]]()
+        wrong, names, places = [], set[str](), set[tuple[str, str, object]]()
         if self.budgets and not self.fleet:
             wrong.append("budgets: need a [fleet] to be shared in")
         for at, each in enumerate(self.budgets):
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -141,7 +141,7 @@
         #: byte goes; that it is over; us that it may take.
         self.spends: Callable[[str, str], bool] = lambda endpoint, name: True
         self.spent: Callable[[str], None] = lambda name: None
-        self.call_limit: Callable[[str], float] = lambda endpoint: math.inf
+        self.call_limit: Callable[[str, str], float] = lambda endpoint, name: math.inf
         self.wait_heard: list[Callable[[str, int], None]] = []
         self.attempt_ended: Callable[[], None] = lambda: None  # for who waits until nothing is owed
         self.watching: asyncio.Task[None] | None = None
@@ -644,7 +644,7 @@
         self.call_begins(endpoint)
         message = self.journal.entries[name].message
         may_go = partial(self.may_go, endpoint, name)
-        timeout = min(action.timeout, self.call_limit(endpoint)) / 1e6
+        timeout = min(action.timeout, self.call_limit(endpoint, name)) / 1e6
         if self.journal.durable and not self.is_safe(message):
             call = self.call_once_durable(endpoint, message, timeout, may_go)
         else:
--- a/elmglade/emulator/joined.py
+++ b/elmglade/emulator/joined.py
@@ -67,7 +67,7 @@
         """A start of a sender, before its engine's."""
         end = End(self, name, life)
         # A lease of a second: the leases of tests on sockets, too.
-        each = Shared("rate", "calls", None, "", "", None, self.span, 0, 1_000_000, 10_000, 0)
+        each = Shared("rate", "calls", "destination", None, None, None, self.span, 0, 1_000_000, 10_000, 0)
         offset = self.chance.randrange(10**9)
         budgets = Budgets(engine, end, (each,), self.size, lambda: offset + int(self.time() * 1e6))
         self.there[name], self.ends[name] = 0.0, (end, budgets)
--- a/elmglade/http/budgets.py
+++ b/elmglade/http/budgets.py
@@ -4,23 +4,30 @@
 import logging
 import math
 import time
-from collections import deque
-from collections.abc import Callable
+from collections import Counter, defaultdict, deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
 from functools import partial
+from itertools import count, islice
 from typing import Any, Protocol
 
 from elmglade import interface as face
 from elmglade.budget.desk import WARM, Budget, Desk
+from elmglade.budget.earned import Earned
 from elmglade.budget.spend import NEVER
 from elmglade.config import Shared
 from elmglade.core.engine import Engine
 from elmglade.fleet import wire
+from elmglade.http.courier import BODY_PATIENCE, HttpCourier
 from elmglade.http.routes import told_rates
 from elmglade.message import HandedIn
 
 TURN = 0.1  # s between two looks at what the list tells, and at lines for the record
 AGAIN = 500_000  # us after which to come again where nobody can say when there is room
 ASKED = 64  # messages turned away that count as a tenant's need, at the most
+LOOKED_AT = 256  # held messages that are looked at for repeats among them
+WAYS = frozenset({"connections", "handshakes"})  # what is spent as a connection opens
+PLAIN = frozenset({"calls", "in_flight"})  # what any call spends
 
 log = logging.getLogger(__name__)
 
@@ -53,8 +60,22 @@
     def flush(self) -> None: ...
 
 
+Value = int | str | None
+
+
+@dataclass(slots=True)
+class Going:
+    """A message's call, from its choice to its end."""
+
+    endpoint: str
+    names: list[str]  # of budgets that it is in, or will be with its first byte
+    again: bool
+    ways: list[str] = field(default_factory=list)  # of those that its new connection is reserved in
+    claims: bool = False  # it is to go on a connection that is kept
+
+
 class Budgets:
-    """The module's `Leave`, and the doors' for tenants."""
+    """The module's `Leave`, the doors' for tenants, the courier's for connections."""
 
     def __init__(
         self,
@@ -69,17 +90,25 @@
         me = link.node.members.me
         self.desk = Desk(me.name, me.epoch, clock)
         self.desk.grew = self.grew
-        self.opened: dict[str, tuple[Shared, int]] = {}  # by name; the destination, -1 for none
-        self.by_destination: dict[int, list[str]] = {}
-        self.by_endpoint: dict[str, list[str]] = {}
+        self.opened: dict[str, tuple[Shared, Value]] = {}  # by name; what it is bound to
+        self.earned: dict[str, Earned] = {}  # by name, those of repeats that are a share of first attempts
+        self.by: dict[tuple[str, Value], list[str]] = {}  # what is bound to whom
+        self.each: dict[str, list[Shared]] = defaultdict(list)  # those of each, by what they are bound to
         self.turned: dict[str, deque[int]] = {}  # by tenant's budget: when one was turned away, us
-        self.out: dict[str, list[str]] = {}  # by message: budgets that its call is in
+        self.out: dict[str, Going] = {}  # by message
+        self.claims: Counter[str] = Counter()  # by endpoint: calls that are to go on kept connections
+        self.denied: dict[int, int] = {}  # by destination: when a call that waits for its budget may go, us
         self.failing: dict[int, int] = {}  # by destination: when its last call was known to have failed, us
+        self.limits: dict[int, tuple[int, int]] = {}  # by destination: what an answer told, calls in us
+        self.courier: HttpCourier | None = None
+        self.numbers = count()
         self.next_turn = 0.0
         self.noted: dict[str, float] = {}
         for each in told:
-            if not each.is_each():
-                self.open(each, -1 if each.destination is None else each.destination)
+            if each.is_each():
+                self.each[each.by].append(each)
+            else:
+                self.open(each, each.value)
         link.node.on_share = self.hear
         self.raised, link.node.epoch_raised = link.node.epoch_raised, self.epoch_raised
 
@@ -88,63 +117,96 @@
         engine = self.engine
         engine.dispatcher.roster.leave = self
         engine.spends, engine.spent, engine.call_limit = self.spends, self.spent, self.call_limit
+        if not isinstance(courier := engine.courier, HttpCourier):
+            return
+        if any(each.of in WAYS for each in self.told.values()):
+            self.courier, courier.opens, courier.retires = courier, self.opens, self.retires
+        if any(each.of == "calls" and each.whole is None for each in self.told.values()):
+            courier.limit_told = self.limit_told
 
     # Which there are.
 
-    def open(self, told: Shared, destination: int) -> None:
-        name = f"{told.name}/{destination}" if told.is_each() else told.name
+    def open(self, told: Shared, value: Value) -> None:
+        name = f"{told.name}/{value}" if told.is_each() else told.name
         if name in self.opened:
             return
-        self.opened[name] = told, destination
-        if destination >= 0:
-            self.by_destination.setdefault(destination, []).append(name)
-        elif told.endpoint:
-            self.by_endpoint.setdefault(told.endpoint, []).append(name)
+        self.opened[name] = told, value
+        self.by.setdefault((told.by, value), []).append(name)
+        if told.share is not None:
+            # One at least: where all that is held has gone before, nothing else would find out what is up.
+            self.earned[name] = Earned(told.share, told.span or 0, max(told.floor, 1), self.desk.born)
+            return
         self.desk.open(
-            self.budget(told, name, destination),
-            partial(self.need, told, name, destination),
-            partial(self.warm, told, destination),
+            self.budget(told, name, value),
+            partial(self.need, told, name, value),
+            partial(self.warm, told, value),
             passing=told.is_each(),
         )
 
     def close_idle(self) -> None:
         for name in self.desk.forget_idle():
-            _, number = self.opened.pop(name)
+            told, value = self.opened.pop(name)
             self.noted.pop(name, None)
-            self.by_destination[number].remove(name)
-            if not self.by_destination[number]:
-                del self.by_destination[number]
+            self.by[told.by, value].remove(name)
+            if not self.by[told.by, value]:
+                del self.by[told.by, value]
             log.info("budget %s: nobody has needed any of it; it is forgotten", name)
 
-    def budget(self, told: Shared, name: str, destination: int) -> Budget:
+    def budget(self, told: Shared, name: str, value: Value) -> Budget:
         whole = told.whole
         if whole is None:
-            whole = int(sum(told_rates(self.engine, destination).values()) * (told.span or 0) / 1e6)
+            whole = self.told_whole(int(value or 0), told.span or 0)
         floor = min(told.floor, whole // self.size)
         return Budget(
             name, told.of, whole, self.size, told.span, told.held, floor, told.lease, told.slack
         )  # fmt: skip
 
-    def destination(self, told: Shared, destination: int) -> int:
-        """That of an endpoint's budget is where it is listed now."""
-        known = self.engine.dispatcher.endpoints.get(told.endpoint) if told.endpoint else None
-        return known.listed.destination if known else destination
-
-    def need(self, told: Shared, name: str, destination: int) -> int:
+    def told_whole(self, number: int, span: int) -> int:
+        """By the list, and by an answer that told a limit: the smaller one. A list that is not said to tell
+        rates yields to an answer."""
+        listed = int(sum(told_rates(self.engine, number).values()) * span / 1e6)
+        if number not in self.limits:
+            return listed
+        calls, within = self.limits[number]
+        whole = min(calls * span // within, calls)
+        return min(whole, listed) if self.engine.settings.rates_told else whole
+
+    def numbers_of(self, by: str, value: Value) -> Iterable[int]:
+        """The destinations that it is about; an endpoint's is where it is listed now."""
+        there = self.engine.dispatcher.endpoints
+        if by == "destination":
+            return (int(value or 0),)
+        if by == "endpoint":
+            return (there[str(value)].listed.destination,) if value in there else ()
+        return {each.listed.destination for each in there.values() if each.listed.zone == value}
+
+    def need(self, told: Shared, name: str, value: Value) -> int:
         """What is held for it, or was turned away of late."""
         if told.of == "tenant":
             turned, since = self.turned.get(name, deque()), self.clock() - told.lease
             while turned and turned[0] < since:
                 turned.popleft()
             return len(turned)
-        at = self.engine.dispatcher.destinations.get(self.destination(told, destination))
-        return len(at.held or ()) if at else 0
-
-    def warm(self, told: Shared, destination: int) -> int:
+        known = self.engine.dispatcher.destinations
+        there = [known[number] for number in self.numbers_of(told.by, value) if number in known]
+        if told.of == "trials":
+            return sum(1 for at in there if at.held and self.may_try(at.number))
+        if told.of == "repeats":
+            held = (each for at in there for each in (at.held or {}).values())
+            return sum(1 for each in islice(held, LOOKED_AT) if each.attempts)
+        return sum(len(at.held or ()) for at in there)
+
+    def may_try(self, number: int) -> bool:
+        """Whether it is in doubt, and this member one that may find out."""
+        at = self.engine.dispatcher.destinations[number]
+        opened = any(each.is_open() for each in at.breakers)
+        return opened and any(self.engine.allows(each.listed.id) for each in at.endpoints)
+
+    def warm(self, told: Shared, value: Value) -> int:
         """Thousandths: what a destination that is out, or returning, takes of its rate. One failed call
         counts: of a crowd each sees few, and the middle one of all is believed (budget/desk.py)."""
-        at = self.engine.dispatcher.destinations.get(destination)
-        if told.of != "calls" or at is None or not at.breakers:
+        at = self.engine.dispatcher.destinations.get(value) if isinstance(value, int) else None
+        if told.of != "calls" or told.by != "destination" or at is None or not at.breakers:
             return WARM
         now, settings = self.engine.now(), self.engine.settings
         if any(each.is_open() or each.failures >= 1 for each in at.breakers):
@@ -152,30 +214,69 @@
         since = (now - self.failing.get(at.number, -math.inf)) / settings.cold
         return int(WARM * (settings.cold_from + (1 - settings.cold_from) * min(since, 1.0)))
 
-    def of_destination(self, number: int) -> list[str]:
-        """Those of each destination are opened as they are needed."""
-        for told in self.told.values():
-            if told.is_each():
-                self.open(told, number)
-        return self.by_destination.get(number, [])
+    def bound(self, by: str, value: Value) -> list[str]:
+        """Those of each are opened as they are needed."""
+        for told in self.each.get(by, ()):
+            self.open(told, value)
+        return self.by.get((by, value), [])
 
-    def of_endpoint(self, listed: face.Endpoint) -> list[str]:
-        return [*self.of_destination(listed.destination), *self.by_endpoint.get(listed.id, ())]
+    def of(self, listed: face.Endpoint) -> list[str]:
+        places = (("destination", listed.destination), ("endpoint", listed.id), ("zone", listed.zone))
+        return [name for by, value in places for name in self.bound(by, value)]
 
-    # The module's side.
+    def counted(self, listed: face.Endpoint, trial: bool, again: bool) -> list[str]:
+        """Of budgets that such a call is in with its first byte."""
+        kinds = PLAIN | {kind for kind, is_so in (("trials", trial), ("repeats", again)) if is_so}
+        return [name for name in self.of(listed) if self.opened[name][0].of in kinds]
 
-    def free_at(self, listed: face.Endpoint, now: int) -> float:
-        at = max((self.desk.free_at(name) for name in self.of_endpoint(listed)), default=0)
-        return math.inf if at >= NEVER else now + max(at - self.clock(), 0)
+    def ways(self, listed: face.Endpoint) -> list[str]:
+        """Of budgets that a new connection there is in."""
+        return [name for name in self.of(listed) if self.opened[name][0].of in WAYS]
 
-    def reserve(self, listed: face.Endpoint, message: str) -> None:
-        self.out[message] = names = self.of_endpoint(listed)
-        for name in names:
-            self.desk.books[name].spender.reserve(message)
+    def must_open(self, endpoint: str) -> bool:
+        """Whether the next call there needs a new connection."""
+        return self.courier is not None and self.claims[endpoint] >= len(self.courier.pool.get(endpoint, ()))
+
+    # The module's side.
+
+    def free_of(self, name: str) -> int:
+        return self.earned[name].free_at(self.clock()) if name in self.earned else self.desk.free_at(name)
+
+    def spender(self, name: str) -> Any:  # noqa: ANN401
+        return self.earned.get(name) or self.desk.books[name].spender
+
+    def free_at(self, listed: face.Endpoint, now: int, trial: bool = False, again: bool = False) -> float:
+        names = self.counted(listed, trial, again)
+        if self.must_open(listed.id):
+            names += self.ways(listed)
+        free = {name: self.free_of(name) for name in names}
+        at, clock = max(free.values(), default=0), self.clock()  # what is free now is not later than now
+        if any(clock < each < NEVER and self.is_apart(name) for name, each in free.items()):
+            self.denied[listed.destination] = min(at, self.denied.get(listed.destination, NEVER))
+        return math.inf if at >= NEVER else now + max(at - clock, 0)
+
+    def is_apart(self, name: str) -> bool:
+        """Whether the module does not look again by itself when this one has room: it knows of a
+        destination's next call, not of which call it is."""
+        told, _ = self.opened[name]
+        return told.of not in PLAIN or told.by != "destination"
+
+    def reserve(self, listed: face.Endpoint, message: str, trial: bool = False, again: bool = False) -> None:
+        self.out[message] = going = Going(listed.id, self.counted(listed, trial, again), again)
+        if self.must_open(listed.id):
+            going.ways = self.ways(listed)
+        elif self.courier:
+            going.claims = True
+            self.claims[listed.id] += 1
+        for name in going.names + going.ways:
+            self.spender(name).reserve(message)
 
     def grew(self, name: str) -> None:
-        number = self.destination(*self.opened[name])
-        if number >= 0:
+        told, value = self.opened[name]
+        self.look_again(self.numbers_of(told.by, value) if told.by != "tenant" else ())
+
+    def look_again(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
             self.engine.dispatcher.roster.leave_grew(number)
             self.engine.post(face.WakeUp())
 
@@ -184,51 +285,134 @@
     def spends(self, endpoint: str, message: str) -> bool:
         if (known := self.engine.dispatcher.endpoints.get(endpoint)) is None:
             return False
-        names = self.of_endpoint(known.listed)
-        if goes := self.desk.begins(names, message):
-            self.out[message] = names
-        return goes
+        going = self.out.get(message) or Going(endpoint, self.counted(known.listed, False, False), False)
+        now = self.clock()
+        earned = [self.earned[name] for name in going.names if name in self.earned]
+        shared = [name for name in going.names if name not in self.earned]
+        self.unclaim(going)
+        if not all(each.has_room(now) for each in earned) or not self.desk.begins(shared, message):
+            return False
+        for each in earned:
+            each.take(message, now)
+        for name in () if going.again else self.of(known.listed):
+            if name in self.earned:
+                self.earned[name].first(now)
+                self.grew(name)
+        self.out[message] = going
+        return True
+
+    def unclaim(self, going: Going) -> None:
+        if going.claims:
+            going.claims = False
+            self.claims[going.endpoint] -= 1
 
     def spent(self, message: str) -> None:
         """A call is over."""
-        for name in self.out.pop(message, ()):
-            if name not in self.desk.books:  # forgotten while a call was out for longer than that takes
+        if (going := self.out.pop(message, None)) is None:
+            return
+        self.unclaim(going)
+        for name in going.names + going.ways:
+            if name not in self.opened:  # forgotten while a call was out for longer than that takes
                 continue
-            spender = self.desk.books[name].spender
-            held = message in spender.held
+            spender = self.spender(name)
+            held = message in getattr(spender, "held", ())
             spender.ended(message)
             if held:
                 self.grew(name)
 
-    def call_limit(self, endpoint: str) -> float:
-        known = self.engine.dispatcher.endpoints.get(endpoint)
-        names = self.of_endpoint(known.listed) if known else []
-        books = [self.desk.books[name].budget for name in names]
-        return min((each.hold for each in books if each.span is None), default=math.inf)
+    def call_limit(self, endpoint: str, message: str) -> float:
+        """us that a call may take: what is held at once counts as over after that."""
+        known, going = self.engine.dispatcher.endpoints.get(endpoint), self.out.get(message)
+        names = (going.names if going else []) + (self.ways(known.listed) if known else [])
+        books = [self.desk.books[name].budget for name in names if name not in self.earned]
+        holds = (each.hold / (2 if each.of == "connections" else 1) for each in books if each.span is None)
+        return min(holds, default=math.inf)
 
     def admits(self, message: HandedIn) -> int:
         """us after which a tenant's message may come again; 0: it is within its share."""
-        for told in self.told.values():
-            if told.of != "tenant" or told.tenant != message.tenant:
-                continue
+        known = message.tenant in dict(self.engine.settings.tenants)  # a client may make up any other name
+        names = self.bound("tenant", message.tenant) if known else self.by.get(("tenant", message.tenant), [])
+        for name in names:
             now = self.clock()
-            if self.desk.begins([told.name], ""):
+            if self.desk.begins([name], ""):
                 continue
-            self.turned.setdefault(told.name, deque(maxlen=ASKED)).append(now)
-            at = self.desk.free_at(told.name)
+            self.turned.setdefault(name, deque(maxlen=ASKED)).append(now)
+            at = self.desk.free_at(name)
             return AGAIN if at >= NEVER else max(at - now, 1000)
         return 0
 
+    # The courier's side.
+
+    def opens(self, endpoint: str, message: str) -> Callable[[], None] | None:
+        """Asked as a connection is about to open; what is to be called once it is closed, or None: it may
+        not."""
+        if (known := self.engine.dispatcher.endpoints.get(endpoint)) is None:
+            return None
+        names, token = self.ways(known.listed), f"connection {next(self.numbers)}"
+        if going := self.out.get(message):
+            self.unclaim(going)
+            for name in going.ways:
+                self.spender(name).ended(message)
+            going.ways = []
+        return partial(self.closed, names, token) if self.desk.begins(names, token) else None
+
+    def closed(self, names: list[str], token: str) -> None:
+        for name in names:
+            if name in self.desk.books:
+                self.desk.books[name].spender.ended(token)
+                self.grew(name)
+
+    def retires(self, endpoint: str) -> float:
+        """s after which a connection takes no more calls: half of the longest that it may be held, as the
+        other half is for the call that it may have out then."""
+        known = self.engine.dispatcher.endpoints.get(endpoint)
+        books = [self.desk.books[name].budget for name in (self.ways(known.listed) if known else ())]
+        holds = [each.hold / 2e6 - BODY_PATIENCE for each in books if each.span is None]
+        return min(holds, default=math.inf)
+
+    def shed(self) -> None:
+        """Closes kept connections that are more than a part which has shrunk."""
+        for name, book in list(self.desk.books.items()):
+            told, _ = self.opened[name]
+            excess = book.spender.used(self.clock()) - self.desk.part(book)
+            if told.of != "connections" or excess <= 0 or not self.courier:
+                continue
+            there = self.engine.dispatcher.endpoints
+            kept = [(each, there[at].listed) for each, at in self.courier.idle.items() if at in there]
+            bound = [connection for connection, listed in kept if name in self.of(listed)]
+            for connection in bound[:excess]:
+                self.courier.close_one(connection)
+
+    def limit_told(self, endpoint: str, calls: int, within: int) -> None:
+        """An answer told a limit: so many calls in so many us."""
+        known = self.engine.dispatcher.endpoints.get(endpoint)
+        if known and self.limits.get(known.listed.destination) != (calls, within):
+            self.limits[known.listed.destination] = calls, within
+            self.follow_told()
+
     # The link's side.
 
     def hear(self, by: str, share: wire.Share) -> None:
-        head, _, number = share.budget.partition("/")
-        told = self.told.get(head)
-        if told and told.is_each() and number.isdecimal():
-            self.open(told, int(number))
+        head, _, text = share.budget.partition("/")
+        if (told := self.told.get(head)) and told.is_each():
+            value = self.value_of(told, text)
+            if value is not None:
+                self.open(told, value)
         self.desk.hear(by, share)
         self.post()
 
+    def value_of(self, told: Shared, text: str) -> Value:
+        """What a name is about; None: it is not known here, and nothing is kept of it."""
+        if told.by == "destination":
+            return int(text) if text.isdecimal() and text.isascii() else None
+        there = self.engine.dispatcher.endpoints
+        known = {
+            "endpoint": text in there,
+            "zone": any(each.listed.zone == text for each in there.values()),
+            "tenant": text in dict(self.engine.settings.tenants),
+        }
+        return text if known[told.by] else None
+
     def epoch_raised(self, epoch: int) -> None:
         self.raised(epoch)
         self.desk.start_anew(epoch)
@@ -237,16 +421,22 @@
         """Several times a second."""
         self.desk.tick(self.link.node.others())
         self.post()
+        clock = self.clock()
+        due = [number for number, at in self.denied.items() if at <= clock]
+        for number in due:
+            del self.denied[number]
+        self.look_again(due)
         if now >= self.next_turn:
             self.next_turn = now + TURN
             self.close_idle()
-            self.follow_list()
+            self.follow_told()
+            self.shed()
             self.record()
 
-    def follow_list(self) -> None:
-        for name, (told, number) in self.opened.items():
-            if told.whole is None:
-                self.desk.change(self.budget(told, name, number))
+    def follow_told(self) -> None:
+        for name, (told, value) in self.opened.items():
+            if told.whole is None and told.share is None:
+                self.desk.change(self.budget(told, name, value))
 
     def record(self) -> None:
         for name, book in self.desk.books.items():
--- a/elmglade/http/codec.py
+++ b/elmglade/http/codec.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
+import math
 import re
 import socket
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import h11
 
@@ -75,6 +76,8 @@
         self.sock, self.address = sock, address
         self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT)
         self.idle_since = 0.0
+        self.opened_at, self.retires_at = 0.0, math.inf  # s: the latter after which it takes no more calls
+        self.closed: Callable[[], None] = lambda: None  # called once it is
         self.size = 0  # bytes of the answer's body so far
         self.unsent = 0  # bytes of the request that the system has not taken yet
         self.reading: asyncio.Future[None] | None = None  # somebody waits for the next bytes
--- a/elmglade/http/courier.py
+++ b/elmglade/http/courier.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import math
+import re
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
@@ -16,6 +18,8 @@
 
 IDLE_SHARE = 0.8  # of the receiver's idle limit: a kept connection is dropped that much earlier
 BODY_PATIENCE = 0.5  # s for the rest of an answer whose head has come; the body means nothing
+QUOTA = re.compile(r";\s*q=([0-9]{1,9})\s*(?:;|$)|^\s*([0-9]{1,9})\s*;", re.ASCII)
+WINDOW = re.compile(r";\s*w=([0-9]{1,6})\s*(?:;|$)", re.ASCII)
 SHORTAGE_PAUSE = 0.05  # s until the next try to open a connection where no descriptor or port was left
 
 
@@ -39,6 +43,20 @@
             return Answer(Outcome.ERROR)
 
 
+def nothing() -> None:
+    """What is to be done where nobody counts connections."""
+
+
+def told_limit(response: usual.Head) -> tuple[int, int] | None:
+    """Calls, and the us in which they are taken, as the draft on RateLimit header fields has them, of the
+    first policy that says both: `RateLimit-Policy: "burst";q=100;w=10`, or `100;w=10` in its older form."""
+    for policy in (header(response.headers, b"ratelimit-policy") or "").split(","):
+        quota, window = QUOTA.search(policy), WINDOW.search(policy)
+        if quota and window and int(window[1]):
+            return int(quota[1] or quota[2]), int(window[1]) * 1_000_000
+    return None
+
+
 class HttpCourier:
     """`dials` is discovery's: an endpoint that is no longer in it, or at another address, keeps nothing.
     `most` bounds the connections open at once; to open one more, the one idle for longest is closed."""
@@ -69,6 +87,13 @@
         self.draining: set[asyncio.Task[None]] = set()
         self.reports = Reports()
         self.witness: Witness | None = None  # of connections that are opened from now on
+        #: Of budgets that a fleet shares. Asked as a connection to an endpoint is about to open for a
+        #: message: what to call once it is closed, or None: it may not.
+        self.opens: Callable[[str, str], Callable[[], None] | None] = lambda endpoint, name: nothing
+        #: s after which one takes no more calls.
+        self.retires: Callable[[str], float] = lambda endpoint: math.inf
+        #: Hears what an answer says of a limit: so many calls in so many us.
+        self.limit_told: Callable[[str, int, int], None] | None = None
 
     async def call(
         self, endpoint: str, message: HandedIn, timeout: float, may_go: Callable[[], bool]
@@ -88,7 +113,10 @@
                 if (address := self.dials().get(endpoint)) is None:
                     return Answer(Outcome.NOT_SENT)  # gone since the module chose it
                 connection = kept_one = self.take_idle(endpoint)
-                connection = connection or await self.connect(address)
+                if connection is None:
+                    if (closed := self.opens(endpoint, message.id)) is None:
+                        return Answer(Outcome.NOT_SENT)
+                    connection = await self.open_counted(address, closed)
                 if self.closing or not may_go():
                     kept = self.keep(endpoint, connection)
                     return Answer(Outcome.NOT_SENT)
@@ -109,6 +137,8 @@
                 answer = answer_from(response)
                 if wait := answer.wait:
                     self.wait_told(endpoint, wait)
+                if self.limit_told and (limit := told_limit(response)):
+                    self.limit_told(endpoint, *limit)
                 if int(header(response.headers, b"content-length") or 0) > BODY_LIMIT:
                     raise Spoilt(response.status_code, "the answer is too long")
                 if answer.outcome in NEVER_RAN:
@@ -195,6 +225,16 @@
                 return None
         return answer
 
+    async def open_counted(self, address: Address, closed: Callable[[], None]) -> Connection:
+        """`closed` is called once it is, also where it never opened."""
+        try:
+            connection = await self.connect(address)
+        except BaseException:
+            closed()
+            raise
+        connection.closed, connection.opened_at = closed, asyncio.get_running_loop().time()
+        return connection
+
     async def connect(self, address: Address) -> Connection:
         if len(self.open) + self.connecting >= self.most and self.idle:
             self.close_one(next(iter(self.idle)))
@@ -233,6 +273,7 @@
         self.open.discard(connection)
         self.unread.discard(connection)
         connection.close()
+        connection.closed()
 
     def finish(self, endpoint: str, connection: Connection) -> bool:
         """Keeps the connection once the answer is here to its end; the outcome need not wait for that."""
@@ -281,15 +322,18 @@
             del self.pool[endpoint]
 
     def keep(self, endpoint: str, connection: Connection) -> bool:
-        if self.dials().get(endpoint) != connection.address:
+        now = asyncio.get_running_loop().time()
+        retired = now - connection.opened_at >= self.retires(endpoint)
+        if retired or self.dials().get(endpoint) != connection.address:
             return False
-        connection.idle_since = asyncio.get_running_loop().time()
+        connection.idle_since, connection.retires_at = now, connection.opened_at + self.retires(endpoint)
         self.pool.setdefault(endpoint, []).append(connection)
         self.idle[connection] = endpoint
         return True
 
     def too_old(self, connection: Connection) -> bool:
-        return asyncio.get_running_loop().time() - connection.idle_since >= self.idle_limit
+        now = asyncio.get_running_loop().time()
+        return now - connection.idle_since >= self.idle_limit or now >= connection.retires_at
 
     def tidy(self) -> None:
         """Called now and then, so that what nobody uses holds no descriptor."""
--- a/elmglade/lab/cluster.py
+++ b/elmglade/lab/cluster.py
@@ -140,14 +140,22 @@
     def __init__(self, name: str, history: History, rate: float) -> None:
         super().__init__(name, Script(rule=self.rule), history)
         self.rate, self.takes = rate, 0.0  # s that a call takes
+        self.fails = 0.0  # s after which every call is answered as failed
         self.wait = 0.0  # s that every call is told to wait, refused
         self.calls: list[float] = []  # when each call came
         self.refused = 0
         self.ran: dict[str, list[float]] = defaultdict(list)
+        self.seen: set[str] = set()
+        self.again: list[float] = []  # when a message came that had come before
 
     def rule(self, message: str) -> Act | None:
         now = time.monotonic()
         self.calls.append(now)
+        if message in self.seen:
+            self.again.append(now)
+        self.seen.add(message)
+        if self.fails:
+            return Act(Does.ERROR, self.fails)
         if self.wait:
             return Act(Does.FULL, self.wait)
         lately = sum(1 for each in self.calls[-int(self.rate * 2 + 10) :] if each > now - 1.0)
--- a/elmglade/lab/http.py
+++ b/elmglade/lab/http.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import contextlib
+import time
 from typing import Self
 
 from elmglade.lab.history import History, Ran
@@ -31,6 +32,9 @@
         self.writers: set[asyncio.StreamWriter] = set()
         self.tasks: set[asyncio.Task[None]] = set()
         self.served = 0
+        self.more = ""  # further fields of each answer, lines with their ends
+        self.opened: list[float] = []  # when each connection came
+        self.most_open = 0  # connections at once
 
     async def __aenter__(self) -> Self:
         self.server = await asyncio.start_server(self.connected, "127.0.0.1", self.port)
@@ -63,6 +67,8 @@
             writer.transport.abort()
             return
         self.writers.add(writer)
+        self.opened.append(time.monotonic())
+        self.most_open = max(self.most_open, len(self.writers))
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             while True:
                 _, fields = await read_head(reader)
@@ -81,7 +87,7 @@
             await self.break_after(act, reader, writer)
             self.history.over(call, Ran.MAYBE)
             raise ConnectionResetError
-        if act.does is Does.SERVE and act.seconds:
+        if act.does in (Does.SERVE, Does.ERROR) and act.seconds:
             await asyncio.sleep(act.seconds)
         status, more, ran = answer_for(act)
         if writer.transport.is_closing():
@@ -89,7 +95,7 @@
             raise ConnectionResetError
         self.history.over(call, ran, act.seconds if act.does is Does.FULL else 0.0)
         self.served += act.does is Does.SERVE
-        writer.write(f"HTTP/1.1 {status} It\r\nContent-Length: 0\r\n{more}\r\n".encode())
+        writer.write(f"HTTP/1.1 {status} It\r\nContent-Length: 0\r\n{more}{self.more}\r\n".encode())
 
     async def break_after(self, act: Act, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         if act.does is Does.STALL:
--- a/elmglade/lab/script.py
+++ b/elmglade/lab/script.py
@@ -18,7 +18,7 @@
 @dataclass(frozen=True, slots=True)
 class Act:
     does: Does
-    seconds: float = 0.0  # FULL: the wait that it tells; SERVE: how long it takes
+    seconds: float = 0.0  # FULL: the wait that it tells; SERVE, ERROR: how long it takes
 
 
 SERVE = Act(Does.SERVE)
--- a/tests/test_budgeted.py
+++ b/tests/test_budgeted.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+import pytest
 from click.testing import CliRunner
 
 from elmglade.cli import fleet as command
@@ -232,3 +233,94 @@
 
     told = f'of = "tenant"\ntenant = "acme"\nwhole = {WHOLE}\nper_ms = 500\n'
     played(act, told)
+
+
+RATED = "whole = 4\nper_ms = 500\n"
+
+
+def all_ran(cluster: Cluster, hub: Hub) -> bool:
+    return len(hub.ran) == len(cluster.accepted)
+
+
+async def trials(cluster: Cluster, hub: Hub) -> None:
+    """Each of three finds the hub out of order; from there on it is tried by one at a time."""
+    hub.fails = 0.25
+    await feed(cluster, 8)
+    names = list(cluster.members)
+    await cluster.until(lambda: any("from 1 to 0" in str(budget_of(cluster, name)) for name in names))
+    before = len(hub.calls)
+    await cluster.until(lambda: len(hub.calls) >= before + 3)
+    assert most_in(hub.calls[before:], hub.fails - 0.05) == 1
+    hub.fails = 0.0
+    await cluster.until(lambda: all_ran(cluster, hub))
+
+
+def budget_of(cluster: Cluster, name: str) -> dict[str, Any]:
+    return dict(ask(cluster.members[name].state, {"do": "budgets"})["value"])
+
+
+async def repeats(cluster: Cluster, hub: Hub) -> None:
+    hub.fails = 0.001
+    await feed(cluster, 10)
+    await cluster.until(lambda: len(hub.again) >= 12)
+    hub.fails = 0.0
+    await feed(cluster, 14)
+    await cluster.until(lambda: all_ran(cluster, hub))
+    assert most_in(hub.again, SPAN - SLACK) <= 4
+
+
+async def earned(cluster: Cluster, hub: Hub) -> None:
+    """A repeat for two first attempts of the same two seconds, whoever made them."""
+    hub.fails = 0.001
+    await feed(cluster, 8)
+    await cluster.until(lambda: len(hub.again) >= 8)
+    for at in hub.again:
+        repeats = sum(at - 2 + SLACK < each <= at for each in hub.again)
+        firsts = sum(at - 2 - SLACK < each <= at + SLACK for each in hub.calls) - repeats
+        assert 0 < repeats <= firsts / 2 + 3, "and one of each member's, in any case"
+
+
+async def handshakes(cluster: Cluster, hub: Hub) -> None:
+    hub.more = "Connection: close\r\n"
+    await feed(cluster, 8)
+    await cluster.until(lambda: all_ran(cluster, hub))
+    assert 3 <= most_in(hub.opened, SPAN - SLACK) <= 4 and len(hub.opened) >= 24
+
+
+async def connections(cluster: Cluster, hub: Hub) -> None:
+    """Three for three members with work for many; who has none gives its kept ones up."""
+    hub.takes = 0.05
+    await feed(cluster, 30)
+    await cluster.until(lambda: all_ran(cluster, hub))
+    assert hub.most_open <= 3
+    for number in range(20):
+        await cluster.hand_in(f"late-{number}", "safe", 1, 30, to=["n2"])
+    await cluster.until(lambda: all_ran(cluster, hub))
+    assert hub.most_open <= 3 < len(hub.opened), "each is retired in its time"
+
+
+async def told_by_answers(cluster: Cluster, hub: Hub) -> None:
+    """Its list says nothing of use; the first answers tell ten calls in a second."""
+    hub.more = 'RateLimit-Policy: "burst";q=10;w=1\r\n'
+    await feed(cluster, 4)
+    await cluster.until(lambda: all(part(cluster, name)["whole"] == 5 for name in cluster.members))
+    before = len(hub.calls)
+    await feed(cluster, 16)
+    await cluster.until(lambda: all_ran(cluster, hub))
+    assert 4 <= most_in(hub.calls[before:], SPAN - SLACK) <= 5
+
+
+KINDS: dict[str, tuple[Act, str, float]] = {
+    "trials": (trials, 'destination = "each"\nof = "trials"\nwhole = 1\nheld_ms = 1000\n', 1e9),
+    "repeats": (repeats, f'zone = "a"\nof = "repeats"\n{RATED}', 1e9),
+    "earned repeats": (earned, 'destination = 1\nof = "repeats"\nshare = 0.5\nper_ms = 2000\n', 1e9),
+    "handshakes": (handshakes, f'endpoint = "hub"\nof = "handshakes"\n{RATED}', 1e9),
+    "connections": (connections, 'endpoint = "each"\nof = "connections"\nwhole = 3\nheld_ms = 3000\n', 1e9),
+    "told by answers": (told_by_answers, 'destination = 1\nof = "calls"\nwhole = "told"\nper_ms = 500\n', 40),
+}
+
+
+@pytest.mark.parametrize("name", KINDS)
+def test_three_processes_keep_to_what_is_shared(name: str) -> None:
+    act, told, rate = KINDS[name]
+    played(act, told, rate=rate)
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -9,16 +9,21 @@
 from typing import Any
 
 import pytest
+from helpers import World, sent
+from hypothesis import given
+from hypothesis import strategies as st
 
 from elmglade import interface as face
 from elmglade.budget import desk as desks
 from elmglade.budget import division, lease
 from elmglade.budget.desk import Budget, Desk
+from elmglade.budget.earned import Earned
 from elmglade.budget.lease import Kind
 from elmglade.budget.spend import NEVER, Spender
 from elmglade.emulator.joined import Links
 from elmglade.emulator.shared import Fleet
 from elmglade.fleet.wire import Share
+from elmglade.http.courier import told_limit
 
 SEEDS = int(os.environ.get("SHARED_SEEDS", "40"))
 US = 1_000_000
@@ -214,11 +219,11 @@
     listed = face.Endpoint("e", 3, face.EndpointState.READY, "plain", "", 8.0)
     at = SimpleNamespace(held={"m": 1}, endpoints=[SimpleNamespace(listed=listed)], breakers=())
     there = SimpleNamespace(
-        endpoints={"e": at.endpoints[0]}, destinations={3: at}, kinds={"plain": face.Kind()},
-        leave_grew=lambda number: None,
+        endpoints={"e": at.endpoints[0]}, destinations={3: at},
+        roster=SimpleNamespace(kinds={"plain": face.Kind()}, leave_grew=lambda number: None),
     )  # fmt: skip
     engine: Any = SimpleNamespace(
-        dispatcher=there, config=SimpleNamespace(known=(listed,)), post=lambda event: None
+        dispatcher=there, config=SimpleNamespace(known=(listed,)), post=lambda event: None, courier=None
     )
     time = {"now": 0.0}
     links = Links(lambda: time["now"], lambda *told: None, 1, US, 0.0, 1)
@@ -230,7 +235,7 @@
         if budgets.free_at(listed, 0) <= 0 and not budgets.out:
             budgets.reserve(listed, "m")
             assert budgets.spends("e", "m")
-    assert budgets.out == {"m": ["rate/3"]}
+    assert budgets.out["m"].names == ["rate/3"]
     at.held = {}
     for second in range(20, 100):
         time["now"] = float(second)
@@ -243,3 +248,80 @@
 def test_keepers_are_spread_over_members() -> None:
     names = [f"n{each}" for each in range(10)]
     assert len({min(names, key=lambda x: desks.rank(str(each), x)) for each in range(30)}) > 6
+
+
+@given(st.lists(st.tuples(st.integers(0, 40), st.booleans()), max_size=80), st.integers(0, 2))
+def test_repeats_are_no_more_than_first_attempts_earned(steps: list[tuple[int, bool]], least: int) -> None:
+    """By a plain count over the span that ends with each repeat."""
+    earned, now, firsts, repeats = Earned(0.4, 100, least, 0), 100, list[int](), list[int]()
+    for passed, again in steps:
+        now += passed
+        if not again:
+            earned.first(now)
+            firsts.append(now)
+            continue
+        counted = [sum(now - 100 < each for each in times) for times in (firsts, repeats)]
+        goes = counted[1] + 1 <= least + 0.4 * counted[0]
+        assert earned.has_room(now) is goes
+        assert (earned.free_at(now) == now) is goes
+        if goes:
+            earned.take("", now)
+            repeats.append(now)
+
+
+def test_a_life_that_begins_repeats_nothing_for_a_span() -> None:
+    earned = Earned(1.0, 100, 5, 50)
+    assert earned.free_at(149) == 150 and not earned.has_room(149) and earned.has_room(150)
+
+
+@pytest.mark.parametrize(
+    ("policy", "limit"),
+    [
+        ('"burst";q=100;w=60', (100, 60_000_000)),
+        ("100;w=60", (100, 60_000_000)),
+        ('"day";q=9, "burst";q=5;w=1;pk=:eA==:', (5, 1_000_000)),
+        ('"burst";w=2 ; q=7', (7, 2_000_000)),
+        ('"burst";q=5;w=0', None),
+        ('"burst";q=-5;w=1', None),
+        ("five;w=1", None),
+        ("", None),
+    ],
+)
+def test_a_limit_that_an_answer_tells_is_read(policy: str, limit: tuple[int, int] | None) -> None:
+    told = SimpleNamespace(headers=[(b"ratelimit-policy", policy.encode())])
+    assert told_limit(told) == limit  # type: ignore[arg-type]
+
+
+class Denies:
+    """A leave that gives none for trials, or for repeats, and keeps what it was asked."""
+
+    def __init__(self, what: str) -> None:
+        self.what, self.reserved = what, list[tuple[str, bool, bool]]()
+
+    def free_at(self, listed: face.Endpoint, now: int, trial: bool = False, again: bool = False) -> float:
+        return NEVER if {"trials": trial, "repeats": again}[self.what] else now
+
+    def reserve(self, listed: face.Endpoint, message: str, trial: bool = False, again: bool = False) -> None:
+        self.reserved.append((message, trial, again))
+
+
+def test_the_module_asks_leave_for_a_trial() -> None:
+    world = World()
+    world.dispatcher.roster.leave = leave = Denies("trials")
+    world.open_breaker()
+    assert not sent(world.take()) and not sent(world.step(face.WakeUp(), after=3 * US))
+    leave.what = "repeats"
+    world.dispatcher.roster.leave_grew(1)
+    assert len(sent(world.step(face.WakeUp()))) == 1
+    assert leave.reserved[-1][1:] == (True, False)
+
+
+def test_a_repeat_that_waits_for_its_budget_lets_first_attempts_go() -> None:
+    world = World()
+    world.dispatcher.roster.leave = leave = Denies("repeats")
+    assert sent(world.take()) == ["m1"] and not sent(world.answer("m1", face.Outcome.ERROR))
+    assert sent(world.take(after=US)) == ["m2"] and not sent(world.answer("m2", face.Outcome.OK))
+    leave.what = "trials"
+    world.dispatcher.roster.leave_grew(1)
+    assert sent(world.step(face.WakeUp(), after=US)) == ["m1"]
+    assert leave.reserved == [("m1", False, False), ("m2", False, False), ("m1", False, True)]
