A chart of a budget: who might spend and who spent how much of the whole

Change: elmglade fleet chart NAME STATE... --to FILE samples running senders and draws two panels with matplotlib as one SVG.

--- a/elmglade/cli/fleet.py
+++ b/elmglade/cli/fleet.py
@@ -1,4 +1,4 @@
-"""`elmglade fleet status|watch|budgets|explain`: how service returns and who may spend what, as running
+"""`elmglade fleet status|watch|budgets|explain|chart`: how service returns and who may spend what, as running
 senders of this machine tell it."""
 
 import json
@@ -9,6 +9,7 @@
 
 import click
 
+from elmglade.cli import chart as charts
 from elmglade.cli.override import JSON, tell
 
 FOLDERS = click.argument(
@@ -185,3 +186,26 @@
         told = tell(folder, {"do": "budgets"})
         found = budget_lines(name, told[name], why=True) if name in told else [f"no budget named {name}"]
         click.echo("\n".join([str(folder), *found]))
+
+
+@fleet.command()
+@click.argument("name")
+@FOLDERS
+@click.option(
+    "--to", type=click.Path(path_type=Path, dir_okay=False), required=True, help="The SVG that is written."
+)
+@click.option("--seconds", type=click.FloatRange(1, 3600), default=30.0, show_default=True)
+@click.option("--every", type=click.FloatRange(0.05, 60), default=0.2, show_default=True, help="Seconds.")
+def chart(name: str, folders: tuple[Path, ...], to: Path, seconds: float, every: float) -> None:
+    """Watches the budget NAME for a while, and draws who might spend and who spent how much of the whole."""
+    run = charts.sampled(name, folders, seconds, every)
+    if not run.granted:
+        raise click.ClickException(f"no sender told of a budget named {name}")
+    try:
+        charts.draw(name, run, to)
+    except ImportError:
+        raise click.ClickException("a chart needs elmglade[report]") from None
+    except OSError as error:
+        raise click.ClickException(f"{to}: {error.strerror}") from None
+    most = max(map(sum, zip(*run.granted.values(), strict=True)))
+    click.echo(f"{to}: {len(run.at)} samples of {len(run.granted)} senders, at most {most} granted at once")
--- a/tests/test_budgeted.py
+++ b/tests/test_budgeted.py
@@ -214,6 +214,14 @@
         why = run(command.fleet, ["explain", "hub", state]).output
         assert "from 0 to" in why and "needed" in why
         assert "no budget named other" in run(command.fleet, ["explain", "other", state]).output
+        states = [str(each.state) for each in cluster.members.values()]
+        drawn_to = cluster.members["n1"].folder / "hub.svg"
+        said = await asyncio.to_thread(
+            run, command.fleet, ["chart", "hub", *states, "--to", str(drawn_to), "--seconds", "1"]
+        )
+        assert "samples of 3 senders" in said.output, said.output
+        shown = drawn_to.read_text()
+        assert all(text in shown for text in ("n0", "n2", "the whole", "spent in 0.5 s"))
 
     played(act)
 
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -20,6 +20,7 @@
 from elmglade.budget.earned import Earned
 from elmglade.budget.lease import Kind
 from elmglade.budget.spend import NEVER, Spender
+from elmglade.cli.chart import Run
 from elmglade.emulator.joined import Links
 from elmglade.emulator.shared import Fleet
 from elmglade.fleet.wire import Share
@@ -325,3 +326,11 @@
     world.dispatcher.roster.leave_grew(1)
     assert sent(world.step(face.WakeUp(), after=US)) == ["m1"]
     assert leave.reserved == [("m1", False, False), ("m2", False, False), ("m1", False, True)]
+
+
+def test_a_run_that_is_charted_counts_over_starts_and_silence() -> None:
+    run, told = Run(), {"part": 5, "whole": 9, "per_ms": 1000}
+    for now, spent in enumerate((7, 9, None, 1, 4)):
+        run.add(now, {} if spent is None else {"n0": told | {"spent": spent}})
+    assert run.granted["n0"] == [5, 5, 0, 5, 5] and run.whole == [9] * 5
+    assert run.spent["n0"] == [0, 2, 2, 3, 6] and run.used("n0") == [0, 2, 0, 1, 3]
