What was taken on is spared for room in a crowd alone

At fault: Held.may_return in fleets of up to four, whose senders see enough calls to tell whose turn comes. Change: it binds where pace.crowd is above 1.

--- a/elmglade/held.py
+++ b/elmglade/held.py
@@ -178,10 +178,10 @@
         return value, message.number, message
 
     def may_return(self, message: Message, value: float) -> bool:
-        """Whether it may be ended for room: in its first turn, in which it is not taken on yet, or late, or
-        with nothing left to hope for. Guards who was taken on from new ones that would only wait too."""
+        """Whether it may be ended for room: in a crowd, whose members see few calls and cannot tell whose
+        turn comes, only in its first turn, in which it is not taken on yet, or late, or without hope."""
         waited, life = self.turn.now - message.came, message.until - message.came
-        return value <= 0 or not 0 < waited < RETURN_FROM * life
+        return self.turn.pace.crowd <= 1 or value <= 0 or not 0 < waited < RETURN_FROM * life
 
     def keep_room(self) -> None:
         """Ends the least promising of what is held where no room is left for one more. Their order is made
