--- a/benchmarks/power.py
+++ b/benchmarks/power.py
@@ -2,11 +2,13 @@
 
 cost: one journal on a real file system, messages that come as fast as they are answered, so many at once:
 how many a second have their 202, and how long it took, for none, group and each; door: the
-same through a whole sender. return: five senders (--size) hold
+same through a whole sender. anew: the longest that the loop stands still while the journal is written anew
+with so many messages owed (--count), beside work that goes on. return: five senders (--size) hold
 600 messages for a hub that is down, the power goes, the hub is back; with and without the link.
 
     ./with-env python -m benchmarks.power cost --folder DIR
     ./with-env python -m benchmarks.power door --folder DIR
+    ./with-env python -m benchmarks.power anew --folder DIR --count 20000
     ./with-env python -m benchmarks.power return
 """
 
@@ -16,6 +18,7 @@
 import statistics
 import tempfile
 import time
+from collections.abc import Callable
 from pathlib import Path
 
 from elmglade.journal.durable import DurableJournal
@@ -157,9 +160,51 @@
             )
 
 
+async def anew(folder: Path, count: int) -> str:
+    """500 messages a second, which end at once, beside `count` that are owed; gaps between passes of the
+    loop, apart from those of a stretch before."""
+    journal = DurableJournal(folder, LIMIT, 0.005)
+    for number in range(count):
+        journal.taken(message(number))
+    loop, numbers, gaps = asyncio.get_running_loop(), itertools.count(count), list[float]()
+    compact, journal.compact = journal.compact, lambda: False  # type: ignore[method-assign]  # not by itself
+
+    async def stretch(is_over: Callable[[], bool]) -> tuple[float, float, float]:
+        gaps.clear()
+        began = last = loop.time()
+        work = began
+        while not is_over():
+            await asyncio.sleep(0)
+            now = loop.time()
+            gaps.append(now - last)
+            last = now
+            while work < now:
+                each = message(next(numbers))
+                journal.taken(each)
+                journal.ended(each.id, "delivered")
+                work += 0.002
+        return loop.time() - began, max(gaps) * 1000, statistics.quantiles(gaps, n=1000)[-1] * 1000
+
+    end = loop.time() + 2
+    calm = await stretch(lambda: loop.time() > end)
+    began = loop.time()
+    while not journal.anew:
+        await asyncio.sleep(0.001)
+        began = loop.time()
+        compact()
+    first = (loop.time() - began) * 1000
+    during = await stretch(lambda: journal.anew is None)
+    journal.release()
+    most = max(first, during[1])
+    return (
+        f"{count} owed: written anew in {during[0]:.2f} s; a pass took {most:.1f} ms at the most, "
+        f"p99.9 {during[2]:.1f} ms; in a calm stretch {calm[1]:.1f} and {calm[2]:.1f} ms"
+    )
+
+
 async def main() -> None:
     parser = argparse.ArgumentParser()
-    parser.add_argument("what", choices=["cost", "door", "return"])
+    parser.add_argument("what", choices=["cost", "door", "anew", "return"])
     parser.add_argument("--folder", type=Path, help="on the file system to be measured")
     parser.add_argument("--count", type=int, default=6000)
     parser.add_argument("--size", type=int, default=5, help="senders")
@@ -171,6 +216,10 @@
                     count = told.count if at_once > 1 else told.count // 10
                     print(await cost(Path(folder), sync, count, at_once), flush=True)
         return
+    if told.what == "anew":
+        with tempfile.TemporaryDirectory(dir=told.folder) as folder:
+            print(await anew(Path(folder), told.count), flush=True)
+        return
     if told.what == "door":
         for clients in (8, 64):
             for sync in ("none", "group", "each") * 2:
--- a/elmglade/journal/durable.py
+++ b/elmglade/journal/durable.py
@@ -12,6 +12,10 @@
 - *A name never stands for less than was durable under it.* The file is written anew into NEXT, synced, and
   only then named; while that goes on each record is written to both, so that whichever a power loss leaves is
   whole. The folder is synced before anybody hears of it.
+- *Written anew in steps*, `STEP` bytes in a pass of the loop, so that nobody waits for all that is owed. A
+  record of a message whose turn has not come goes to the old file alone: its turn tells it as it is then. The
+  new file is synced and named only once all is there. At a start, and after a failed sync, it is written at
+  once.
 - *A failed sync is never tried again on the same pages*: the system may have dropped them and call the next
   one good. Everything is written anew from memory; while that fails too, nothing new is taken on.
 - *Room for ends.* A ballast is given up where the disk is full, so that ends still go on record.
@@ -24,9 +28,9 @@
 import logging
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from functools import partial
 from pathlib import Path
 from typing import Any
@@ -38,7 +42,9 @@
     COMPACTED,
     FILE,
     Attempt,
+    Entry,
     Journal,
+    attempt_line,
     end_line,
     lines_of,
     outcome_line,
@@ -48,6 +54,7 @@
 GUARD = COMPACTED
 NEXT, BALLAST, DAMAGED = "journal.next", "journal.room", "journal.damaged"
 LAZY = 0.05  # s after which what nobody waits for is synced all the same
+STEP = 16 * 1024  # bytes that are written anew in a pass of the loop: about a millisecond's work
 AGAIN = 1.0  # s between tries to write the journal anew where the disk fails
 OVER = 4096  # messages that are over and still known by their ids
 BALLAST_SIZE = 64 * 1024  # bytes: the ends of some five hundred messages
@@ -61,8 +68,10 @@
     """A file that takes the journal's place."""
 
     file: int
-    size: int
+    size: int = 0
     named: bool = False
+    whole: bool = False  # all that is owed is there
+    left: dict[str, None] = field(default_factory=dict)  # messages that are not there yet
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +96,7 @@
 
 class DurableJournal(Journal):
     durable = True
+    step_size = STEP
 
     def __init__(
         self,
@@ -208,8 +218,9 @@
 
     # Append.
 
-    def append(self, record: bytes, last: bool = False) -> bool:
-        """`last`: the end of a message, for which the ballast goes where there is no other room."""
+    def append(self, record: bytes, last: bool = False, of: str = "") -> bool:
+        """`last`: the end of a message, for which the ballast goes where there is no other room. `of`: the
+        message, where it has been held for a while."""
         if self.failed_at is not None:
             return False
         framed = records.frame(record[:-1], self.mark)
@@ -220,6 +231,9 @@
                 return False
         if not self.write(framed, last):
             return False
+        if self.anew and of not in self.anew.left:
+            # Nothing of that file has been durable yet, as its marks would say.
+            self.write_anew(self.anew, records.frame(record[:-1], 0))
         self.written += 1
         self.want(LAZY)
         return True
@@ -233,13 +247,16 @@
                 return False
             return self.write(framed, False)
         self.size += len(framed)
-        if self.anew:
-            try:
-                self.disk.write(self.anew.file, framed)
-                self.anew.size += len(framed)
-            except OSError as error:
-                log.error("journal: not written anew: %s", error)
-                self.drop_anew()
+        return True
+
+    def write_anew(self, anew: Anew, data: bytes) -> bool:
+        try:
+            self.disk.write(anew.file, data)
+        except OSError as error:
+            log.error("journal: not written anew: %s", error)
+            self.drop_anew()
+            return False
+        anew.size += len(data)
         return True
 
     def give_up_ballast(self) -> bool:
@@ -252,21 +269,26 @@
 
     def sent(self, name: str, number: int, attempt: Attempt) -> bool:
         self.last = max(self.last, attempt.at)
-        return super().sent(name, number, attempt)
+        record = attempt_line(name, number, attempt)
+        if not self.append(record, of=name):
+            return False
+        self.entries[name].attempts[number] = attempt
+        self.grow(name, len(record) + records.WIDTH)
+        return True
 
     def outcome(self, name: str, number: int, outcome: Outcome) -> None:
         entry = self.entries[name]
         if attempt := entry.attempts.get(number):
             attempt.outcome = outcome
             record = outcome_line(name, number, outcome)
-            if self.append(record, last=True):
+            if self.append(record, last=True, of=name):
                 self.grow(name, len(record) + records.WIDTH)
 
     def verdict(self, name: str, state: str, retry_after: int) -> None:
         if entry := self.entries.get(name):
             entry.verdict = state, retry_after
             record = verdict_line(name, state, retry_after)
-            if self.append(record, last=True):
+            if self.append(record, last=True, of=name):
                 self.grow(name, len(record) + records.WIDTH)
 
     def ended(self, name: str, state: str = "") -> None:
@@ -274,6 +296,8 @@
         self.live -= entry.size
         over = Over(self.now(), state, entry.message.key)
         self.know_over(name, over)
+        if self.anew:
+            self.anew.left.pop(name, None)  # its turn need not come: its end tells all
         self.append(end_line(name)[:-2] + over_text(over) + b"\n", last=True)
         if self.size > 2 * self.live + self.spare:
             self.compact()
@@ -314,6 +338,7 @@
 
     async def sync(self) -> None:
         written, size, anew = self.written, self.size, self.anew
+        anew = anew if anew and anew.whole else None
         job = partial(self.name_anew, anew) if anew else partial(self.disk.sync, self.file)
         try:
             await self.disk.run(job)
@@ -330,7 +355,7 @@
         self.synced = max(self.synced, written)
         while self.waiting and self.waiting[0][0] <= written:
             self.waiting.popleft()[1](True)
-        if self.synced < self.written:
+        if self.synced < self.written or (self.anew and self.anew.whole):
             self.want(self.pause() if self.waiting else LAZY)
 
     def name_anew(self, anew: Anew) -> None:
@@ -382,43 +407,64 @@
 
     # The file written anew.
 
+    def told(self, left: dict[str, None]) -> Iterator[bytes]:
+        """All that is owed, as records, those of a message together: it leaves `left` with its turn."""
+        yield b"".join(records.frame(json.dumps(each).encode(), 0) for each in self.marks[-2:])
+        for name, over in list(self.over_ids.items()):
+            yield records.frame(over_line(name, over)[:-1], 0)
+        for name in list(left):
+            if name in left:
+                del left[name]
+                yield self.told_of(name, self.entries[name])
+
+    def told_of(self, name: str, entry: Entry) -> bytes:
+        lines = [each[:-1] for each in lines_of(entry)]
+        if entry.doubtful:
+            lines.append(b'{"doubt":%s}' % quoted(name).encode())
+        if entry.verdict:
+            lines.append(verdict_line(name, *entry.verdict)[:-1])
+        found = b"".join(records.frame(each, 0) for each in lines)
+        self.live += len(found) - entry.size
+        entry.size = len(found)
+        return found
+
     def snapshot(self) -> bytes:
-        """All that is owed, as the bytes of a file whose header says that it is whole."""
-        lines = [json.dumps(each).encode() for each in self.marks[-2:]]
-        for name, over in self.over_ids.items():
-            lines.append(f'{{"over":{quoted(name)}'.encode() + over_text(over))
-        for name, entry in self.entries.items():
-            before = len(lines)
-            lines += [each[:-1] for each in lines_of(entry)]
-            if entry.doubtful:
-                lines.append(b'{"doubt":%s}' % quoted(name).encode())
-            if entry.verdict:
-                lines.append(verdict_line(name, *entry.verdict)[:-1])
-            entry.size = sum(len(each) + records.WIDTH + 1 for each in lines[before:])
-        self.live = sum(each.size for each in self.entries.values())
-        body = b"".join([records.frame(each, 0) for each in lines])
-        head = b'{"journal":2,"whole":%12d}'
-        whole = len(records.frame(head % 0, 0)) + len(body)
-        return records.frame(head % whole, 0) + body
+        """The bytes of a file whose header says that it is whole."""
+        body = b"".join(self.told(dict.fromkeys(self.entries)))
+        return whole_record(len(body)) + body
 
     def start_anew(self) -> bool:
         """Begins a file that is to take the journal's place; from now on each record goes to both."""
-        if self.anew:
+        if self.anew and self.anew.whole:
             return True
-        file = -1
+        self.drop_anew()
+        if anew := self.open_anew():
+            anew.whole = self.write_anew(anew, self.snapshot())
+        return self.anew is not None
+
+    def open_anew(self) -> Anew | None:
         try:
-            file = self.disk.open(self.folder / NEXT, fresh=True)
-            data = self.snapshot()
-            self.disk.write(file, data)
+            self.anew = Anew(self.disk.open(self.folder / NEXT, fresh=True))
         except OSError as error:
             log.error("journal: not written anew: %s", error)
-            if file >= 0:
-                self.disk.close(file)
-            with suppress(OSError):
-                self.disk.unlink(self.folder / NEXT)
-            return False
-        self.anew = Anew(file, len(data))
-        return True
+            self.anew = None
+        return self.anew
+
+    def step(self, anew: Anew, parts: Iterator[bytes]) -> None:
+        """Writes some more of it."""
+        if self.anew is not anew or self.file < 0:
+            return  # it was given up meanwhile
+        data = bytearray()
+        while len(data) < self.step_size and not anew.whole:
+            part = next(parts, None)
+            anew.whole = part is None
+            data += whole_record(anew.size + len(data)) if part is None else part
+        if not self.write_anew(anew, bytes(data)):
+            return
+        if anew.whole:
+            self.want(0.0)
+        else:
+            asyncio.get_running_loop().call_soon(self.step, anew, parts)
 
     def drop_anew(self) -> None:
         if self.anew:
@@ -457,8 +503,9 @@
             return False
         if self.gather is None:
             return self.rewrite()
-        if not self.over(self.size, self.live) and self.start_anew():
-            self.want(0.0)
+        if not self.over(self.size, self.live) and (anew := self.open_anew()):
+            anew.left = dict.fromkeys(self.entries)
+            self.step(anew, self.told(anew.left))
         return False
 
     def fits(self, size: int) -> bool:
@@ -516,6 +563,16 @@
     return f'{{"verdict":{quoted(state)},"of":{quoted(name)},"after":{retry_after}}}\n'.encode()
 
 
+def whole_record(size: int) -> bytes:
+    """Says that with it, beside so many bytes, a file is whole."""
+    told = b'{"journal":2,"whole":%12d}'
+    return records.frame(told % (size + len(records.frame(told % 0, 0))), 0)
+
+
+def over_line(name: str, over: Over) -> bytes:
+    return f'{{"over":{quoted(name)}'.encode() + over_text(over) + b"\n"
+
+
 def over_text(over: Over) -> bytes:
     """The rest of a record."""
     return f',"at":{over.at},"state":{quoted(over.state)},"key":{quoted(over.key)}}}'.encode()
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import errno
+import tempfile
+from collections.abc import Iterator
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
+from typing import Any
 
 import pytest
 from click.testing import CliRunner
@@ -15,7 +19,7 @@
 from elmglade.interface import Outcome
 from elmglade.journal import records
 from elmglade.journal.disk import Files
-from elmglade.journal.durable import BALLAST, Before, DurableJournal, Inspected
+from elmglade.journal.durable import BALLAST, Anew, Before, DurableJournal, Inspected
 from elmglade.journal.file import COMPACTED, FILE, Attempt, Entry, Journal
 from elmglade.recovery import trust
 from elmglade.recovery.trust import SECOND, TABLE, Belief, Ended, Start
@@ -260,3 +264,73 @@
     trust.owed({"a": entry}, start, clock + start.behind, {"x": 5 * SECOND})
     assert start.passed is None and attempt.at == 0
     assert entry.message.until == clock + start.behind + 5 * SECOND
+
+
+class Stepped(DurableJournal):
+    """Goes on with a message at a time, when it is told to."""
+
+    step_size = 1
+
+    def step(self, anew: Anew, parts: Iterator[bytes]) -> None:
+        self.next = partial(super().step, anew, parts)
+
+
+Act = tuple[str, int]
+WHAT = ["taken", "sent", "outcome", "verdict", "ended", "go on"]
+ACTS = st.tuples(st.sampled_from(WHAT), st.integers(0, 7))
+
+
+def act(journal: DurableJournal, plain: dict[str, Any], what: str, name: str) -> None:
+    """The same at the journal and at a plain model of what is owed."""
+    if what == "taken" and name not in plain:
+        assert journal.taken(handed_in(name, until=7))
+        plain[name] = [{}, None]
+    elif what == "sent" and name in plain:
+        number = len(plain[name][0])
+        assert journal.sent(name, number, Attempt(5, "r", "z"))
+        plain[name][0][number] = None
+    elif what == "outcome" and name in plain and plain[name][0]:
+        journal.outcome(name, max(plain[name][0]), Outcome.RESET)
+        plain[name][0][max(plain[name][0])] = Outcome.RESET
+    elif what == "verdict" and name in plain:
+        journal.verdict(name, "refused", 3)
+        plain[name][1] = ("refused", 3)
+    elif what == "ended" and name in plain:
+        journal.ended(name, "refused")
+        del plain[name]
+
+
+@given(st.lists(ACTS, max_size=12), st.lists(ACTS, min_size=6, max_size=24))
+def test_whatever_happens_while_it_is_written_anew_is_there(before: list[Act], acts: list[Act]) -> None:
+    plain: dict[str, Any] = {}
+
+    async def play(folder: Path) -> None:
+        journal = Stepped(folder, LIMIT, 0.0, None, "boot 1", lambda: 100)
+        for what, number in [*(("taken", each) for each in range(6)), *before, ("ended", 0)]:
+            act(journal, plain, what, f"m{number}")
+        await synced(journal)
+        journal.compact()
+        assert journal.anew
+        for what, number in acts:
+            act(journal, plain, what, f"m{number}")
+            if what == "go on":
+                journal.next()
+                await asyncio.sleep(0)
+        while not journal.anew.whole:
+            journal.next()
+            await asyncio.sleep(0)
+        act(journal, plain, "taken", "last")
+        assert await synced(journal) and journal.anew is None
+        journal.release()
+
+    with tempfile.TemporaryDirectory() as folder:
+        asyncio.run(play(Path(folder)))
+        again = reopened(Path(folder))
+        assert not again.before.damage and not again.before.dropped
+        told = {
+            name: [{number: x.outcome for number, x in entry.attempts.items()}, entry.verdict]
+            for name, entry in again.entries.items()
+        }
+        assert told == plain
+        assert not any(each.doubtful for each in again.entries.values())
+        assert {f"m{each}" for each in range(6)} <= {*again.entries, *again.over_ids}
--- a/tests/test_power.py
+++ b/tests/test_power.py
@@ -1,8 +1,10 @@
 """The power goes between any two operations on the disk, thousands of times in simulated time."""
 
+import asyncio
 import multiprocessing
 import os
 from collections import Counter
+from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
 from functools import partial
 
@@ -25,6 +27,28 @@
     durable = False
 
 
+class Steps(DurableJournal):
+    """Written anew at every chance, a message at a time, with much happening in between."""
+
+    step_size = 1
+
+    def step(self, anew: Anew, parts: Iterator[bytes]) -> None:
+        asyncio.get_running_loop().call_later(0.004, super().step, anew, parts)
+
+    def ended(self, name: str, state: str = "") -> None:
+        self.spare = 0
+        super().ended(name, state)
+
+
+class NamedTooEarly(Steps):
+    def compact(self) -> bool:
+        found = super().compact()
+        if self.anew:
+            self.anew.whole = True
+            self.want(0.0)
+        return found
+
+
 def broken(seed: int, cuts: Cuts) -> tuple[int, list[str]]:
     """Cuts of one life, and the rules that it broke."""
     outcomes = live(seed, cuts)
@@ -43,14 +67,21 @@
     assert not rules
 
 
+def test_no_cut_while_the_journal_is_written_anew_in_steps_breaks_a_rule() -> None:
+    cuts, rules = lives(Cuts(journal=Steps), range(120))
+    assert cuts >= 900
+    assert not rules
+
+
 @pytest.mark.parametrize(
     ("defect", "rule", "seeds"),
     [
         (Cuts(gather=None), "one end", 20),
         (Cuts(journal=NoFolderSync), "one end", 60),
         (Cuts(journal=NothingAwaited), "no effect twice", 150),
+        (Cuts(journal=NamedTooEarly), "one end", 60),
     ],
-    ids=["nothing is synced", "no folder sync", "sent not awaited"],
+    ids=["nothing is synced", "no folder sync", "sent not awaited", "named too early"],
 )
 def test_a_planted_defect_is_found(defect: Cuts, rule: str, seeds: int) -> None:
     assert lives(defect, range(seeds))[1][rule]
