--- a/elmglade/cli/journal.py
+++ b/elmglade/cli/journal.py
@@ -1,4 +1,5 @@
-"""`elmglade journal show|verify`: what a state folder owes, and whether its records are whole."""
+"""`elmglade journal show|verify|repair`: what a state folder owes, whether its records are whole, and a whole
+journal beside a damaged one."""
 
 import json
 import logging
@@ -9,6 +10,7 @@
 
 from elmglade.cli.basic import FOLDER, complaints
 from elmglade.journal.durable import Inspected
+from elmglade.journal.file import FILE
 
 
 @click.group()
@@ -77,3 +79,30 @@
             click.echo(f"{name}  {told['class']}  to {told['destination']}  until {told['until']}  {state}")
     if not as_json and len(found.entries) > most:
         click.echo(f"and {len(found.entries) - most} more; --most shows them")
+
+
+@journal.command()
+@click.argument("folder", type=FOLDER, metavar="DIR")
+@click.option("--to", type=click.Path(path_type=Path), required=True, help="A state folder that is made.")
+@click.pass_context
+def repair(ctx: click.Context, folder: Path, to: Path) -> None:
+    """Write what can be read of the journal in DIR as a whole one into a new folder; DIR stays as it is.
+
+    A message that was held where records are damaged counts as one that may have run. Exit 1 if anything
+    could not be saved."""
+    found = inspected(folder)
+    if not found.checked:
+        raise click.ClickException("the old form has no checksums to go by; a start carries it over")
+    with complaints():
+        to.mkdir(parents=True)
+        found.save(to)
+    reading = found.reading
+    for hole in reading.holes:
+        click.echo(f"not saved: {hole.size} bytes at byte {hole.at}")
+    if reading.tail:
+        click.echo(f"not saved: {reading.tail} bytes at the end, which were never durable")
+    for name, entry in found.entries.items():
+        if entry.doubtful:
+            click.echo(f"doubtful: {name}, which may have run")
+    click.echo(f"{to / FILE}: {len(found.entries)} messages owed, {len(found.over_ids)} known to be over")
+    ctx.exit(1 if reading.holes else 0)
--- a/elmglade/journal/durable.py
+++ b/elmglade/journal/durable.py
@@ -27,6 +27,7 @@
 import json
 import logging
 import math
+import os
 from collections import deque
 from collections.abc import Callable, Iterator
 from contextlib import suppress
@@ -558,6 +559,16 @@
         else:
             self.replay_old(data)
 
+    def save(self, folder: Path) -> None:
+        """What was read, as a whole journal in another folder. No mark of the machine's run goes with it: who
+        starts on it knows no time that passed. Raises OSError, also where there is a journal."""
+        (folder / GUARD).mkdir()
+        with open(folder / FILE, "xb") as file:
+            file.write(self.snapshot())
+            file.flush()
+            os.fsync(file.fileno())
+        Files().sync_folder(folder)
+
 
 def verdict_line(name: str, state: str, retry_after: int) -> bytes:
     return f'{{"verdict":{quoted(state)},"of":{quoted(name)},"after":{retry_after}}}\n'.encode()
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -334,3 +334,22 @@
         assert told == plain
         assert not any(each.doubtful for each in again.entries.values())
         assert {f"m{each}" for each in range(6)} <= {*again.entries, *again.over_ids}
+
+
+def test_a_damaged_journal_is_repaired_beside(tmp_path: Path) -> None:
+    old, new = tmp_path / "old", tmp_path / "new"
+    old.mkdir()
+    data = bytearray(held(old, "a", "b", "c"))
+    at = data.index(b'"sent":"b"')
+    data[at] ^= 1
+    (old / FILE).write_bytes(data)
+    run = CliRunner().invoke
+    said = run(command, ["repair", str(old), "--to", str(new)])
+    assert said.exit_code == 1 and "not saved" in said.output
+    assert "doubtful: b, which may have run" in said.output
+    assert (old / FILE).read_bytes() == data, "nothing is written over"
+    assert run(command, ["verify", str(new)]).exit_code == 0
+    again = reopened(new)
+    assert list(again.entries) == ["a", "b", "c"] and again.entries["b"].doubtful
+    assert not again.entries["c"].doubtful and (new / COMPACTED).is_dir()
+    assert "exists" in run(command, ["repair", str(old), "--to", str(new)]).output
