--- a/elmglade/budget/desk.py
+++ b/elmglade/budget/desk.py
@@ -171,8 +171,8 @@
     # What may be spent.
 
     def part(self, book: Book) -> int:
-        book.member = lease.at(book.member, self.clock())
-        return min(lease.spendable(book.member, book.budget.terms), max(book.budget.whole, 0))
+        member = book.member._replace(clock=self.clock())  # what has run out is not spendable by its own time
+        return min(lease.spendable(member, book.budget.terms), max(book.budget.whole, 0))
 
     def free_at(self, name: str) -> int:
         """us of the clock at which one more may be spent; NEVER: not before a part grows or a thing ends."""
--- a/elmglade/http/budgets.py
+++ b/elmglade/http/budgets.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count, islice
-from typing import Any, Protocol
+from typing import Any, NamedTuple, Protocol
 
 from elmglade import interface as face
 from elmglade.budget.desk import WARM, Budget, Desk
@@ -63,6 +63,17 @@
 Value = int | str | None
 
 
+class Bound(NamedTuple):
+    """The budgets that calls to an endpoint may be in, by name."""
+
+    listed: face.Endpoint
+    all: list[str]
+    plain: list[str]  # any call, with its first byte
+    trials: list[str]
+    repeats: list[str]
+    ways: list[str]  # a new connection
+
+
 @dataclass(slots=True)
 class Going:
     """A message's call, from its choice to its end."""
@@ -94,6 +105,7 @@
         self.earned: dict[str, Earned] = {}  # by name, those of repeats that are a share of first attempts
         self.by: dict[tuple[str, Value], list[str]] = {}  # what is bound to whom
         self.each: dict[str, list[Shared]] = defaultdict(list)  # those of each, by what they are bound to
+        self.known: dict[str, Bound] = {}  # by endpoint
         self.turned: dict[str, deque[int]] = {}  # by tenant's budget: when one was turned away, us
         self.out: dict[str, Going] = {}  # by message
         self.claims: Counter[str] = Counter()  # by endpoint: calls that are to go on kept connections
@@ -131,6 +143,7 @@
         if name in self.opened:
             return
         self.opened[name] = told, value
+        self.known.clear()
         self.by.setdefault((told.by, value), []).append(name)
         if told.share is not None:
             # One at least: where all that is held has gone before, nothing else would find out what is up.
@@ -146,6 +159,7 @@
     def close_idle(self) -> None:
         for name in self.desk.forget_idle():
             told, value = self.opened.pop(name)
+            self.known.clear()
             self.noted.pop(name, None)
             self.by[told.by, value].remove(name)
             if not self.by[told.by, value]:
@@ -220,18 +234,25 @@
             self.open(told, value)
         return self.by.get((by, value), [])
 
-    def of(self, listed: face.Endpoint) -> list[str]:
-        places = (("destination", listed.destination), ("endpoint", listed.id), ("zone", listed.zone))
-        return [name for by, value in places for name in self.bound(by, value)]
+    def of(self, listed: face.Endpoint) -> Bound:
+        """What binds calls there; kept until a budget is opened or forgotten, or it is listed otherwise."""
+        known = self.known.get(listed.id)
+        if known is None or known.listed is not listed:
+            places = (("destination", listed.destination), ("endpoint", listed.id), ("zone", listed.zone))
+            names = [name for by, value in places for name in self.bound(by, value)]
+            kinds: dict[str, list[str]] = defaultdict(list)
+            for name in names:
+                of = self.opened[name][0].of
+                kinds["plain" if of in PLAIN else "ways" if of in WAYS else of].append(name)
+            known = self.known[listed.id] = Bound(
+                listed, names, kinds["plain"], kinds["trials"], kinds["repeats"], kinds["ways"]
+            )
+        return known
 
     def counted(self, listed: face.Endpoint, trial: bool, again: bool) -> list[str]:
         """Of budgets that such a call is in with its first byte."""
-        kinds = PLAIN | {kind for kind, is_so in (("trials", trial), ("repeats", again)) if is_so}
-        return [name for name in self.of(listed) if self.opened[name][0].of in kinds]
-
-    def ways(self, listed: face.Endpoint) -> list[str]:
-        """Of budgets that a new connection there is in."""
-        return [name for name in self.of(listed) if self.opened[name][0].of in WAYS]
+        found = self.of(listed)
+        return found.plain + (found.trials if trial else []) + (found.repeats if again else [])
 
     def must_open(self, endpoint: str) -> bool:
         """Whether the next call there needs a new connection."""
@@ -248,12 +269,14 @@
     def free_at(self, listed: face.Endpoint, now: int, trial: bool = False, again: bool = False) -> float:
         names = self.counted(listed, trial, again)
         if self.must_open(listed.id):
-            names += self.ways(listed)
-        free = {name: self.free_of(name) for name in names}
-        at, clock = max(free.values(), default=0), self.clock()  # what is free now is not later than now
-        if any(clock < each < NEVER and self.is_apart(name) for name, each in free.items()):
+            names += self.of(listed).ways
+        free = [self.free_of(name) for name in names]
+        at, clock = max(free, default=0), self.clock()  # what is free now is not later than now
+        if at <= clock:
+            return now
+        if any(clock < each < NEVER and self.is_apart(name) for name, each in zip(names, free, strict=True)):
             self.denied[listed.destination] = min(at, self.denied.get(listed.destination, NEVER))
-        return math.inf if at >= NEVER else now + max(at - clock, 0)
+        return math.inf if at >= NEVER else now + at - clock
 
     def is_apart(self, name: str) -> bool:
         """Whether the module does not look again by itself when this one has room: it knows of a
@@ -264,7 +287,7 @@
     def reserve(self, listed: face.Endpoint, message: str, trial: bool = False, again: bool = False) -> None:
         self.out[message] = going = Going(listed.id, self.counted(listed, trial, again), again)
         if self.must_open(listed.id):
-            going.ways = self.ways(listed)
+            going.ways = self.of(listed).ways
         elif self.courier:
             going.claims = True
             self.claims[listed.id] += 1
@@ -294,7 +317,7 @@
             return False
         for each in earned:
             each.take(message, now)
-        for name in () if going.again else self.of(known.listed):
+        for name in () if going.again else self.of(known.listed).repeats:
             if name in self.earned:
                 self.earned[name].first(now)
                 self.grew(name)
@@ -323,7 +346,7 @@
     def call_limit(self, endpoint: str, message: str) -> float:
         """us that a call may take: what is held at once counts as over after that."""
         known, going = self.engine.dispatcher.endpoints.get(endpoint), self.out.get(message)
-        names = (going.names if going else []) + (self.ways(known.listed) if known else [])
+        names = (going.names if going else []) + (self.of(known.listed).ways if known else [])
         books = [self.desk.books[name].budget for name in names if name not in self.earned]
         holds = (each.hold / (2 if each.of == "connections" else 1) for each in books if each.span is None)
         return min(holds, default=math.inf)
@@ -348,7 +371,7 @@
         not."""
         if (known := self.engine.dispatcher.endpoints.get(endpoint)) is None:
             return None
-        names, token = self.ways(known.listed), f"connection {next(self.numbers)}"
+        names, token = self.of(known.listed).ways, f"connection {next(self.numbers)}"
         if going := self.out.get(message):
             self.unclaim(going)
             for name in going.ways:
@@ -366,7 +389,7 @@
         """s after which a connection takes no more calls: half of the longest that it may be held, as the
         other half is for the call that it may have out then."""
         known = self.engine.dispatcher.endpoints.get(endpoint)
-        books = [self.desk.books[name].budget for name in (self.ways(known.listed) if known else ())]
+        books = [self.desk.books[name].budget for name in (self.of(known.listed).ways if known else ())]
         holds = [each.hold / 2e6 - BODY_PATIENCE for each in books if each.span is None]
         return min(holds, default=math.inf)
 
@@ -379,7 +402,7 @@
                 continue
             there = self.engine.dispatcher.endpoints
             kept = [(each, there[at].listed) for each, at in self.courier.idle.items() if at in there]
-            bound = [connection for connection, listed in kept if name in self.of(listed)]
+            bound = [connection for connection, listed in kept if name in self.of(listed).ways]
             for connection in bound[:excess]:
                 self.courier.close_one(connection)
 
