--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -11,6 +11,7 @@
 
 import pytest
 from click.testing import CliRunner
+from faults import turn as loop_turn
 from hypothesis import given
 from hypothesis import strategies as st
 from peers import handed_in
@@ -315,10 +316,10 @@
             act(journal, plain, what, f"m{number}")
             if what == "go on":
                 journal.next()
-                await asyncio.sleep(0)
+                await loop_turn()
         while not journal.anew.whole:
             journal.next()
-            await asyncio.sleep(0)
+            await loop_turn()
         act(journal, plain, "taken", "last")
         assert await synced(journal) and journal.anew is None
         journal.release()
