A budget that a reload opens is the courier's too; a field that nobody reads is gone

Seen: the courier's hooks were set as budgets began to bind alone, so that a first budget of connections, new connections or a told whole that a reload opened was never asked for. Change: configure binds again, which sets the same hooks; Bound.all, which nobody read, is gone.

--- a/elmglade/http/budgets.py
+++ b/elmglade/http/budgets.py
@@ -67,7 +67,6 @@
     """The budgets that calls to an endpoint may be in, by name."""
 
     listed: face.Endpoint
-    all: list[str]
     plain: list[str]  # any call, with its first byte
     trials: list[str]
     repeats: list[str]
@@ -176,6 +175,7 @@
                 self.desk.change(self.budget(now, name, value))
         for name in self.told.keys() - {each.name for each in told}:
             log.warning("budget %s: it is gone from the configuration: it binds until the next start", name)
+        self.bind()  # what is new may be the first that asks the courier
 
     def add(self, told: Shared) -> None:
         self.told[told.name] = told
@@ -268,13 +268,12 @@
         known = self.known.get(listed.id)
         if known is None or known.listed is not listed:
             places = (("destination", listed.destination), ("endpoint", listed.id), ("zone", listed.zone))
-            names = [name for by, value in places for name in self.bound(by, value)]
             kinds: dict[str, list[str]] = defaultdict(list)
-            for name in names:
+            for name in [name for by, value in places for name in self.bound(by, value)]:
                 of = self.opened[name][0].of
                 kinds["plain" if of in PLAIN else "ways" if of in WAYS else of].append(name)
             known = self.known[listed.id] = Bound(
-                listed, names, kinds["plain"], kinds["trials"], kinds["repeats"], kinds["ways"]
+                listed, kinds["plain"], kinds["trials"], kinds["repeats"], kinds["ways"]
             )
         return known
 
