A change of the list is known 6 s after discovery had it and could be reached

Seen: in whole senders on virtual time a drain was known 6.4 to 10.4 s after a watch fell silent (fleet of 40), 9.2 s after a call hung, and 1.0 to 3.8 s after an agent beside the sender was back, where what it has counts at once; a watch whose lines are indented was never read. Ruled out: the network (connects took 0 ms) and heartbeats.

Lines at fault: schedule.ListCalls (back-off and first call spread over up to ask_within, 10 s), platform.SILENCE (4 s, and it began anew with each byte), 4 s for an answer's head, json.loads of each line.

Change: a call that had to wait is made again at once, one that failed at once after 1 to 2 s, both drawn; first calls of a crowd over 4 s; a call has 2.4 s in all, 0.25 s where lists are pushed; a watch without a whole line for 2.6 s is dead, and what never ends is silence; objects come out of a pure reader that takes indented ones; a subscription does not cut a watch of a new address.

--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -625,9 +625,8 @@
                 due = self.loop.time() + delay / 1e6 + TIMER_SLACK
                 self.wake = self.loop.call_at(due, self.wake_up, due)
             case face.Subscribe():
-                if self.watching:
-                    self.watching.cancel()
-                self.watching = self.spawn(self.directory.watch())
+                if self.watching is None or self.watching.done():  # else a new address is watched already
+                    self.watching = self.spawn(self.directory.watch())
             case face.CloseIdle(endpoint):
                 self.courier.close_idle(endpoint)
             case face.Note(text):
--- a/elmglade/http/daemon.py
+++ b/elmglade/http/daemon.py
@@ -21,7 +21,7 @@
 from elmglade.http.courier import HttpCourier
 from elmglade.http.door import ACCEPTS, Server
 from elmglade.http.orders import Orders
-from elmglade.http.platform import Discovery, Listed
+from elmglade.http.platform import CALL, CALL_AT_HAND, Discovery, Listed
 from elmglade.http.succession import Succession, Told
 from elmglade.manage import listener as manage
 
@@ -206,7 +206,8 @@
             ),
             self.clock.now,
         )  # fmt: skip
-        self.discovery = Discovery(config.discovery, known, self.listed, engine.end_answered)
+        call = CALL_AT_HAND if config.settings.list_at_hand else CALL
+        self.discovery = Discovery(config.discovery, known, self.listed, engine.end_answered, call)
         if told:
             self.discovery.seq = told.seq
             self.discovery.destinations |= {*told.destinations}
@@ -251,5 +252,5 @@
         if config.discovery != self.discovery.address:
             log.info("%s: discovery is at %s:%d from now on", self.config.name, *config.discovery)
             self.discovery.move(config.discovery)
-            if self.engine.watching:  # the watch at the old address goes on until this one has a list
-                self.engine.watching = self.engine.spawn(self.discovery.watch())
+            # The watch at the old address goes on until this one has a list.
+            self.engine.watching = self.engine.spawn(self.discovery.watch())
--- a/elmglade/http/platform.py
+++ b/elmglade/http/platform.py
@@ -4,7 +4,8 @@
 import json
 import logging
 import time
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from typing import Any
 
 import h11
@@ -12,9 +13,14 @@
 from elmglade import interface as face
 from elmglade.core.ports import End, State
 from elmglade.http.codec import BROKEN, Address, Connection, address_from
+from elmglade.http.objects import Objects
 
-SILENCE = 4.0  # s with no line, empty ones come every 2 s: the watch is dead, though TCP says nothing
-CONNECT_TIMEOUT = 1.0
+# What discovery has had for 6 s, and could be reached for, counts as told, whatever call failed before
+# (schedule.ListCalls). A watch may fall silent right behind a line: that takes SILENCE to see, and a call.
+# Discovery may come back right behind the beginning of a call that hangs: that takes two calls.
+SILENCE = 2.6  # s with no whole line, empty ones come every 2 s: the watch is dead, though TCP says nothing
+CALL = 2.4  # s from a call's beginning to its list, or to the head of a watch; discovery gives up after 2 s
+CALL_AT_HAND = 0.25  # s of an agent beside the sender: what it has counts at once, also while a call hangs
 LINE_LIMIT = 4 * 1024 * 1024
 NOTICE_TIMEOUT = 0.1  # s for a first try, answers took 4 ms at most: a hung kept connection must leave time
 NOTICE_DOUBLINGS = 2  # for another within the 300 ms that a notice has; and for new ones behind a late one
@@ -67,7 +73,10 @@
         known: Listed,
         listed: Callable[[face.EndpointsListed], None],
         answered: Callable[[str], None],
+        call: float = CALL,
     ) -> None:
+        """`call`: s that one may take."""
+        self.call = call
         self.address, self.listed, self.answered = address, listed, answered
         #: The version held; none when it is another service's, whose versions mean nothing to this one.
         self.seq: int | None = known.seq
@@ -75,7 +84,8 @@
         self.destinations = {each.destination for each in known.endpoints}  # all that a list ever named
         self.heard = False  # whether a line has come in this process
         self.line: Connection | None = None  # the watch that is up
-        self.rest = b""  # of it: a line that has begun
+        self.objects = Objects(LINE_LIMIT)  # of it
+        self.line_due = 0.0  # s, the loop's: its next line comes before, or it is dead
         self.trouble: Exception | None = None  # what a look at it met
         self.notices: dict[str, str] = {}
         self.has_notices = asyncio.Event()
@@ -105,30 +115,34 @@
 
     async def watch_once(self, address: Address) -> None:
         """Returns once another address has told its list; any other end raises."""
-        async with asyncio.timeout(CONNECT_TIMEOUT):
+        if self.seq is None:
+            whole = await self.ask(address, "/registry/instances")
+            if address != self.address:
+                return
+            self.read(Listed(json.loads(whole)))
+        async with self.calling(address, f"/registry/instances?watch=1&after={self.seq}") as connection:
+            await self.read_lines(connection, address)
+
+    @asynccontextmanager
+    async def calling(self, address: Address, target: str) -> AsyncIterator[Connection]:
+        """A call that was answered with 200, within its time from here on; what follows is the caller's."""
+        async with asyncio.timeout(self.call):
             connection = await Connection.open(address)
-        try:
-            if self.seq is None:
-                whole = await self.ask(connection, "/registry/instances")
-                if address != self.address:
-                    return
-                self.read(Listed(json.loads(whole)))
-                if not connection.next_cycle():
-                    connection.close()
-                    async with asyncio.timeout(CONNECT_TIMEOUT):
-                        connection = await Connection.open(address)
-            await connection.send("GET", f"/registry/instances?watch=1&after={self.seq}", {})
-            async with asyncio.timeout(SILENCE):
+            try:
+                await connection.send("GET", target, {})
                 await expect_ok(connection)
-            await self.read_lines(connection, address)
+            except BaseException:
+                connection.close()
+                raise
+        try:
+            yield connection
         finally:
             connection.close()
 
-    async def ask(self, connection: Connection, target: str) -> bytes:
-        await connection.send("GET", target, {})
+    async def ask(self, address: Address, target: str) -> bytes:
+        """The whole answer, which may come in pieces without end."""
         body = bytearray()
-        async with asyncio.timeout(SILENCE):
-            await expect_ok(connection)
+        async with asyncio.timeout(self.call), self.calling(address, target) as connection:
             while not isinstance(event := await connection.next_event(), h11.EndOfMessage):
                 body += event.data if isinstance(event, h11.Data) else b""
                 if len(body) > LINE_LIMIT:
@@ -136,11 +150,12 @@
         return bytes(body)
 
     async def read_lines(self, connection: Connection, address: Address) -> None:
-        self.line, self.rest, self.trouble = connection, b"", None
+        self.line, self.objects, self.trouble = connection, Objects(LINE_LIMIT), None
+        self.line_came()
         try:
             while not self.replaced(address):
                 self.read_ready(connection, address)
-                async with asyncio.timeout(SILENCE):
+                async with asyncio.timeout_at(self.line_due):
                     await connection.receive()
                 if self.trouble:
                     raise self.trouble
@@ -160,21 +175,20 @@
             except (*BROKEN, *UNREADABLE) as error:
                 self.trouble = error
 
+    def line_came(self) -> None:
+        self.line_due = asyncio.get_running_loop().time() + SILENCE
+
     def read_ready(self, connection: Connection, address: Address) -> None:
         """The lines that have come whole."""
         while (event := connection.read_event()) is not None:
             if isinstance(event, h11.EndOfMessage):
                 raise ConnectionError("discovery ended it")
-            if not isinstance(event, h11.Data):
-                continue
-            *lines, self.rest = (self.rest + bytes(event.data)).split(b"\n")
-            if len(self.rest) > LINE_LIMIT:
-                raise ValueError("a line is too long")
-            for line in lines:
+            for told in self.objects.feed(bytes(event.data)) if isinstance(event, h11.Data) else ():
                 if self.replaced(address):
                     return
-                if line.strip():
-                    self.read(Listed(json.loads(line)), address)
+                self.line_came()
+                if told is not None:
+                    self.read(Listed(told), address)
 
     def read(self, told: Listed, address: Address | None = None) -> None:
         """One line, whole or not at all: what cannot be read has raised before anything is changed."""
--- a/elmglade/schedule.py
+++ b/elmglade/schedule.py
@@ -16,14 +16,14 @@
 from heapq import heapify, heappop, heappush
 from typing import Generic, NamedTuple, TypeVar
 
-from elmglade.breaker import GAP_SENDERS, NEVER, RESET_TIMEOUT, Breaker, Endpoint, Message, Pace
+from elmglade.breaker import GAP_SENDERS, NEVER, Breaker, Endpoint, Message, Pace
 from elmglade.interface import Action, MessageClass, Settings
 
 PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
 AT_HAND_AGAIN = 50_000  # us until a list at hand is asked for again: well within the grace of a drain
-#: us between two calls for the list, over all senders. Discovery takes a call from each of forty in 2 to 8 s;
-#: it goes on working on calls whose callers have given up, so that what asks faster is never answered.
-CALL_SPACING = 150_000
+LIST_PAUSE = 2_000_000  # us from one call for the list to the next at the most, where it failed at once
+LIST_SPREAD = 500_000  # us over which senders whose calls, or watches, ended at one time ask again
+LIST_START = 4_000_000  # us over which a crowd that has started at one time asks
 STALE = 64  # entries of an agenda that may be stale, above one for each that is not
 FEW = 8  # messages that are compared one by one
 
@@ -74,33 +74,33 @@
 
 
 class ListCalls:
-    """When the list of endpoints is asked for next. Discovery is one service for all senders, which works
-    through calls in turn: what asks at one time is not answered, nor is what asks again as fast."""
+    """When the list is asked for next. Rule: what discovery has had for 6 s, and could be reached for, counts
+    as told, whatever call failed. It takes calls of all senders in turn, one from each in 2 to 8 s, and turns
+    away what has waited for 2 s; one given up sooner is worked on in vain. So a call that had to wait is made
+    again at once, one that failed at once after a pause, and not by all at one time."""
 
     def __init__(self, settings: Settings, chance: random.Random) -> None:
-        self.settings, self.chance = settings, chance
+        self.settings, self.chance, self.pause = settings, chance, min(LIST_PAUSE, settings.ask_within)
         self.tries = 0  # calls that failed since one was answered
-        #: us in which all of the fleet ask; 0 where few senders, or a list at hand, need no care.
-        crowd = settings.fleet_size > GAP_SENDERS and not settings.list_at_hand
-        self.round = min(CALL_SPACING * settings.fleet_size, settings.ask_within) if crowd else 0
         self.at: float = -NEVER if settings.must_ask else NEVER
+        self.begun: float = -NEVER  # the newest call, or watch
 
     def start(self, now: float) -> None:
         """The process has just started, as all others may have."""
-        if self.settings.must_ask and self.round:
-            self.at = now + self.chance.uniform(0, self.round)
+        crowd = self.settings.fleet_size > GAP_SENDERS and not self.settings.list_at_hand
+        if self.settings.must_ask and crowd:
+            self.at = now + self.chance.uniform(0, LIST_START)
 
     def failed(self, now: float) -> None:
         self.tries += 1
-        first = 2 * self.round or RESET_TIMEOUT / 2
-        most = self.settings.ask_within / (1 if self.round else 4)
-        later = min(most, first * 2 ** (self.tries - 1)) * self.chance.uniform(0.5, 1)
-        self.at = now + (AT_HAND_AGAIN if self.settings.list_at_hand else later)
+        spread, pause = self.chance.uniform(0, LIST_SPREAD), self.chance.uniform(0.5, 1) * self.pause
+        self.at = now + AT_HAND_AGAIN if self.settings.list_at_hand else max(now + spread, self.begun + pause)
 
     def is_due(self, now: float) -> bool:
         """Whether to ask now; asked once for each time."""
         if self.at > now:
             return False
+        self.begun = now
         self.at = NEVER
         return True
 
