SIGHUP during a start is heard in the end, and what a start found keeps its place

Seen: a SIGHUP while the configuration was read ended the process by the signal (a configuration that is a pipe forces the moment: no move of discovery, the test ends in its time-out); a room that was full at a start returned a found message in the first turn, and in fleets of up to four one for each newcomer. Ruled out: the deadline and attempts left, which the test keeps out of the way.

Change: python -m elmglade ignores SIGHUP from its first lines on, and the handler stands before the configuration is read; one that came meanwhile is acted on once the sender serves. The package imports the module on first use. What was found (Message.restored) is returned for room only from seven tenths of its time on, in fleets of any size, also where its destination is lost from the list.

--- a/elmglade/__init__.py
+++ b/elmglade/__init__.py
@@ -1,5 +1,17 @@
 """elmglade: decisions of a dispatcher of notifications, a circuit breaker per destination."""
 
-from elmglade.rules import Dispatcher
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from elmglade.rules import Dispatcher
 
 __all__ = ["Dispatcher"]
+
+
+def __getattr__(name: str) -> Any:  # noqa: ANN401
+    """On first use: what starts a process has its signals in hand before anything larger is read."""
+    if name != "Dispatcher":
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    from elmglade.rules import Dispatcher
+
+    return Dispatcher
--- a/elmglade/breaker.py
+++ b/elmglade/breaker.py
@@ -66,7 +66,7 @@
         self.key, self.pinned = taken.key if kind.in_order else "", taken.pinned
         self.until, self.born, self.came = now + taken.time_left, now + taken.time_left - kind.deadline, now
         self.share = share  # 1, or what is left of its worth over its tenant's share
-        self.attempts, self.out, self.ended = 0, False, False
+        self.attempts, self.out, self.ended, self.restored = 0, False, False, False
         self.risky_since: int | None = None  # sending of the first attempt that may have run
         self.risky_zone = ""
         self.number = 0  # the order in which it came to be held
--- a/elmglade/held.py
+++ b/elmglade/held.py
@@ -178,10 +178,11 @@
         return value, message.number, message
 
     def may_return(self, message: Message, value: float) -> bool:
-        """Whether it may be ended for room: in a crowd, whose members see few calls and cannot tell whose
-        turn comes, only in its first turn, in which it is not taken on yet, or late, or without hope."""
+        """Whether it may be ended for room: late; or, unless a start found it, without hope, in a first turn
+        (it is not taken on yet), or in a small fleet, whose members can tell whose turn comes."""
         waited, life = self.turn.now - message.came, message.until - message.came
-        return self.turn.pace.crowd <= 1 or value <= 0 or not 0 < waited < RETURN_FROM * life
+        early = self.turn.pace.crowd <= 1 or value <= 0 or not waited
+        return waited >= RETURN_FROM * life or (early and not message.restored)
 
     def keep_room(self) -> None:
         """Ends the least promising of what is held where no room is left for one more. Their order is made
--- a/elmglade/rules.py
+++ b/elmglade/rules.py
@@ -81,7 +81,7 @@
         self.held.take(kept.taken, kept.share)
         message = self.messages[kept.taken.message]
         message.attempts, message.risky_since = kept.attempts, kept.risky_since
-        message.risky_zone = kept.risky_zone
+        message.risky_zone, message.restored = kept.risky_zone, True
         if kept.ended:
             self.held.unanswered[message.id] = message
             self.held.finish(message)
--- /dev/null
+++ b/elmglade/start.py
@@ -0,0 +1,149 @@
+"""The real sender's start: reads the configuration that the platform names and runs the sender with it."""
+
+import asyncio
+import json
+import logging
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+from elmglade.core.peer import describe
+from elmglade.handover.seat import Seat, inherited
+from elmglade.http.codec import Address, address_from
+from elmglade.http.daemon import Config, Sender
+from elmglade.http.platform import Listed
+from elmglade.http.succession import read
+from elmglade.manage.calls import Call, Reply
+from elmglade.manage.listener import Listener
+from elmglade.settings import settings_from
+
+MEGABYTE = 1_000_000
+
+log = logging.getLogger(__name__)
+
+
+class BadConfig(Exception):  # noqa: N818
+    """The configuration cannot be used; the text says why, in one line."""
+
+
+def management_from(told: dict[str, Any]) -> Address | None:
+    """Where operators call; None: nowhere. Raises ValueError."""
+    text = told.get("management") or os.environ.get("BALANCER_MANAGEMENT")
+    try:
+        return address_from(text) if text else None
+    except ValueError as error:
+        raise ValueError(f"management: {error}") from None
+
+
+def config_from(told: dict[str, Any], state: Path) -> Config:
+    try:
+        limits = told["limits"]
+        return Config(
+            name=told["name"],
+            listen=address_from(told["listen"]),
+            discovery=address_from(told["discovery"]),
+            state=state,
+            seed=int(told["seed"], 16),
+            disk_bytes=int(limits["disk_mb"] * MEGABYTE),
+            sockets=int(limits["sockets"]),
+            known=Listed(told["known"]),
+            settings=settings_from(told["settings"], on_sockets=True),
+            management=management_from(told),
+        )
+    except KeyError as error:
+        raise BadConfig(f"{error.args[0]} is missing or unknown") from None
+    except (ValueError, TypeError, AttributeError, ArithmeticError) as error:
+        raise BadConfig(" ".join(str(error).split())) from None
+
+
+def read_config() -> Config:
+    try:
+        text = Path(os.environ["BALANCER_CONFIG"]).read_text()
+        return config_from(json.loads(text), Path(os.environ["BALANCER_STATE"]))
+    except KeyError as error:
+        raise BadConfig(f"${error.args[0]} is not set") from None
+    except (OSError, ValueError, RecursionError) as error:
+        raise BadConfig(" ".join(str(error).split())) from None
+
+
+def reread(sender: Sender) -> None:
+    """SIGHUP: the configuration has been replaced. A bad one changes nothing."""
+    try:
+        sender.reconfigure(read_config())
+    except BadConfig as error:
+        log.error("the new configuration is not used: %s", error)
+
+
+def inherited_listener() -> socket.socket | None:
+    """The listening socket that the platform holds; None: it holds none, or nothing that can be used."""
+    if not (text := os.environ.get("BALANCER_SOCKET_FD")):
+        return None
+    try:
+        return inherited(text)
+    except ValueError as error:
+        log.error("$BALANCER_SOCKET_FD is not used: %s", error)
+        return None
+
+
+def not_yet(call: Call) -> Reply:
+    return Reply(503, "not yet: this process does not take clients")
+
+
+async def build(config: Config) -> Sender:
+    """A sender that owns its state folder: taken over from a process that still runs, where there is one. The
+    operators' address is bound first: a start that fails must leave that process serving."""
+    desk = None
+    if config.management:
+        desk = Listener(not_yet)
+        desk.listen(*config.management)
+    if not (listener := inherited_listener()):
+        return Sender(config, desk=desk)
+    seat = Seat(config.state)
+    return Sender(config, seat, await seat.take(read), listener, desk)
+
+
+class Reload:
+    """SIGHUP, from before the configuration is read: one that comes before the sender serves is kept."""
+
+    def __init__(self) -> None:
+        self.sender: Sender | None = None
+        self.owed = False
+        asyncio.get_running_loop().add_signal_handler(signal.SIGHUP, self.hear)
+
+    def hear(self) -> None:
+        if self.sender:
+            reread(self.sender)
+        else:
+            self.owed = True
+
+    def begin(self, sender: Sender) -> None:
+        self.sender = sender
+        if self.owed:
+            self.hear()
+
+
+async def serve() -> int:
+    reload = Reload()
+    sender = await build(read_config())
+    await sender.start()
+    reload.begin(sender)
+    return await sender.run()
+
+
+def main() -> int:
+    logging.basicConfig(
+        level=logging.INFO, stream=sys.stderr, format="%(asctime)s %(levelname)s %(name)s: %(message)s"
+    )
+    try:
+        return asyncio.run(serve())
+    except BadConfig as error:
+        print(f"elmglade: configuration: {error}", file=sys.stderr)
+    except OSError as error:
+        print(f"elmglade: {error}", file=sys.stderr)  # the state folder or the address to listen on
+    except Exception as error:
+        print(f"elmglade: a defect: {describe(error, 'start')}", file=sys.stderr)
+    return 1
+
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -41,7 +41,8 @@
     "emulator": {*BASE, "budget", "config", "core", "directory", "http", "lab", "rules", "tables", *FLEET},
     "pcap": {"http"},  # a codec's patterns
     "cli": {"config", "tables", "core", "directory", "emulator", "http", "journal", "lab", "pcap"},
-    "__main__": {"cli", "core", "handover", "http", "manage", "settings"},
+    "start": {"core", "handover", "http", "manage", "settings"},
+    "__main__": {"cli", "start"},
     "__init__": {"rules"},
 }
 
@@ -101,7 +102,7 @@
 }  # fmt: skip
 
 
-@pytest.mark.parametrize("module", ["__main__", "http.daemon", "adapter"])
+@pytest.mark.parametrize("module", ["__main__", "start", "http.daemon", "adapter"])
 def test_the_daemon_imports_no_extra(module: str) -> None:
     code = f"import sys, elmglade.{module}; print(sorted({EXTRAS} & set(sys.modules)))"
     words = [sys.executable, "-c", code]
--- a/tests/test_manage.py
+++ b/tests/test_manage.py
@@ -28,12 +28,12 @@
     tell,
 )
 
-from elmglade.__main__ import BadConfig, config_from
 from elmglade.handover.drain import GRACE
 from elmglade.http.codec import Address
 from elmglade.manage.calls import Ask, Call, read
 from elmglade.manage.calls import Reply as Said
 from elmglade.manage.listener import HEAD_LIMIT, LINGER, MOST, PATIENCE, Listener
+from elmglade.start import BadConfig, config_from
 
 
 @asynccontextmanager
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -20,6 +20,10 @@
 async def start(told: dict[str, Any] | str, state: Path) -> asyncio.subprocess.Process:
     config = state.parent / "config.json"
     config.write_text(told if isinstance(told, str) else json.dumps(told))
+    return await launch(config, state)
+
+
+async def launch(config: Path, state: Path) -> asyncio.subprocess.Process:
     environment = os.environ | {"BALANCER_CONFIG": str(config), "BALANCER_STATE": str(state)}
     return await asyncio.create_subprocess_exec(
         sys.executable, "-m", "elmglade", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
@@ -73,6 +77,25 @@
         assert await soon(process.wait()) == 0
 
 
+@play
+async def test_a_hangup_while_the_configuration_is_read_is_heard_in_the_end(tmp_path: Path) -> None:
+    """The configuration is a pipe: that somebody reads it is known, and it goes on when it is written."""
+    state, pipe = tmp_path / "state", tmp_path / "config.json"
+    state.mkdir()
+    async with Platform() as old, Platform() as new:
+        os.mkfifo(pipe)
+        process = await launch(pipe, state)
+        write = await soon(asyncio.to_thread(os.open, pipe, os.O_WRONLY))
+        pipe.unlink()
+        pipe.write_text(json.dumps(config_json(new)))
+        process.send_signal(signal.SIGHUP)
+        os.write(write, json.dumps(config_json(old)).encode())
+        os.close(write)
+        assert (await new.next()).target == "/registry/instances"
+        process.send_signal(signal.SIGTERM)
+        assert await soon(process.wait()) == 0
+
+
 @pytest.mark.parametrize(
     ("change", "words"),
     [
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -9,12 +9,12 @@
 from faults import turn as loop_turn
 from peers import KEYED, PATIENCE, READY, Running, World, ask, host, message, play, read_reply, soon, tell
 
-from elmglade.__main__ import config_from
 from elmglade.handover.drain import GRACE
 from elmglade.http import door as module
 from elmglade.http.daemon import Descriptors, Sender
 from elmglade.interface import Outcome, WakeAfter
 from elmglade.journal.file import Attempt, Journal
+from elmglade.start import config_from
 
 GONE = {"X_Route_To": "dest=9"}  # no endpoint: held until its time is up
 SHORT = {"X_Time_Left": "0.1"}
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -13,12 +13,12 @@
 from helpers import settings
 from peers import config_json, host
 
-from elmglade.__main__ import config_from
 from elmglade.emulator.loop import VirtualLoop
 from elmglade.emulator.net import HOST, REFUSED, SILENT, Net
 from elmglade.http import daemon
 from elmglade.http.daemon import Config, Sender
 from elmglade.schedule import ListCalls
+from elmglade.start import config_from
 
 TOLD = 6.0  # s
 AT_HAND = 0.5  # s, where lists are pushed: what the agent has counts at once, and a drain has its grace
