One machine decides how a client's connection ends, and nothing is closed over unread bytes

Read line by line: SIGTERM's end of the grace, the idle limit, the read limit, room, a bad request and the process's end each closed in their own way, six places. Seen on real sockets, each forced by an act that is in the system's hands before the sender's loop reads: a request on a resting connection as the idle limit ended was closed over; so were requests on resting and silent ones, and whole connections in the listener's queue, as the grace after SIGTERM ended (five of five reset); the process ended with half a request open and a whole one unread. TCP_NODELAY was never set on accepted connections: asyncio sets it only where a socket names its protocol, and one from a listener names none (ruled out: the loop's version; getsockopt says 0). A receiver that tells a wait and resets before the request is written was not heeded.

Lines at fault: Server.close and Connection.expire (transport.close, abort), HttpSender.run and stop_if_done (no wait for who may still ask), Server.hold; HttpCourier.call, where a break before the last byte read nothing.

Change: http/closing.py, a pure table of states and events with its rules in prose, which every path asks: what lies unread is answered, what ends for its time is shut and lingers, what crosses the shutdown is dropped and never acted on, an owed answer goes first. The listener's queue is taken before it closes; the process ends once nobody may still ask, or 0.3 s after STOP with a last turn. Accepted sockets have TCP_NODELAY before their first write. An answer ahead of a call that then broke turns it away with its wait; a 200 there is no delivery.

--- /dev/null
+++ b/elmglade/http/closing.py
@@ -0,0 +1,85 @@
+"""How a client's connection ends: one machine, asked by every path that closes one or stops reading it. Pure.
+
+Its states:
+
+- **silent**: connected, and nothing has come yet.
+- **reading**: a request has begun to come.
+- **taken**: a request is whole, and its answer is owed.
+- **resting**: between requests.
+- **lingering**: our side is shut behind the last answer, or behind none; what still comes is dropped.
+
+The rules:
+
+1. An answer that is owed goes first: a taken request is cut off neither by time, nor for room, nor by the
+   process's end, which waits for it as long as it may.
+2. What lies unread on a silent or resting connection is a request that has crossed our end of it: it is read
+   and answered. Nothing is closed over it.
+3. What ends for its time is shut, not closed: a close over bytes that come meanwhile would reset the
+   connection, and might take the answer before with it. It lingers until the other side has closed, or for
+   LINGER.
+4. What is read after the shutdown is never acted on: no answer could follow. Its client sees the end, and may
+   send once more what has crossed it.
+5. A request that does not come in time hears so, and so does one whose process ends, with what says that
+   handing it in again does no harm.
+6. Room is made at once, by what lingers, and by what is silent or rests with nothing unread or unwritten.
+7. A client that has broken is gone, and so is one that has ended its sending, once what is under way to it is
+   written (asyncio does that much): TCP does not tell a half-close from a close.
+
+Times are seconds.
+"""
+
+import math
+from enum import Enum
+
+READ_LIMIT = 2.0  # for a request to come in whole; the first one's run from connecting
+IDLE_LIMIT = 3.0  # that a connection may stand with no request open, after its first
+LINGER = 0.5  # for the other side to read a last answer
+
+
+class State(Enum):
+    SILENT = "silent"
+    READING = "reading"
+    TAKEN = "taken"
+    RESTING = "resting"
+    LINGERING = "lingering"
+
+
+class Event(Enum):
+    DUE = "its time is over"
+    ROOM = "its descriptor is wanted"
+    LAST = "the process ends"
+    GONE = "it has broken"
+
+
+class Step(Enum):
+    STAY = "stay"
+    REFUSE = "answer that it is not read to its end, and shut"
+    SHUT = "shut"
+    CLOSE = "close"
+
+
+def limit(state: State, away: bool) -> float:
+    """How long it may be in this state. `away`: what stands idle is sent away too."""
+    match state:
+        case State.SILENT:
+            return LINGER if away else READ_LIMIT
+        case State.READING:
+            return READ_LIMIT
+        case State.RESTING:
+            return 0.0 if away else IDLE_LIMIT
+        case State.LINGERING:
+            return LINGER
+    return math.inf
+
+
+def decide(state: State, event: Event, busy: bool) -> Step:
+    """`busy`: bytes lie unread, or wait to be written."""
+    if event is Event.GONE:
+        return Step.CLOSE
+    if state is State.LINGERING:
+        return Step.STAY if event is Event.LAST else Step.CLOSE
+    if state is State.READING and event is not Event.ROOM:
+        return Step.REFUSE
+    if state in (State.TAKEN, State.READING) or busy:
+        return Step.STAY
+    return Step.CLOSE if event is Event.ROOM else Step.SHUT
--- a/elmglade/http/courier.py
+++ b/elmglade/http/courier.py
@@ -172,7 +172,9 @@
             if kept_one:  # it had been given up over there, unseen here, and so may have been the others
                 self.close_idle(endpoint)
                 return Answer(Outcome.STALE if written else Outcome.NOT_SENT, wait=wait)
-            return Answer(Outcome.RESET if written else Outcome.CONNECT_FAILED, wait=wait)
+            if written or not connection:
+                return Answer(Outcome.RESET if written else Outcome.CONNECT_FAILED, wait=wait)
+            return self.ahead(endpoint, connection) or Answer(Outcome.CONNECT_FAILED)
         finally:
             self.unsent.discard(task)
             if connection:
@@ -225,6 +227,13 @@
                 return None
         return answer
 
+    def ahead(self, endpoint: str, connection: Connection) -> Answer | None:
+        """What turned a call away before its last byte was written, and then broke it: its wait binds."""
+        with contextlib.suppress(OSError):
+            connection.read_some()
+        answer = self.heard(endpoint, connection)
+        return answer if answer and answer.outcome is Outcome.FULL else None
+
     async def open_counted(self, address: Address, closed: Callable[[], None]) -> Connection:
         """`closed` is called once it is, also where it never opened."""
         try:
--- a/elmglade/http/daemon.py
+++ b/elmglade/http/daemon.py
@@ -25,6 +25,7 @@
 from elmglade.http.succession import Succession, Told
 from elmglade.manage import listener as manage
 
+LAST = 0.3  # s for the last answers as the process ends, STOP after SIGTERM; SIGKILL comes 3.7 s after it
 TIMER_SLACK = 0.001  # s: a timer must not run before the time that it was set for
 
 log = logging.getLogger(__name__)
@@ -90,7 +91,7 @@
         )
         self.courier.sent = engine.counts.sent
         self.server.refused_unread = lambda name: engine.counts.ended(name, State.REFUSED)
-        engine.chores.append(self.server.expire)
+        engine.chores += [self.server.expire, self.stop_if_done]
         engine.attempt_ended = self.stop_if_done
 
     def dials(self) -> dict[str, Address]:
@@ -122,7 +123,11 @@
         """Serves until it is told to stop; the answer is the exit code."""
         code = await self.engine.stopped
         try:
-            self.server.close()
+            if self.drain.ends_at() is None or self.engine.defect:
+                self.server.close()
+            else:
+                self.engine.post(face.Stopping(0))  # what has come is answered, and nothing new goes
+                await self.server.finish(LAST)
         finally:
             self.engine.close()
         if self.engine.defect:
@@ -157,7 +162,7 @@
         engine, server = self.engine, self.server
         if self.drain.ends_at() is None or server.listener or engine.calls or engine.journal.entries:
             return
-        if not (server.frozen and server.connections):  # of one that has handed over: last answers
+        if not server.owes():
             engine.stop(0)
 
     def stop(self, code: int) -> None:
--- a/elmglade/http/door.py
+++ b/elmglade/http/door.py
@@ -1,6 +1,7 @@
 """Clients in: reads requests, answers them, and turns bad ones away."""
 
 import asyncio
+import contextlib
 import json
 import logging
 import select
@@ -17,18 +18,16 @@
 from elmglade.core.ports import End, TurnedAway, Why
 from elmglade.core.witness import Seen, Witness
 from elmglade.http import usual
+from elmglade.http.closing import Event, State, Step, decide, limit
 from elmglade.http.codec import BODY_LIMIT, HEADER_LIMIT, READ_SIZE, Address, close, decimal, header
 from elmglade.interface import Effect, MessageClass
 from elmglade.message import HandedIn
 
 READY = "/health/ready"
 # A client that cannot be served is owed an error or a close within 3 s of connecting.
-READ_LIMIT = 2.0  # s for a request to come in whole; the first one's run from connecting
-IDLE_LIMIT = 3.0  # s that a connection may stand with no request open, after its first
 LEAST_IDLE = 2.0  # s for which a client may count on such a connection, unless nothing else makes room
 WAITING_SHARE = 1 / 4  # of the connections on which a request may wait before requests are refused sooner
 SILENT_SHARE = 1 / 3  # of the connections that may have just come and be silent
-LINGER = 0.5  # s for the other side to read a last answer
 LINGER_BYTES = 1024 * 1024  # that are still read and dropped meanwhile; then the other side has to wait
 UNREAD_LIMIT = 64 * 1024  # bytes of answers that a client leaves unread before it is cut off
 # us of a message's time that are not its own: since it was sent it has waited to be read, and an answer that
@@ -163,7 +162,7 @@
     def broke(self, error: Exception, doing: str) -> None:
         """Whatever a call on this client's socket raised ends this connection and touches nobody else."""
         self.server.reports.tell(error, doing)
-        self.close()
+        self.meets(Event.GONE)
 
     def connection_lost(self, error: Exception | None) -> None:
         if self.seen:
@@ -383,6 +382,31 @@
             self.transport.write_eof()  # raises where the answer has just met a client that had closed
             self.transport.resume_reading()
 
+    def state(self) -> State:
+        if self.discarding:
+            return State.LINGERING
+        if self.answering:
+            return State.TAKEN
+        if self.began is not None or self.stashed:
+            return State.READING
+        return State.SILENT if self in self.server.silent else State.RESTING
+
+    def meets(self, event: Event) -> bool:
+        """What becomes of it now, as the one machine for that decides (http/closing.py); whether it ended."""
+        step = decide(self.state(), event, self.is_busy())
+        try:
+            if step is Step.REFUSE:
+                late = event is Event.DUE
+                self.refuse(408 if late else 503, "the request did not come in time" if late else "")
+            elif step is Step.SHUT and self.transport:
+                self.leave()
+        except Exception as error:
+            self.server.reports.tell(error, "ending a connection")
+            step = Step.CLOSE
+        if step is Step.CLOSE:
+            self.close()
+        return step is Step.CLOSE
+
     def has_unread(self, events: int = select.POLLIN) -> bool:
         poll = select.poll()
         poll.register(self.sock.fileno(), events)
@@ -412,15 +436,13 @@
         except (OSError, ValueError):
             return False
 
-    def is_spare(self) -> bool:
-        """Whether nothing is lost with it: no request unread, no answer that still waits to be written. Never
-        raises; one that cannot be asked goes."""
-        if self.discarding:
-            return True
+    def is_busy(self) -> bool:
+        """Whether something would be lost with it: a request unread, or an answer that still waits to be
+        written. Never raises; one that cannot be asked is not."""
         try:
-            return not (self.has_unread() or (self.transport and self.transport.get_write_buffer_size()))
+            return self.has_unread() or bool(self.transport and self.transport.get_write_buffer_size())
         except (OSError, ValueError):
-            return True
+            return False
 
     def close(self) -> None:
         """At once: its descriptor is wanted."""
@@ -430,20 +452,8 @@
 
     def expire(self) -> None:
         """Guards the descriptors from clients that never finish, or never come back."""
-        passed = self.server.loop.time() - self.since
-        if self.discarding:
-            if passed > LINGER:
-                self.close()
-        elif self in self.server.silent:
-            if passed > (LINGER if self.server.away and self.is_spare() else READ_LIMIT):
-                self.close()
-        elif self.began is None:
-            if passed > IDLE_LIMIT:
-                self.transport.close()
-            elif self.server.away and self.is_spare():
-                self.transport.close()  # not one whose request has come and is not read yet
-        elif not self.answering and passed > READ_LIMIT:
-            self.refuse(408, "the request did not come in time")
+        if self.server.loop.time() - self.since > limit(self.state(), self.server.away):
+            self.meets(Event.DUE)
 
 
 class Server:
@@ -467,6 +477,7 @@
         self.known, self.most_wait = known, most_wait
         self.most, self.lingering = most, lingering
         self.loop = asyncio.get_running_loop()
+        self.empty = asyncio.Event()  # set as the last connection goes
         self.buffer = bytearray(READ_SIZE)  # one for all: what came is copied before another one reads
         self.connections: set[Connection] = set()
         # Of these, each in the order in which it came to be so:
@@ -596,6 +607,9 @@
         sock = connection.sock
         try:
             sock.setblocking(False)
+            # asyncio sets it only where a socket names its protocol; an accepted one names none. What the
+            # system held back would be lost with a reset.
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         except OSError as error:
             self.reports.tell(error, "taking in")
             close(sock)
@@ -629,8 +643,7 @@
         """Guards usual clients from crowds that only connect, or only ask whether the sender is ready. One
         whose request has come but is not read yet serves somebody, and so may one that says nothing yet."""
         for connection in self.spare():
-            if connection.is_spare():
-                connection.close()
+            if connection.meets(Event.ROOM):
                 return
 
     def spare(self) -> Iterator[Connection]:
@@ -647,11 +660,13 @@
 
     def forget(self, connection: Connection) -> None:
         self.connections.discard(connection)
+        if not self.connections:
+            self.empty.set()
         for kind in (self.silent, self.leaving, self.strangers, self.idle):
             kind.pop(connection, None)
 
     def expire(self) -> None:
-        for connection in list(self.connections):
+        for connection in list(self.leaving if self.frozen else self.connections):
             try:
                 connection.expire()
             except Exception as error:
@@ -700,11 +715,31 @@
         self.away = True
         self.expire()
 
+    def owes(self) -> bool:
+        """Whether anybody is here who may still ask, or hear."""
+        return len(self.connections) > len(self.leaving)
+
     def close(self) -> None:
-        """No new connections; those between requests end. A client whose request crosses that sends again."""
+        """No new connections, but those that wait to be taken: closed with the listener, they would be reset.
+        Those between requests end; a client whose request crosses that sends again."""
+        if self.listener and not self.frozen:
+            taken = -1
+            while self.listener and self.accepted > taken:
+                taken = self.accepted
+                self.accept()
         if self.listener:
             self.loop.remove_reader(self.listener)
             close(self.listener)
             self.listener = None
-        for connection in [*self.idle, *self.strangers, *self.silent]:
-            connection.close()
+        self.grace_over()
+
+    async def finish(self, within: float) -> None:
+        """The process ends: whoever is here hears what is owed, or the end, for at most `within` s."""
+        self.send_away()
+        self.close()
+        for connection in list(self.connections):
+            connection.meets(Event.LAST)
+        self.empty.clear()
+        if self.connections:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.empty.wait(), within)
--- a/elmglade/manage/listener.py
+++ b/elmglade/manage/listener.py
@@ -143,6 +143,7 @@
         self.callers[caller] = None
         try:
             sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.loop.add_reader(sock, partial(self.came, caller))
         except OSError as error:
             self.broke(caller, error)
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, nullcontext
 from pathlib import Path
 
@@ -17,7 +17,7 @@
 from elmglade.http import courier as module
 from elmglade.http.codec import Address, Connection
 from elmglade.http.courier import HttpCourier, answer_from
-from elmglade.interface import Outcome
+from elmglade.interface import NEVER_RAN, Outcome
 
 ANSWERS = [
     ("200", (), Answer(Outcome.OK, finished=True)),
@@ -436,3 +436,89 @@
                 assert not (client.idle or client.draining or client.open)
 
     play(test)(Path())
+
+
+class Crossing:
+    """A receiver of raw sockets, whose acts are in the system's hands when its calls return; and a call that
+    meets them between the moment its connection is up and its first byte."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.client = client_with()
+
+    async def meets(self, *acts: Callable[[socket.socket], object]) -> Answer:
+        def may_go() -> bool:
+            other = self.listener.accept()[0]
+            for act in acts:
+                act(other)
+            return True
+
+        self.client.dials = lambda: {"r": self.listener.getsockname()}
+        answer: Answer = await soon(self.client.call("r", handed_in(), 10, may_go))
+        self.listener.close()
+        assert not self.client.idle and not self.client.open
+        return answer
+
+
+def resets(sock: socket.socket) -> None:
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    sock.close()
+
+
+def says(text: str) -> Callable[[socket.socket], object]:
+    return lambda sock: sock.sendall(text.encode())
+
+
+REFUSAL = "HTTP/1.1 {} It\r\nContent-Length: 0\r\nRetry-After: 2.5\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("text", "answer"),
+    [
+        (REFUSAL.format(429), Answer(Outcome.FULL, wait=2_500_000)),
+        (REFUSAL.format(503), Answer(Outcome.FULL)),
+        (REFUSAL.format(200), Answer(Outcome.CONNECT_FAILED)),  # of no call of ours: none has gone
+        ("HTTP/1.1 42", Answer(Outcome.CONNECT_FAILED)),
+        ("noise", Answer(Outcome.CONNECT_FAILED)),
+        ("", Answer(Outcome.CONNECT_FAILED)),
+    ],
+)
+def test_a_reset_before_the_first_byte_never_ran_and_a_wait_told_ahead_of_it_binds(
+    text: str, answer: Answer
+) -> None:
+    async def test(_: Path) -> None:
+        crossing, waits = Crossing(), []
+        crossing.client.wait_told = lambda endpoint, wait: waits.append((endpoint, wait))
+        assert await crossing.meets(says(text), resets) == answer
+        assert waits == ([("r", answer.wait)] if answer.wait else [])
+
+    play(test)(Path())
+
+
+@pytest.mark.parametrize("text", ["HTTP/1.1 42", "HTTP/1.1 200 It\r\nContent-Le", "noise", ""])
+def test_half_a_line_and_a_close_behind_the_request_may_have_run(text: str) -> None:
+    """Also where it is closed ahead of the request: what was written whole may have been read."""
+
+    async def test(_: Path) -> None:
+        half: list[socket.socket] = []
+        answer = await Crossing().meets(half.append, says(text), lambda sock: sock.shutdown(socket.SHUT_WR))
+        assert answer.outcome not in NEVER_RAN
+        half[0].close()
+
+    play(test)(Path())
+
+
+@play
+async def test_a_kept_connection_on_which_half_a_line_lies_takes_no_call(_: Path) -> None:
+    async with client_and_receiver() as (client, receiver):
+        going = call(client, receiver.address)
+        request = await receiver.next()
+        request.answer(200)
+        assert (await soon(going)).outcome is Outcome.OK
+        (kept,) = client.idle
+        request.write("HTTP/1.1 5")
+        while not kept.ended():
+            await turn()
+        again = call(client, receiver.address)
+        (await receiver.next()).answer(200)
+        assert (await soon(again)).outcome is Outcome.OK and receiver.accepted == 2
--- /dev/null
+++ b/tests/test_closing.py
@@ -0,0 +1,190 @@
+"""How a client's connection ends: the machine's table, and its crossings on real sockets. A client's act here
+is done, in the system, when its call returns; the sender's is called by hand before its loop has read it."""
+
+import asyncio
+import socket
+from itertools import product
+from pathlib import Path
+
+import pytest
+from faults import turn, until
+from peers import READY, World, ask, message, play, read_reply, soon
+from test_server import serving
+
+from elmglade.handover.drain import GRACE
+from elmglade.http.closing import IDLE_LIMIT, LINGER, READ_LIMIT, Event, State, Step, decide, limit
+from elmglade.http.door import Server
+
+
+@pytest.mark.parametrize(("state", "event", "busy"), list(product(State, Event, (False, True))))
+def test_each_pair_has_the_step_that_its_rule_names(state: State, event: Event, busy: bool) -> None:
+    """The rules once more, each as what must not be."""
+    step = decide(state, event, busy)
+    open_to_requests = state in (State.SILENT, State.RESTING)
+    if event is Event.GONE:
+        assert step is Step.CLOSE
+        return
+    if state is State.TAKEN:
+        assert step is Step.STAY  # 1
+    if open_to_requests and busy:
+        assert step is Step.STAY  # 2
+    if open_to_requests and not busy:
+        assert step is (Step.CLOSE if event is Event.ROOM else Step.SHUT)  # 3, 6
+    if state is State.READING:
+        assert step is (Step.STAY if event is Event.ROOM else Step.REFUSE)  # 5
+    if state is State.LINGERING:
+        assert step is (Step.STAY if event is Event.LAST else Step.CLOSE)  # 3, 6
+
+
+@pytest.mark.parametrize("away", [False, True])
+def test_only_what_is_owed_has_no_limit_and_whoever_was_sent_away_has_less(away: bool) -> None:
+    limits = {each: limit(each, away) for each in State}
+    assert [each for each, s in limits.items() if s == float("inf")] == [State.TAKEN]
+    assert limits[State.READING] == READ_LIMIT and limits[State.LINGERING] == LINGER
+    assert limits[State.RESTING] == (0 if away else IDLE_LIMIT)
+    assert limits[State.SILENT] == (LINGER if away else READ_LIMIT)
+
+
+class Client:
+    """A client whose every act is in the system's hands when its call returns. Reads on the loop."""
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.sock = socket.create_connection(address[:2])
+        self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    async def reader(self) -> asyncio.StreamReader:
+        self.sock.setblocking(False)
+        self.stream, self.writer = await asyncio.open_connection(sock=self.sock)
+        return self.stream
+
+    async def rest(self) -> bytes:
+        """What comes until the other side's end. Raises ConnectionResetError where it is reset."""
+        found: bytes = await soon((await self.reader()).read())
+        self.writer.close()
+        return found
+
+
+async def resting(server: Server, name: str = "m0") -> Client:
+    """One that has had its answer and rests."""
+    client, seen = Client(server.address()), len(server.idle)
+    client.send(message(name))
+    await until(lambda: len(server.idle) > seen)
+    assert client.sock.recv(1000).startswith(b"HTTP/1.1 202")
+    return client
+
+
+def overdue(server: Server) -> None:
+    for each in server.connections:
+        each.since -= 100
+
+
+@play
+async def test_a_request_that_comes_as_the_idle_limit_ends_is_answered(_: Path) -> None:
+    async with serving() as (server, taken):
+        client, quiet = await resting(server), await resting(server, "m1")
+        overdue(server)
+        client.send(message("m2"))
+        server.expire()
+        assert (await read_reply(await client.reader())).status == 202
+        assert await quiet.rest() == b""
+        assert [each.id for each in taken] == ["m0", "m1", "m2"]
+        client.writer.close()
+
+
+@play
+async def test_a_first_request_that_comes_as_the_read_limit_ends_is_answered(_: Path) -> None:
+    async with serving() as (server, taken):
+        client = Client(server.address())
+        await until(lambda: any(each.transport for each in server.connections))
+        overdue(server)
+        client.send(message("m1"))
+        server.expire()
+        assert (await read_reply(await client.reader())).status == 202 and len(taken) == 1
+        client.writer.close()
+
+
+@play
+async def test_what_crosses_the_shutdown_is_dropped_and_resets_nothing(_: Path) -> None:
+    """The answer before lies unread over there, and stays readable."""
+    async with serving() as (server, taken):
+        client = Client(server.address())
+        client.send(message("m0"))
+        await until(lambda: len(server.idle) == 1)
+        overdue(server)
+        server.expire()
+        client.send(message("m1"))
+        for _ in range(20):
+            await turn()
+        overdue(server)
+        server.expire()
+        client.send(b"x")  # a reset would be told here, or as the answer is read
+        text = await client.rest()
+        assert text.startswith(b"HTTP/1.1 202") and text.count(b"HTTP/1.1") == 1
+        assert [each.id for each in taken] == ["m0"]
+
+
+@play
+async def test_who_waits_to_be_taken_as_the_listener_closes_is_answered(_: Path) -> None:
+    async with serving() as (server, taken):
+        clients = [Client(server.address()) for _ in range(5)]
+        for number, each in enumerate(clients):
+            each.send(message(f"m{number}"))
+        server.send_away()
+        server.close()
+        for each in clients:
+            assert (await each.rest()).startswith(b"HTTP/1.1 202")
+        assert len(taken) == 5
+
+
+@play
+async def test_requests_that_come_as_the_grace_ends_are_answered(_: Path) -> None:
+    async with serving() as (server, taken):
+        client, quiet = await resting(server), await resting(server, "m1")
+        silent, fresh = Client(server.address()), Client(server.address())
+        await until(lambda: len(server.silent) == 2)
+        server.send_away()
+        client.send(message("m2"))
+        fresh.send(message("m3"))
+        server.close()
+        for each in (client, fresh):
+            text = await each.rest()
+            assert text.startswith(b"HTTP/1.1 202") and b"Connection: close" in text
+        assert await quiet.rest() == b""
+        overdue(server)
+        server.expire()
+        assert await silent.rest() == b""
+        assert sorted(each.id for each in taken) == ["m0", "m1", "m2", "m3"]
+
+
+@play
+async def test_the_process_ends_only_when_whoever_may_still_ask_is_answered(state: Path) -> None:
+    """Nothing is owed, but one request has half come, and one has come whole and lies unread."""
+    async with World(state) as world:
+        sender, server = world.sender, world.sender.server
+        half, whole = Client(server.address()), Client(server.address())
+        half.send(message("m1")[:40])
+        await until(lambda: any(each.began for each in server.connections))
+        sender.terminate()
+        sender.drain.stopped_at -= GRACE  # type: ignore[operator]  # it has passed
+        sender.grace_over()
+        whole.send(message("m2", X_Route_To="dest=9"))
+        sender.stop_if_done()
+        assert not sender.engine.stopped.done()
+        sender.stop(0)  # STOP is over
+        assert (await half.rest()).startswith(b"HTTP/1.1 503")
+        assert (await whole.rest()).startswith(b"HTTP/1.1 202")
+        assert await soon(world.running.task) == 0
+    assert "m2" in (state / "journal").read_text()
+
+
+@play
+async def test_an_answer_is_written_without_waiting_for_the_one_before_to_be_heard(_: Path) -> None:
+    async with serving() as (server, _taken):
+        client = await resting(server)
+        (connection,) = server.connections
+        assert connection.sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        client.sock.close()
+        assert (await ask(server.address(), READY)).status == 200
--- a/tests/test_storms.py
+++ b/tests/test_storms.py
@@ -277,7 +277,7 @@
         await until(lambda: len(server.connections) == 8)
         assert numbers & {each.sock.fileno() for each in server.connections}
         for each in old:  # a late word about the old ones touches nobody
-            assert each.gone() and each.is_spare() in (True, False)
+            assert each.gone() and each.is_busy() in (True, False)
             each.expire()
             each.answer(202)
             each.close()
