--- a/elmglade/emulator/wire.py
+++ b/elmglade/emulator/wire.py
@@ -29,7 +29,7 @@
 from elmglade.emulator.receiver import Fate, Trouble
 from elmglade.emulator.scenario import Scenario
 from elmglade.emulator.seal import sealed
-from elmglade.http.courier import HttpCourier
+from elmglade.http.client import HttpTransport
 from elmglade.http.daemon import HttpSender
 from elmglade.interface import Outcome
 from elmglade.lab import history as seen
@@ -65,7 +65,7 @@
 class Courier:
     """The daemon's own, and a word to the world when a call is over for its sender."""
 
-    def __init__(self, sender: "Sender", real: HttpCourier) -> None:
+    def __init__(self, sender: "Sender", real: HttpTransport) -> None:
         self.sender, self.real = sender, real
 
     async def call(
--- a/elmglade/http/budgets.py
+++ b/elmglade/http/budgets.py
@@ -18,7 +18,7 @@
 from elmglade.config import Shared
 from elmglade.core.engine import Engine
 from elmglade.fleet import wire
-from elmglade.http.courier import BODY_PATIENCE, HttpCourier
+from elmglade.http.client import BODY_PATIENCE, HttpTransport
 from elmglade.http.routes import told_rates
 from elmglade.message import HandedIn
 
@@ -111,7 +111,7 @@
         self.denied: dict[int, int] = {}  # by destination: when a call that waits for its budget may go, us
         self.failing: dict[int, int] = {}  # by destination: when its last call was known to have failed, us
         self.limits: dict[int, tuple[int, int]] = {}  # by destination: what an answer told, calls in us
-        self.courier: HttpCourier | None = None
+        self.courier: HttpTransport | None = None
         self.numbers = count()
         self.next_turn = 0.0
         self.noted: dict[str, float] = {}
@@ -125,7 +125,7 @@
         engine = self.engine
         engine.dispatcher.roster.leave = self
         engine.spends, engine.spent, engine.call_limit = self.spends, self.spent, self.call_limit
-        if not isinstance(courier := engine.courier, HttpCourier):
+        if not isinstance(courier := engine.courier, HttpTransport):
             return
         if any(each.of in WAYS for each in self.told.values()):
             self.courier, courier.opens, courier.retires = courier, self.opens, self.retires
--- a/elmglade/http/courier.py
+++ b/elmglade/http/client.py
@@ -57,7 +57,7 @@
     return None
 
 
-class HttpCourier:
+class HttpTransport:
     """`dials` is discovery's: an endpoint that is no longer in it, or at another address, keeps nothing.
     `most` bounds the connections open at once; to open one more, the one idle for longest is closed."""
 
--- a/elmglade/http/daemon.py
+++ b/elmglade/http/daemon.py
@@ -17,11 +17,11 @@
 from elmglade.directory.maintenance import ROOM, Maintenance, Record
 from elmglade.handover.drain import GRACE, STOP, Drain, Phase
 from elmglade.handover.seat import Seat
+from elmglade.http.client import HttpTransport
 from elmglade.http.codec import Address
-from elmglade.http.courier import HttpCourier
-from elmglade.http.door import ACCEPTS, Server
 from elmglade.http.orders import Orders
 from elmglade.http.platform import CALL, CALL_AT_HAND, Discovery, Listed
+from elmglade.http.server import ACCEPTS, Server
 from elmglade.http.succession import Succession, Told
 from elmglade.manage import listener as manage
 
@@ -82,7 +82,7 @@
             classes, engine.take, engine.now, share.clients, share.lingering, self.is_named,
             engine.is_known, settings.max_retry_after,
         )  # fmt: skip
-        self.courier = HttpCourier(
+        self.courier = HttpTransport(
             settings.conn_idle / 1e6,
             settings.connect_timeout / 1e6,
             share.calls,
--- a/elmglade/http/owner.py
+++ b/elmglade/http/owner.py
@@ -6,9 +6,9 @@
 from elmglade.core.engine import Clock, Engine
 from elmglade.directory.maintenance import Maintenance
 from elmglade.handover.drain import Drain
-from elmglade.http.courier import HttpCourier
-from elmglade.http.door import Server
+from elmglade.http.client import HttpTransport
 from elmglade.http.platform import Discovery
+from elmglade.http.server import Server
 
 
 class Owner(Protocol):
@@ -16,7 +16,7 @@
 
     engine: Engine
     server: Server
-    courier: HttpCourier
+    courier: HttpTransport
     drain: Drain
     clock: Clock
     discovery: Discovery
--- a/elmglade/http/succession.py
+++ b/elmglade/http/succession.py
@@ -16,8 +16,8 @@
 from elmglade.core.ports import Answer, End, State
 from elmglade.handover.link import Packet
 from elmglade.handover.seat import Seat
-from elmglade.http.door import Connection
 from elmglade.http.platform import Listed
+from elmglade.http.server import Connection
 
 if TYPE_CHECKING:
     from elmglade.http.owner import Owner
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -12,7 +12,7 @@
 
 from elmglade.http.codec import Address
 from elmglade.http.daemon import Sender
-from elmglade.http.door import Server
+from elmglade.http.server import Server
 from elmglade.message import HandedIn
 from elmglade.start import config_from
 
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -11,7 +11,7 @@
 from peers import Held, World, message, play, read_reply
 
 from elmglade.admission.backlog import LEAST, MOST, SOONEST, SPAN, Backlog
-from elmglade.http.door import ACCEPTS, ACCEPTS_FREE
+from elmglade.http.server import ACCEPTS, ACCEPTS_FREE
 
 STEPS = st.lists(st.tuples(st.sampled_from(["came", "read", "pass"]), st.floats(0, 0.1)), max_size=300)
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -13,10 +13,10 @@
 from peers import Peer, handed_in, play, soon
 
 from elmglade.core.ports import Answer
+from elmglade.http import client as module
 from elmglade.http import codec as http
-from elmglade.http import courier as module
+from elmglade.http.client import HttpTransport, answer_from
 from elmglade.http.codec import Address, Connection
-from elmglade.http.courier import HttpCourier, answer_from
 from elmglade.interface import NEVER_RAN, Outcome
 
 ANSWERS = [
@@ -33,7 +33,7 @@
 
 
 def call(
-    client: HttpCourier, address: Address, timeout: float = 10, body: bytes = b"x", may_go: bool = True
+    client: HttpTransport, address: Address, timeout: float = 10, body: bytes = b"x", may_go: bool = True
 ) -> asyncio.Task[Answer]:
     """A call to the endpoint "r", which stands at `address`."""
     client.dials = lambda: {"r": address}
@@ -41,12 +41,12 @@
     return asyncio.create_task(work)
 
 
-def client_with(conn_idle: float = 10, connect_timeout: float = 10, most: int = 4) -> HttpCourier:
-    return HttpCourier(conn_idle, connect_timeout, most, dict)
+def client_with(conn_idle: float = 10, connect_timeout: float = 10, most: int = 4) -> HttpTransport:
+    return HttpTransport(conn_idle, connect_timeout, most, dict)
 
 
 @asynccontextmanager
-async def client_and_receiver(connect_timeout: float = 10) -> AsyncIterator[tuple[HttpCourier, Peer]]:
+async def client_and_receiver(connect_timeout: float = 10) -> AsyncIterator[tuple[HttpTransport, Peer]]:
     client = client_with(connect_timeout=connect_timeout)
     async with Peer() as receiver:
         yield client, receiver
--- a/tests/test_closing.py
+++ b/tests/test_closing.py
@@ -13,7 +13,7 @@
 
 from elmglade.handover.drain import GRACE
 from elmglade.http.closing import IDLE_LIMIT, LINGER, READ_LIMIT, Event, State, Step, decide, limit
-from elmglade.http.door import Server
+from elmglade.http.server import Server
 
 
 @pytest.mark.parametrize(("state", "event", "busy"), list(product(State, Event, (False, True))))
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -16,7 +16,7 @@
 
 from elmglade import interface as face
 from elmglade.core.ports import Answer
-from elmglade.http import courier, door, platform
+from elmglade.http import client, platform, server
 from elmglade.http.codec import Connection
 from elmglade.interface import NEVER_RAN, Outcome
 
@@ -147,7 +147,7 @@
     scenario: Callable[[Stage], Awaitable[None]],
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    for module, pause in ((door, "ACCEPT_PAUSE"), (platform, "NOTICE_PAUSE"), (courier, "SHORTAGE_PAUSE")):
+    for module, pause in ((server, "ACCEPT_PAUSE"), (platform, "NOTICE_PAUSE"), (client, "SHORTAGE_PAUSE")):
         monkeypatch.setattr(module, pause, 0.0)
 
     async def test(faults: Faults) -> None:
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -10,7 +10,7 @@
 from peers import KEYED, PATIENCE, READY, Running, World, ask, host, message, play, read_reply, soon, tell
 
 from elmglade.handover.drain import GRACE
-from elmglade.http import door as module
+from elmglade.http import server as module
 from elmglade.http.daemon import Descriptors, Sender
 from elmglade.interface import Outcome, WakeAfter
 from elmglade.journal.file import Attempt, Journal
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -12,7 +12,7 @@
 
 from elmglade import interface as face
 from elmglade.http.closing import IDLE_LIMIT, LINGER, READ_LIMIT
-from elmglade.http.door import LINGER_BYTES, ON_THE_WAY, Connection, Server
+from elmglade.http.server import LINGER_BYTES, ON_THE_WAY, Connection, Server
 from elmglade.message import HandedIn
 
 KEYED = face.MessageClass("c", 800_000, 8_000_000, 1.0, 0.1, face.Effect.KEYED, window=5_000_000)
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -26,7 +26,7 @@
 from elmglade.emulator.joined import Links
 from elmglade.emulator.shared import Fleet
 from elmglade.fleet.wire import Share
-from elmglade.http.courier import HttpCourier, told_limit
+from elmglade.http.client import HttpTransport, told_limit
 
 SEEDS = int(os.environ.get("SHARED_SEEDS", "40"))
 US = 1_000_000
@@ -365,7 +365,7 @@
     budgets.configure((*was, replace(calls, whole=4), replace(out, lease=2 * US)), 1)
     assert budgets.desk.books["calls"].budget.whole == 4
     assert budgets.desk.books["out/3"].budget.lease == US and "more than its whole" in caplog.text
-    engine.courier = courier = HttpCourier(10, 10, 4, dict)
+    engine.courier = courier = HttpTransport(10, 10, 4, dict)
     budgets.configure((*was, replace(calls, name="new ones", of="handshakes")), 1)
     assert courier.opens == budgets.opens and budgets.of(listed).ways == ["new ones"]
     courier.close()
