--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -4,9 +4,11 @@
 import json
 import os
 import re
+import resource
 import signal
 import sys
-from collections.abc import AsyncIterator
+import threading
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -14,6 +16,8 @@
 import pytest
 from peers import READY, Peer, Platform, ask, config_json, host, message, play, soon
 
+from elmglade import start as start_module
+
 ROOT = Path(__file__).parent.parent
 
 
@@ -23,11 +27,18 @@
     return await launch(config, state)
 
 
-async def launch(config: Path, state: Path) -> asyncio.subprocess.Process:
-    environment = os.environ | {"BALANCER_CONFIG": str(config), "BALANCER_STATE": str(state)}
+async def launch(config: Path, state: Path, most_open: int = 0, **more: str) -> asyncio.subprocess.Process:
+    """`most_open` descriptors are all that the system gives it; 0: as many as ever."""
+
+    def few() -> None:
+        if most_open:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (most_open, most_open))
+
+    environment = os.environ | {"BALANCER_CONFIG": str(config), "BALANCER_STATE": str(state)} | more
     return await asyncio.create_subprocess_exec(
-        sys.executable, "-m", "elmglade", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE
-    )
+        sys.executable, "-m", "elmglade", cwd=ROOT, env=environment, stderr=asyncio.subprocess.PIPE,
+        preexec_fn=few,
+    )  # fmt: skip
 
 
 @asynccontextmanager
@@ -85,7 +96,7 @@
     async with Platform() as old, Platform() as new:
         os.mkfifo(pipe)
         process = await launch(pipe, state)
-        write = await soon(asyncio.to_thread(os.open, pipe, os.O_WRONLY))
+        write = await aside(lambda: os.open(pipe, os.O_WRONLY))
         pipe.unlink()
         pipe.write_text(json.dumps(config_json(new)))
         process.send_signal(signal.SIGHUP)
@@ -96,6 +107,94 @@
         assert await soon(process.wait()) == 0
 
 
+async def aside(work: Callable[[], Any]) -> Any:  # noqa: ANN401
+    """What blocks until the other process comes; a thread that waits for ever keeps nobody from ending."""
+    loop = asyncio.get_running_loop()
+    done: asyncio.Future[Any] = loop.create_future()
+
+    def run() -> None:
+        found = work()
+        loop.call_soon_threadsafe(done.set_result, found)
+
+    threading.Thread(target=run, daemon=True).start()
+    return await soon(done)
+
+
+SLOW_IMPORT = """
+import importlib, os, sys
+open(os.environ["STEP"], "w").close()
+open(os.environ["GO"]).read()
+sys.path.remove(os.path.dirname(__file__))
+del sys.modules["h11"]
+sys.modules["h11"] = importlib.import_module("h11")
+"""
+
+
+@play
+async def test_a_hangup_while_the_program_is_still_imported_does_not_end_it(tmp_path: Path) -> None:
+    """A library that waits as it is imported holds the start at that step."""
+    state, library = tmp_path / "state", tmp_path / "library"
+    state.mkdir(), library.mkdir()
+    (library / "h11.py").write_text(SLOW_IMPORT)
+    pipes = {"STEP": str(tmp_path / "step"), "GO": str(tmp_path / "go")}
+    for each in pipes.values():
+        os.mkfifo(each)
+    async with Platform() as platform:
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(config_json(platform)))
+        process = await launch(config, state, PYTHONPATH=str(library), **pipes)
+        await aside(Path(pipes["STEP"]).read_text)
+        process.send_signal(signal.SIGHUP)
+        await aside(lambda: Path(pipes["GO"]).write_text("go"))
+        assert (await soon(platform.watches.get())).target
+        process.send_signal(signal.SIGTERM)
+        assert await soon(process.wait()) == 0
+
+
+def test_a_hangup_before_the_sender_serves_is_kept_for_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    heard: list[object] = []
+    monkeypatch.setattr(start_module, "reread", heard.append)
+
+    async def test() -> None:
+        reload, sender = start_module.Reload(), object()
+        reload.hear()
+        assert heard == []
+        reload.begin(sender)  # type: ignore[arg-type]
+        assert heard == [sender]
+        reload.hear()
+        assert heard == [sender] * 2
+
+    asyncio.run(test())
+
+
+@play
+async def test_idle_clients_that_take_every_descriptor_keep_nobody_from_discovery(tmp_path: Path) -> None:
+    """The system gives the process just as many as its configuration says; discovery is down meanwhile."""
+    state, sockets = tmp_path / "state", 96
+    state.mkdir()
+    async with Peer() as receiver, Platform() as platform:
+        told = config_json(platform, host(receiver.dial))
+        told["limits"] |= {"sockets": sockets}
+        platform.server.close()
+        config = tmp_path / "config.json"
+        config.write_text(json.dumps(told))
+        process = await launch(config, state, most_open=sockets)
+        assert process.stderr is not None
+        while not (found := re.search(rb"ready on (\S+):(\d+)", await soon(process.stderr.readline()))):
+            assert process.returncode is None
+        address = found[1].decode(), int(found[2])
+        idle = [await asyncio.open_connection(*address) for _ in range(2 * sockets)]
+        assert (await ask(address, message("m1"))).status == 202
+        (await receiver.next()).answer(200)
+        back = await asyncio.start_server(platform.serve, *platform.address)
+        assert (await soon(platform.watches.get())).target
+        back.close()
+        for _, writer in idle:
+            writer.transport.abort()
+        process.kill()
+        await process.wait()
+
+
 @pytest.mark.parametrize(
     ("change", "words"),
     [
--- a/tests/test_restarts.py
+++ b/tests/test_restarts.py
@@ -1,7 +1,7 @@
 """The operators' terms on restarts: what was found is still tried, and repeats keep to a window of 1 s."""
 
 import pytest
-from helpers import SECOND, World, ended, endpoint
+from helpers import MS, SECOND, World, ended, endpoint, sent
 
 from elmglade import interface as face
 
@@ -20,3 +20,25 @@
     assert not [each for each in gone if each.message.startswith("k")]
     late = ended(world.take(destination=2, after=2 * SECOND))
     assert [each for each in late if each.message.startswith("k")]
+
+
+@pytest.mark.parametrize(
+    ("age", "goes"), [(100 * MS, True), (730 * MS, True), (750 * MS, False), (2 * SECOND, False)]
+)
+@pytest.mark.parametrize("first", ["at once", "as its connection is up"])
+def test_what_was_out_at_a_restart_goes_again_only_inside_a_window_of_1_s(
+    age: int, goes: bool, first: str
+) -> None:
+    """`age`: since the attempt of which the process before does not know the fate. The edge is 1 s less two
+    ticks and an eighth of the aim, for the call's own way: 0.74 s."""
+    kind = face.MessageClass("short", 2 * SECOND, 20 * SECOND, 1.0, 0.3, face.Effect.KEYED, window=SECOND)
+    world = World(classes=(kind,))
+    world.now = 100 * SECOND
+    since = world.now - (age if first == "at once" else 0)
+    kept = face.MessageTaken("k", "short", 1, 10 * SECOND)
+    actions = world.step(face.MessageRestored(kept, 1, since, "z1"))
+    if first == "at once":
+        assert (sent(actions) == ["k"]) == goes and bool(ended(actions)) != goes
+        return
+    assert sent(actions) == ["k"]  # its connection takes a while: the clock is read again at the first byte
+    assert world.dispatcher.may_still_go("a", world.now + age, "k") == goes
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -12,6 +12,7 @@
 from elmglade.handover.drain import GRACE
 from elmglade.http import server as module
 from elmglade.http.daemon import Descriptors, Sender
+from elmglade.http.server import ACCEPTS
 from elmglade.interface import Outcome, WakeAfter
 from elmglade.journal.file import Attempt, Journal
 from elmglade.start import config_from
@@ -375,6 +376,7 @@
     share = Descriptors.of(sockets, slots=12)
     assert share.clients + share.lingering + share.calls + Descriptors.OWN <= max(sockets, 64)
     assert share.calls >= 16 and (sockets < 256 or share.clients > sockets / 3)
+    assert Descriptors.OWN >= 15 + ACCEPTS  # what is not shared out, as its comment counts it
 
 
 @pytest.mark.parametrize("over", [False, True])
