The emulator counts the calls of a span in one place

Need: a second reading found the window of pushed_over, and N, written again in ramp.py. Change: Receiver.count and Receiver.allowed serve both; behaviour stays.

--- a/elmglade/emulator/ramp.py
+++ b/elmglade/emulator/ramp.py
@@ -38,12 +38,11 @@
             self.came(receiver, now)
 
     def came(self, receiver: Receiver, now: float) -> None:
-        terms, back = receiver.terms, receiver.cold_since(now)
+        back = receiver.cold_since(now)
         span = [sender for at, sender in receiver.came if at >= back]
         name = id(receiver), self.last[id(receiver)]
         if 3 * sum(each in self.told[name] for each in span) >= 2 * len(span):
-            allowed = terms.push * terms.capacity() * receiver.warmth(now) * terms.push_s
-            self.peaks[name] = max(self.peaks.get(name, 0.0), len(span) / bound(allowed))
+            self.peaks[name] = max(self.peaks.get(name, 0.0), len(span) / bound(receiver.allowed(now)))
 
 
 def watched(ramp: Ramp) -> Iterator[Any]:
@@ -51,9 +50,7 @@
     real = Receiver.call
 
     def call(self: Receiver, now: float, sender: str, luck: Luck, zone: str = "") -> Fate:
-        self.came.append((now, sender))
-        while self.came[0][0] <= now - self.terms.push_s:
-            self.came.popleft()
+        self.count(now, sender)
         ramp.met(self, now, sender)
         return real(self, now, sender, luck, zone)
 
--- a/elmglade/emulator/receiver.py
+++ b/elmglade/emulator/receiver.py
@@ -215,17 +215,24 @@
         """Whether this call is the one too many."""
         if not self.terms.fallen_s:
             return False
-        self.came.append((now, sender))
-        while self.came[0][0] <= now - self.terms.push_s:
-            self.came.popleft()
-        most = self.terms.push * self.terms.capacity() * self.warmth(now) * self.terms.push_s
-        if self.warmth(now) >= 1 or len(self.came) <= max(most, 2.0):
+        self.count(now, sender)
+        if self.warmth(now) >= 1 or len(self.came) <= max(self.allowed(now), 2.0):
             return False
         self.falls.append(Fall(now, tuple(each for _, each in self.came)))
         self.down_until = now + self.terms.fallen_s
         self.came.clear()
         return True
 
+    def count(self, now: float, sender: str) -> None:
+        """One more call of the last `push_s`; older ones go."""
+        self.came.append((now, sender))
+        while self.came[0][0] <= now - self.terms.push_s:
+            self.came.popleft()
+
+    def allowed(self, now: float) -> float:
+        """Calls that it may get in `push_s`, as warm as it is."""
+        return self.terms.push * self.terms.capacity() * self.warmth(now) * self.terms.push_s
+
     def over_limit(self, now: float, phase: Phase | None, luck: Luck) -> Fate | None:
         limit = self.terms.limit
         if limit is None:
