--- a/elmglade/start.py
+++ b/elmglade/start.py
@@ -146,4 +146,3 @@
     except Exception as error:
         print(f"elmglade: a defect: {describe(error, 'start')}", file=sys.stderr)
     return 1
-
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -199,9 +199,7 @@
         self.receiver = await self.enter_async_context(Peer())
         self.platform = await self.enter_async_context(Platform())
         empty = host("127.0.0.1:9", "d", block=9, health="draining")  # destination 9 has no endpoint now
-        self.told = config_json(
-            self.platform, host(self.receiver.dial), empty, mode=self.mode, **self.kind
-        )
+        self.told = config_json(self.platform, host(self.receiver.dial), empty, mode=self.mode, **self.kind)
         self.running = await self.enter_async_context(Running(self.told, self.state))
         self.sender, self.hand_in = self.running.sender, self.running.hand_in
         return self
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -381,5 +381,3 @@
                 world.running.task = asyncio.create_task(asyncio.sleep(0, 0))
 
     play(test)(tmp_path)
-
-
--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -240,7 +240,11 @@
         self.engine, self.went, self.fates = engine, [], {}  # type: ignore[var-annotated]
 
     async def call(
-        self, endpoint: str, message: Any, timeout: float, may_go: Callable[[], bool]  # noqa: ANN401
+        self,
+        endpoint: str,
+        message: Any,
+        timeout: float,
+        may_go: Callable[[], bool],  # noqa: ANN401
     ) -> Answer:
         if not may_go():
             return Answer(Outcome.NOT_SENT)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -130,9 +130,7 @@
         return self.loop.time() - began
 
 
-def in_world(
-    work: Callable[[World], Coroutine[Any, Any, Any]], state: Path, mode: str = "on_request"
-) -> Any:  # noqa: ANN401
+def in_world(work: Callable[[World], Coroutine[Any, Any, Any]], state: Path, mode: str = "on_request") -> Any:  # noqa: ANN401
     loop = VirtualLoop()
     world: list[World] = []
 
