--- /dev/null
+++ b/elmglade/control/messages.py
@@ -0,0 +1,231 @@
+"""Messages of the control plane: one envelope a datagram, msgpack by msgspec, which checks every field.
+
+`Envelope` identifies who speaks: `epoch` counts the starts of that name and stands on its disk, `session` is
+drawn at random at each start, `to_session` is the receiver's session as far as known (0: unknown), `number`
+counts the datagrams of this session from 1 and serves to drop duplicates.
+"""
+
+from enum import IntEnum
+from typing import Annotated
+
+import msgspec
+
+Count = Annotated[int, msgspec.Meta(ge=0, le=2**62)]
+Digest = Annotated[int, msgspec.Meta(ge=0, lt=2**64)]
+Address = tuple[str, int]
+
+CHANGE_BYTES_LIMIT = 32 * 1024  # encoded bytes of one change
+REASON_LENGTH_LIMIT = 400  # characters of a reason for a refusal
+CHUNK_BYTES = 1_000  # bytes of a snapshot chunk
+NAME_LENGTH_LIMIT = 64  # characters of the name of a node, a sender or a request
+
+
+class Resource(msgspec.Struct, array_like=True, frozen=True):
+    """One named part of the configuration, such as `endpoints/hub-1`; `value` is canonical JSON."""
+
+    name: str
+    value: bytes
+
+
+class Change(msgspec.Struct, array_like=True, frozen=True):
+    """A change against the version `base_version`; asked for again, it has the same `request_id`."""
+
+    request_id: str
+    base_version: Count
+    put: tuple[Resource, ...]
+    delete: tuple[str, ...]
+    author: str = ""
+
+
+class Outcome(IntEnum):
+    """What became of a change."""
+
+    APPLIED = 0
+    CONFLICT = 1  # another version is in force than the one it was made against
+    INVALID = 2  # the configuration would have faults; nothing was written
+    UNAVAILABLE = 3  # no leader with a majority; whether it was made is known once it is asked for again
+
+
+class ChangeResult(msgspec.Struct, array_like=True, frozen=True):
+    """The answer to a change: the version it made, or the present one."""
+
+    request_id: str
+    outcome: Outcome
+    version: Count
+    faults: tuple[str, ...] = ()
+
+
+# Between senders and control nodes.
+
+
+class Poll(msgspec.Struct, array_like=True, frozen=True, tag=1):
+    """A sender's heartbeat and acknowledgement: the version in force there, the newest it refused."""
+
+    version: Count
+    digest: Digest
+    refused_version: Count = 0  # 0: none
+    reason: str = ""
+
+
+class VersionNotice(msgspec.Struct, array_like=True, frozen=True, tag=2):
+    """A node's answer to a poll: the newest version it may give out.
+
+    `needs_snapshot`: the sender's version is older than the history or its digest differs, and it is to
+    fetch a snapshot. `age_ms`: since the node last knew a leader with a majority.
+    `retry_after_ms` above 0: the node is busy.
+    """
+
+    version: Count
+    digest: Digest
+    needs_snapshot: bool = False
+    age_ms: Count = 0
+    retry_after_ms: Count = 0
+
+
+class Delta(msgspec.Struct, array_like=True, frozen=True, tag=3):
+    """All that changed between two versions; `digest` is that of the document at `to_version`."""
+
+    from_version: Count
+    to_version: Count
+    put: tuple[Resource, ...]
+    delete: tuple[str, ...]
+    digest: Digest
+
+
+class SnapshotRequest(msgspec.Struct, array_like=True, frozen=True, tag=4):
+    """Asks for chunks of the document at `version` from byte `offset` on; the node sends a window of them."""
+
+    version: Count
+    offset: Count
+
+
+class SnapshotChunk(msgspec.Struct, array_like=True, frozen=True, tag=5):
+    """Bytes of the encoded document (`document.encode_snapshot`) at `version`, whose length is `total`."""
+
+    version: Count
+    offset: Count
+    total: Count
+    data: bytes
+
+
+class Hello(msgspec.Struct, array_like=True, frozen=True, tag=6):
+    """Tells the sender's session. `known_epoch`: the highest epoch heard of the receiver's name."""
+
+    known_epoch: Count = 0
+    is_answer: bool = False
+
+
+class Fragment(msgspec.Struct, array_like=True, frozen=True, tag=7):
+    """A part of an encoded body that is too large for one datagram."""
+
+    message: Count
+    index: Count
+    count: Count
+    data: bytes
+
+
+# Between control nodes: replication (Raft).
+
+
+class LogEntry(msgspec.Struct, array_like=True, frozen=True):
+    """An entry of the replicated log; an empty `data` is the entry with which a leader begins its term."""
+
+    index: Count
+    term: Count
+    data: bytes
+
+
+class VoteRequest(msgspec.Struct, array_like=True, frozen=True, tag=20):
+    """A candidate asks for a vote; with `is_pre_vote` only whether it would get one."""
+
+    term: Count
+    last_index: Count
+    last_term: Count
+    is_pre_vote: bool
+
+
+class VoteReply(msgspec.Struct, array_like=True, frozen=True, tag=21):
+    term: Count
+    is_granted: bool
+    is_pre_vote: bool
+
+
+class AppendRequest(msgspec.Struct, array_like=True, frozen=True, tag=22):
+    """A leader's entries behind (`previous_index`, `previous_term`); a heartbeat without any."""
+
+    term: Count
+    previous_index: Count
+    previous_term: Count
+    commit_index: Count
+    round: Count  # counts the leader's heartbeats; a reply repeats it
+    entries: tuple[LogEntry, ...]
+
+
+class AppendReply(msgspec.Struct, array_like=True, frozen=True, tag=23):
+    """`match_index`: durable and equal to the leader's log up to there; without `is_match`, where to try next.
+
+    `is_voter` is false for a node whose disk was lost or is old: it copies the log and counts for no
+    majority.
+    """
+
+    term: Count
+    is_match: bool
+    match_index: Count
+    round: Count
+    is_voter: bool
+
+
+# Between control nodes: forwarded requests of operators.
+
+
+class ForwardedChange(msgspec.Struct, array_like=True, frozen=True, tag=30):
+    change: Change
+
+
+class ForwardedResult(msgspec.Struct, array_like=True, frozen=True, tag=31):
+    result: ChangeResult
+
+
+class StatusRequest(msgspec.Struct, array_like=True, frozen=True, tag=32):
+    number: Count
+
+
+class WatcherStatus(msgspec.Struct, array_like=True, frozen=True):
+    """A sender as a control node knows it."""
+
+    name: str
+    version: Count
+    refused_version: Count
+    reason: str
+    silent_ms: Count
+
+
+class NodeStatus(msgspec.Struct, array_like=True, frozen=True, tag=33):
+    """A control node's own view, with the senders that watch it."""
+
+    number: Count
+    name: str
+    role: str  # leader, follower, candidate or learner
+    leader: str
+    term: Count
+    version: Count
+    commit_index: Count
+    age_ms: Count
+    watchers: tuple[WatcherStatus, ...]
+
+
+RaftMessage = VoteRequest | VoteReply | AppendRequest | AppendReply
+WatchMessage = Poll | VersionNotice | Delta | SnapshotRequest | SnapshotChunk
+OperatorMessage = ForwardedChange | ForwardedResult | StatusRequest | NodeStatus
+Body = Hello | Fragment | RaftMessage | WatchMessage | OperatorMessage
+
+
+class Envelope(msgspec.Struct, array_like=True, frozen=True):
+    """A body with its sender's identity."""
+
+    name: str
+    epoch: Count
+    session: Count
+    to_session: Count
+    number: Count
+    body: Body
