--- a/elmglade/control/messages.py
+++ b/elmglade/control/messages.py
@@ -162,7 +162,7 @@
 
 
 class AppendReply(msgspec.Struct, array_like=True, frozen=True, tag=23):
-    """`match_index`: durable and equal to the leader's log up to there; without `is_match`, where to try next.
+    """`match_index`: durable and equal to the leader's log up to there, or else where to try next.
 
     `is_voter` is false for a node whose disk was lost or is old: it copies the log and counts for no
     majority.
