The lint exemption in test_late stands at its argument again

The formatter put the arguments of a test double on a line each, and the exemption for `Any` stayed at the last one. `ruff check` named an argument without a type and an exemption that is not used.

--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -242,9 +242,9 @@
     async def call(
         self,
         endpoint: str,
-        message: Any,
+        message: Any,  # noqa: ANN401
         timeout: float,
-        may_go: Callable[[], bool],  # noqa: ANN401
+        may_go: Callable[[], bool],
     ) -> Answer:
         if not may_go():
             return Answer(Outcome.NOT_SENT)
