--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -3,7 +3,7 @@
     ./with-env python benchmarks/fleet.py                     # twenty draws of each
     ./with-env python benchmarks/fleet.py --root OTHER        # the decisions of another checkout beside these
 
-With `--root` the decision module of that checkout (rules.py, breaker.py, schedule.py) takes the place of this
+With `--root` the policy of that checkout (its dispatcher.py, breaker.py, schedule.py) takes the place of this
 one's, in the emulator of this one, and every draw is a pair: the same clients, receivers and chance.
 """
 
@@ -18,7 +18,7 @@
 from pathlib import Path
 
 HERE = Path(__file__).resolve().parent.parent
-DECISIONS = ("rules.py", "breaker.py", "schedule.py")
+DECISIONS = ("policy/dispatcher.py", "policy/breaker.py", "policy/schedule.py")
 FIGURES = ("goodput", "worst_10_s", "refused_calls", "falls")
 
 
--- a/benchmarks/streams.py
+++ b/benchmarks/streams.py
@@ -108,7 +108,7 @@
     parser.add_argument("--root", type=Path, default=HERE)
     told = parser.parse_args()
     sys.path.insert(0, str(told.root))
-    from elmglade.rules import Dispatcher
+    from elmglade import Dispatcher
 
     stream = load_stream()
     if told.what == "cost":
--- a/elmglade/__init__.py
+++ b/elmglade/__init__.py
@@ -3,7 +3,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from elmglade.rules import Dispatcher
+    from elmglade.policy.dispatcher import Dispatcher
 
 __all__ = ["Dispatcher"]
 
@@ -12,6 +12,6 @@
     """On first use: what starts a process has its signals in hand before anything larger is read."""
     if name != "Dispatcher":
         raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
-    from elmglade.rules import Dispatcher
+    from elmglade.policy.dispatcher import Dispatcher
 
     return Dispatcher
--- a/elmglade/adapter.py
+++ b/elmglade/adapter.py
@@ -6,7 +6,7 @@
 from typing import IO, Any
 
 from elmglade import interface as face
-from elmglade.rules import Dispatcher
+from elmglade.policy.dispatcher import Dispatcher
 from elmglade.settings import settings_from
 
 OUTCOMES = {
--- a/elmglade/core/engine.py
+++ b/elmglade/core/engine.py
@@ -20,11 +20,11 @@
 from elmglade.core.lateness import OLD, Lateness
 from elmglade.core.peer import describe
 from elmglade.core.ports import Answer, Caller, Courier, Directory, End, State, Teller, TurnedAway, Why
-from elmglade.inherit import tell
 from elmglade.interface import Outcome
 from elmglade.journal.file import Attempt, Entry, Journal
 from elmglade.message import HandedIn
-from elmglade.rules import Dispatcher
+from elmglade.policy.dispatcher import Dispatcher
+from elmglade.policy.inherit import tell
 
 SWEEP = 0.25  # s between chores; what clients are owed within 3 s goes by it
 # s: a timer must not run before its time on the module's clock, which then sets no other
@@ -263,7 +263,9 @@
             listed, trial = call.endpoint.listed, call.breaker.trial is call
             calls[name] = number, face.CallOut(listed.id, listed.zone, call.sent, trial, call.overdue)
         shares = {name: message.share for name, message in there.messages.items()}
-        return Handed(tell(there.roster, there.held), calls, dict(self.ending), shares, tuple(self.ended))
+        return Handed(
+            tell(there.registry, there.pending), calls, dict(self.ending), shares, tuple(self.ended)
+        )
 
     def thaw(self) -> None:
         """The one that was to follow is gone before it owned anything: all goes on."""
--- a/elmglade/core/explain.py
+++ b/elmglade/core/explain.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from elmglade import interface as face
-from elmglade.breaker import NEVER, Endpoint, Message
 from elmglade.core.inventory import breaker_state
-from elmglade.rules import Dispatcher
+from elmglade.policy.breaker import NEVER, Endpoint, Message
+from elmglade.policy.dispatcher import Dispatcher
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,6 +87,6 @@
     if (ready := breaker.ready_at(now)) > now:
         what = "it warms up" if breaker.cold_gap(now) > breaker.gap else "its gap"
         return f"{what}: the next call in {(ready - now) / 1e6:.3f} s"
-    if dispatcher.roster.leave and dispatcher.roster.leave.free_at(each.listed, now) > now:
+    if dispatcher.registry.leave and dispatcher.registry.leave.free_at(each.listed, now) > now:
         return "its part of a budget that the fleet shares is in use"
     return "" if dispatcher.may_call(breaker) else "it has as many calls out as one destination may"
--- a/elmglade/core/inventory.py
+++ b/elmglade/core/inventory.py
@@ -11,10 +11,10 @@
 from pathlib import Path
 from typing import Any
 
-from elmglade.breaker import NEVER, Breaker
 from elmglade.files import replace_json
-from elmglade.rules import Dispatcher
-from elmglade.schedule import Destination
+from elmglade.policy.breaker import NEVER, Breaker
+from elmglade.policy.dispatcher import Dispatcher
+from elmglade.policy.schedule import Destination
 
 FILE = "destinations.json"
 
--- a/elmglade/emulator/fleet.py
+++ b/elmglade/emulator/fleet.py
@@ -35,7 +35,7 @@
 from elmglade.lab.history import History, Ran
 from elmglade.lab.referee import Breach, Kind, Referee, Rules
 from elmglade.message import HandedIn
-from elmglade.rules import Dispatcher
+from elmglade.policy.dispatcher import Dispatcher
 
 if TYPE_CHECKING:
     from elmglade.emulator.joined import Links
@@ -499,7 +499,7 @@
             if each.alive:
                 second.held += len(each.engine.dispatcher.messages)
                 if isinstance(each.engine.dispatcher, Dispatcher):  # plain policies have no such breakers
-                    second.open += sum(x.is_open() for x in each.engine.dispatcher.roster.all_breakers())
+                    second.open += sum(x.is_open() for x in each.engine.dispatcher.registry.all_breakers())
         self.later(SAMPLE, self.sample)
 
     # The list of endpoints, and what else happens.
--- a/elmglade/emulator/play.py
+++ b/elmglade/emulator/play.py
@@ -3,7 +3,7 @@
 from elmglade.emulator import fleet, wire
 from elmglade.emulator.fleet import Decide, Outcomes
 from elmglade.emulator.scenario import Scenario
-from elmglade.rules import Dispatcher
+from elmglade.policy.dispatcher import Dispatcher
 
 
 def play(
--- a/elmglade/emulator/policies.py
+++ b/elmglade/emulator/policies.py
@@ -23,7 +23,7 @@
 
 from elmglade import interface as face
 from elmglade.interface import Effect, EndpointState, Listing, Outcome
-from elmglade.rules import Dispatcher
+from elmglade.policy.dispatcher import Dispatcher
 
 FIRST_WAIT = 200_000  # us before the second call
 MOST_CALLS = 3
--- a/elmglade/emulator/wire.py
+++ b/elmglade/emulator/wire.py
@@ -36,7 +36,7 @@
 from elmglade.lab.history import Ran
 from elmglade.lab.http import HttpClient, read_head
 from elmglade.message import HandedIn
-from elmglade.rules import Dispatcher
+from elmglade.policy.dispatcher import Dispatcher
 
 PORT = 80
 SOCKETS = 1024  # descriptors that a sender may have
--- a/elmglade/http/budgets.py
+++ b/elmglade/http/budgets.py
@@ -123,7 +123,7 @@
     def bind(self) -> None:
         """From here on they bind."""
         engine = self.engine
-        engine.dispatcher.roster.leave = self
+        engine.dispatcher.registry.leave = self
         engine.spends, engine.spent, engine.call_limit = self.spends, self.spent, self.call_limit
         if not isinstance(courier := engine.courier, HttpTransport):
             return
@@ -328,7 +328,7 @@
 
     def look_again(self, numbers: Iterable[int]) -> None:
         for number in numbers:
-            self.engine.dispatcher.roster.leave_grew(number)
+            self.engine.dispatcher.registry.leave_grew(number)
             self.engine.post(face.WakeUp())
 
     # The engine's side.
--- a/elmglade/http/learned.py
+++ b/elmglade/http/learned.py
@@ -8,7 +8,7 @@
 
 from elmglade import interface as face
 from elmglade.core.engine import Engine
-from elmglade.inherit import BREAKER, fields
+from elmglade.policy.inherit import BREAKER, fields
 from elmglade.recovery.begin import Beginning
 from elmglade.recovery.snapshot import MOST, Breakers, Known, Snapshots, believed
 
--- a/elmglade/interface.py
+++ b/elmglade/interface.py
@@ -305,7 +305,7 @@
 
     def free_at(self, listed: Endpoint, now: int, trial: bool = False, again: bool = False) -> float:
         """When one more call may go there: now, later, or not before a part grows or a call ends; what was
-        denied is made known then (`Roster.leave_grew`). `trial`: of a destination that is in doubt; `again`:
-        of a message that went before."""
+        denied is made known then (`EndpointRegistry.leave_grew`). `trial`: of a destination that is in doubt;
+        `again`: of a message that went before."""
 
     def reserve(self, listed: Endpoint, message: str, trial: bool = False, again: bool = False) -> None: ...
--- a/elmglade/rules.py
+++ b/elmglade/policy/dispatcher.py
@@ -1,9 +1,9 @@
 """Every decision of a sender. Its types, events and actions are in elmglade/interface.py.
 
-A circuit breaker per destination (per endpoint where routes are apart, elmglade/breaker.py) decides the
-ordinary path: failures in a row open it, messages are held, one trial after the reset timeout closes it or
-restarts the timeout, a gap paces calls while closed. The rest guards the six rules. Its rooms: who is there
-(`roster`), the messages (`held`), the calls (`outgoing`); here is what goes next, and where.
+A circuit breaker per destination (per endpoint where routes are apart, breaker.py) decides the ordinary path:
+failures in a row open it, messages are held, one trial after the reset timeout closes it or restarts the
+timeout, a gap paces calls while closed. The rest guards the six rules. Its parts: the endpoints (`registry`),
+the messages (`pending`), the calls (`inflight`); here is what goes next, and where.
 """
 
 import heapq
@@ -13,54 +13,54 @@
 from math import ceil
 
 from elmglade import interface as face
-from elmglade.breaker import NEVER, Breaker, Call, Endpoint, Message
-from elmglade.held import Held, KeyLine
-from elmglade.inherit import believe
 from elmglade.interface import Outcome
-from elmglade.outgoing import Outgoing
-from elmglade.roster import Roster
-from elmglade.schedule import Destination, Rank, Turn
+from elmglade.policy.breaker import NEVER, Breaker, Call, Endpoint, Message
+from elmglade.policy.endpoints import EndpointRegistry
+from elmglade.policy.inflight import InFlightCalls
+from elmglade.policy.inherit import believe
+from elmglade.policy.pending import KeyLine, PendingQueue
+from elmglade.policy.schedule import Destination, LoopState, Rank
 
 DESTINATION_SLOTS = 0.5  # share of the slots that calls to one destination may hold
 MAY_STILL_RUN = frozenset({Outcome.TIMEOUT, Outcome.RESET, Outcome.STALE, Outcome.SPOILT, Outcome.CANCELLED})
 REFUSALS_KEPT = 2  # of messages still owed, from which a destination is doubtful after a restart
-LOOKS = 256  # destinations looked at in a turn; where more wait for a slot, the next turn begins with those
+LOOKS = 256  # destinations looked at in an iteration; where more wait for a slot, the next begins with those
 
 
 class Dispatcher:
     def __init__(self, settings: face.Settings, seed: int) -> None:
         """One sender's decisions; `seed` is that of its chance, which is used for spreading alone."""
-        self.settings, self.turn = settings, Turn(settings, random.Random(seed))
-        self.roster = Roster(self.turn)
-        self.held = Held(self.turn, self.roster)
-        self.outgoing = Outgoing(self.turn, self.roster, self.held)
+        self.settings, self.loop = settings, LoopState(settings, random.Random(seed))
+        self.registry = EndpointRegistry(self.loop)
+        self.pending = pending = PendingQueue(self.loop, self.registry)
+        self.inflight = InFlightCalls(self.loop, self.registry, self.pending)
         self.fees = dict(settings.zone_fees)
         self.batches = any(kind.batch > 1 for _, kind in settings.kinds)
-        self.wake_at, self.stops_at, self.come_again = NEVER, NEVER, self.held.come_again
-        self.endpoints, self.destinations = self.roster.endpoints, self.roster.destinations
-        self.messages, self.keys, self.classes = self.held.messages, self.held.keys, self.held.classes
-        self.calls, self.out, self.wait_told = self.outgoing.calls, self.outgoing.out, self.outgoing.wait_told
+        self.wake_at, self.stops_at, self.come_again = NEVER, NEVER, self.pending.come_again
+        self.endpoints, self.destinations = self.registry.endpoints, self.registry.destinations
+        self.messages, self.keys, self.classes = pending.messages, pending.keys, pending.classes
+        self.calls, self.out, self.wait_told = self.inflight.calls, self.inflight.out, self.inflight.wait_told
 
     def handle(self, now_us: int, events: Iterable[face.Event]) -> list[face.Action]:
         """What follows from these events at that time. Raises ValueError for a clock that went back, a class
         that is not in the settings and a message that was taken before."""
-        if now_us < self.turn.now:
-            raise ValueError(f"the clock went back from {self.turn.now} to {now_us}")
-        self.turn.now, self.turn.actions = now_us, []
+        if now_us < self.loop.now:
+            raise ValueError(f"the clock went back from {self.loop.now} to {now_us}")
+        self.loop.now, self.loop.actions = now_us, []
         for event in events:
             self.hear(event)
-        self.outgoing.find_overdue()
-        self.held.end_due()
+        self.inflight.find_overdue()
+        self.pending.end_due()
         self.send_next()
-        self.held.keep_room()
-        self.roster.age_out()
+        self.pending.keep_room()
+        self.registry.age_out()
         self.set_wake()
-        return self.turn.actions
+        return self.loop.actions
 
     def hear(self, event: face.Event) -> None:
         match event:
             case face.MessageTaken():
-                self.held.take(event)
+                self.pending.take(event)
             case face.MessageRestored():
                 self.restore(event)
             case face.Inherited():
@@ -68,71 +68,71 @@
             case face.AttemptEnded():
                 self.attempt_ended(event)
             case face.EndpointsListed():
-                self.roster.list_endpoints(event)
+                self.registry.list_endpoints(event)
             case face.MessageWithdrawn(message) if message in self.messages:
-                self.held.finish(self.messages[message])
-            case face.EndAnswered(message) if message in self.held.unanswered:
-                self.held.finish(self.held.unanswered.pop(message))
+                self.pending.finish(self.messages[message])
+            case face.EndAnswered(message) if message in self.pending.unanswered:
+                self.pending.finish(self.pending.unanswered.pop(message))
             case face.Stopping(left):
-                self.stops_at = self.turn.now + left
+                self.stops_at = self.loop.now + left
 
     def restore(self, kept: face.MessageRestored) -> None:
         """Rules: a call that was out at the end may have run, and may still; its key rests."""
-        self.held.take(kept.taken, kept.share)
+        self.pending.take(kept.taken, kept.share)
         message = self.messages[kept.taken.message]
         message.attempts, message.risky_since = kept.attempts, kept.risky_since
         message.risky_zone, message.restored = kept.risky_zone, True
         if kept.ended:
-            self.held.unanswered[message.id] = message
-            self.held.finish(message)
+            self.pending.unanswered[message.id] = message
+            self.pending.finish(message)
             return
         if kept.call:
             self.resume(message, kept.call)
             return
         if not kept.handed:
-            self.held.rest(message.key)
-            self.roster.spread(message.destination)
-        self.held.watch_window(message)
-        if not self.held.may_send_again(message):
-            self.held.end(message)
+            self.pending.rest(message.key)
+            self.registry.spread(message.destination)
+        self.pending.watch_window(message)
+        if not self.pending.may_send_again(message):
+            self.pending.end(message)
         for name, outcome in kept.outcomes:
             breaker = endpoint.breaker if (endpoint := self.endpoints.get(name)) else None
             # Guards a destination that came back meanwhile, cold. What is called off was far overdue.
             if breaker and (outcome in face.FAILURES or outcome is Outcome.CANCELLED):
-                breaker.failed(int(self.turn.now), outcome)
-                breaker.trial_at = self.turn.now
+                breaker.failed(int(self.loop.now), outcome)
+                breaker.trial_at = self.loop.now
             elif breaker and outcome is Outcome.FULL:
-                breaker.doubt(int(self.turn.now), REFUSALS_KEPT)
+                breaker.doubt(int(self.loop.now), REFUSALS_KEPT)
 
     def resume(self, message: Message, out: face.CallOut) -> None:
         """Rules: a call that the process before has out holds its message, key and trial until it ends."""
-        at, number = self.roster.arouse(message.destination), message.destination
+        at, number = self.registry.arouse(message.destination), message.destination
         gone = face.Endpoint(out.endpoint, number, face.EndpointState.GONE, "", out.zone)
         endpoint = self.endpoints.get(out.endpoint) or Endpoint(gone)
-        call = Call(self.roster.breaker_of(at, endpoint.listed), endpoint, out.sent, next(self.turn.count))
-        self.outgoing.begin(call, message, message.attempts - 1)
+        call = Call(self.registry.breaker_of(at, endpoint.listed), endpoint, out.sent, next(self.loop.count))
+        self.inflight.begin(call, message, message.attempts - 1)
         if out.trial:
             call.breaker.trial = call
         if out.overdue:
             call.overdue = True
             del call.breaker.fresh[call]
-            call.breaker.stuck[call] = self.outgoing.stuck[call] = None
+            call.breaker.stuck[call] = self.inflight.stuck[call] = None
 
     def inherit(self, told: face.Inherited) -> None:
         for number, route, values in told.breakers:
-            own = self.roster.arouse(number).own
+            own = self.registry.arouse(number).own
             assert own is not None
-            breaker = own.setdefault(route, Breaker(self.turn.pace, number))
+            breaker = own.setdefault(route, Breaker(self.loop.pace, number))
             believe(breaker, values)
-            self.roster.touch(breaker)
+            self.registry.touch(breaker)
         for name, values in told.endpoints:
             if name in self.endpoints:
                 believe(self.endpoints[name], values)
         for key, until in told.keys:
             self.keys.setdefault(key, KeyLine()).quiet_until = until
-            heapq.heappush(self.held.quiet, (until, key))
-        quotas = self.held.quotas
-        self.held.credit |= {tenant: (left, at) for tenant, left, at in told.credit if tenant in quotas}
+            heapq.heappush(self.pending.quiet, (until, key))
+        quotas = self.pending.quotas
+        self.pending.credit |= {tenant: (left, at) for tenant, left, at in told.credit if tenant in quotas}
         for number, since in told.silent:
             if (found := self.destinations.get(number)) and found.own is None:
                 found.silent_since = since
@@ -142,43 +142,43 @@
             return
         message = call.messages.pop(ended.message)
         message.out = False
-        self.outgoing.settle(call, ended)
+        self.inflight.settle(call, ended)
         if ended.outcome in MAY_STILL_RUN:
-            self.held.rest(message.key)
+            self.pending.rest(message.key)
         if ended.outcome not in face.NEVER_RAN and message.risky_since is None:
             message.risky_since, message.risky_zone = call.sent, call.endpoint.listed.zone
         if message.ended or ended.finished:
-            self.held.finish(message)
-        elif self.turn.now + self.settings.tick >= message.until or not self.held.may_send_again(message):
-            self.held.end(message)
+            self.pending.finish(message)
+        elif self.loop.now + self.settings.tick >= message.until or not self.pending.may_send_again(message):
+            self.pending.end(message)
         else:
-            self.held.hold(message)
-            self.held.watch_window(message)
+            self.pending.hold(message)
+            self.pending.watch_window(message)
 
     def find_open(self) -> list[Destination]:
         """Destinations that take a call now and have a message for it."""
-        for number in self.roster.freed.due(self.turn.now):
-            self.roster.open[number] = None
+        for number in self.registry.freed.due(self.loop.now):
+            self.registry.open[number] = None
         found, most = [], LOOKS if len(self.out) < self.settings.slots else 0
-        for number in list(islice(self.roster.open, most)):
-            self.turn.looks += 1
+        for number in list(islice(self.registry.open, most)):
+            self.loop.looks += 1
             at = self.destinations.get(number)
             if at is None or not at.groups:
-                del self.roster.open[number]
+                del self.registry.open[number]
             elif any(map(self.may_call, at.breakers)):
                 found.append(at)
             else:
-                self.roster.shut(at)
-        if len(self.roster.open) > LOOKS:
-            for at in found:  # those behind them come first in the next turn
-                self.roster.open[at.number] = self.roster.open.pop(at.number)
+                self.registry.shut(at)
+        if len(self.registry.open) > LOOKS:
+            for at in found:  # those behind them come first in the next iteration
+                self.registry.open[at.number] = self.registry.open.pop(at.number)
         return found
 
     def send_next(self) -> None:
         """The one ordered pass: what goes next, over all destinations that take a call now."""
-        self.held.find_in_turn()
+        self.pending.find_in_turn()
         self.send_best(self.find_open())
-        self.outgoing.close_scarce()
+        self.inflight.close_scarce()
 
     def send_best(self, found: list[Destination]) -> None:
         heap: list[tuple[Rank, Message, Destination]] = []
@@ -187,11 +187,11 @@
         for at in found:
             self.push_best(heap, at)
         while heap:
-            self.turn.looks += 1
+            self.loop.looks += 1
             _, message, at = heapq.heappop(heap)
-            if not self.held.may_send_again(message):
-                self.held.end(message)
-            elif not self.held.in_turn(message):
+            if not self.pending.may_send_again(message):
+                self.pending.end(message)
+            elif not self.pending.in_turn(message):
                 at.leave(message)  # its key rests after all; `quiet` brings it back
             elif endpoint := self.choose(message, batches):
                 self.send(message, endpoint, batches)
@@ -199,7 +199,7 @@
                 at.leave(message)
                 aside.append(message)
             elif len(self.out) < self.settings.slots:
-                self.roster.shut(at)
+                self.registry.shut(at)
                 continue
             else:
                 continue  # only a slot is missing: it stays open
@@ -211,13 +211,13 @@
 
     def spares_others(self, message: Message, at: Destination, aside: list[Message]) -> bool:
         """Whether a repeat alone has to wait, for its budget: what has not gone yet may go."""
-        if (leave := self.roster.leave) is None or not message.attempts or len(aside) >= LOOKS:
+        if (leave := self.registry.leave) is None or not message.attempts or len(aside) >= LOOKS:
             return False
-        now, ways = int(self.turn.now), [x for x in at.endpoints if x.breaker and self.may_call(x.breaker)]
+        now, ways = int(self.loop.now), [x for x in at.endpoints if x.breaker and self.may_call(x.breaker)]
         return any(leave.free_at(x.listed, now, bool(x.breaker and x.breaker.is_open())) <= now for x in ways)
 
     def push_best(self, heap: list[tuple[Rank, Message, Destination]], at: Destination) -> None:
-        if best := at.best(int(self.turn.now)):
+        if best := at.best(int(self.loop.now)):
             heapq.heappush(heap, (*best, at))
 
     def may_still_go(self, endpoint: str, now: int, message: str = "") -> bool:
@@ -226,12 +226,12 @@
         known, sent = self.endpoints.get(endpoint), self.messages.get(message)
         if known is None or (known.breaker and known.breaker.wait_until > now):
             return False
-        return sent is None or self.held.may_repeat_at(now, sent, sent.risky_since)
+        return sent is None or self.pending.may_repeat_at(now, sent, sent.risky_since)
 
     def choose(self, message: Message, batches: dict[str, Call]) -> Endpoint | None:
         options: list[tuple[tuple[float, ...], int, Endpoint]] = []
         weighted = self.destinations[message.destination].weighted
-        pinned, leave = self.holds_pin(message), self.roster.leave
+        pinned, leave = self.holds_pin(message), self.registry.leave
         for endpoint in self.destinations[message.destination].endpoints:
             listed = endpoint.listed
             if pinned and listed.id != message.pinned:
@@ -242,7 +242,7 @@
             joins = self.may_join(batches.get(listed.id), listed)
             if not (joins or self.may_call(endpoint.breaker)):
                 continue
-            trial, again, now = endpoint.breaker.is_open(), message.attempts > 0, int(self.turn.now)
+            trial, again, now = endpoint.breaker.is_open(), message.attempts > 0, int(self.loop.now)
             if leave and not joins and leave.free_at(listed, now, trial, again) > now:
                 continue
             options.append((self.rank(endpoint, joins, weighted), len(options), endpoint))
@@ -251,10 +251,10 @@
     def rank(self, endpoint: Endpoint, joins: bool, weighted: bool) -> tuple[float, ...]:
         """The lowest goes first. Guards the cheapest of several routes apart from a crowd, which uses up its
         limit and is refused: there a route's turn comes by its rate times the time that it rested."""
-        listed, apart = endpoint.listed, self.roster.kinds[endpoint.listed.kind].apart
-        bad, load = max(endpoint.bad_until, self.turn.now), endpoint.turns if weighted else endpoint.out
-        if apart and self.turn.pace.crowd > 1:
-            return bad, not joins, load, (endpoint.last_sent - self.turn.now) * listed.scale
+        listed, apart = endpoint.listed, self.registry.kinds[endpoint.listed.kind].apart
+        bad, load = max(endpoint.bad_until, self.loop.now), endpoint.turns if weighted else endpoint.out
+        if apart and self.loop.pace.crowd > 1:
+            return bad, not joins, load, (endpoint.last_sent - self.loop.now) * listed.scale
         fee, away = self.fees.get(listed.zone, 0.0) if apart else 0.0, listed.zone != self.settings.zone
         return bad, fee, not joins, load, away, endpoint.last_sent
 
@@ -266,11 +266,11 @@
         return not message.kind.window_by_zone or message.risky_zone in ("", known.listed.zone)
 
     def may_join(self, call: Call | None, listed: face.Endpoint) -> bool:
-        most = self.roster.kinds[listed.kind].batch
+        most = self.registry.kinds[listed.kind].batch
         return call is not None and call.breaker.trial is not call and len(call.messages) < most
 
     def may_call(self, breaker: Breaker) -> bool:
-        now, slots = int(self.turn.now), self.settings.slots
+        now, slots = int(self.loop.now), self.settings.slots
         # What might be out when the process ends may have run.
         if len(self.out) >= slots or breaker.ready_at(now) > now or now + breaker.patience() > self.stops_at:
             return False
@@ -280,26 +280,26 @@
         call, breaker = batches.get(name := endpoint.listed.id), endpoint.breaker
         assert breaker is not None
         if call is None or not self.may_join(call, endpoint.listed):
-            call = batches[name] = Call(breaker, endpoint, int(self.turn.now), next(self.turn.count))
-            if leave := self.roster.leave:
+            call = batches[name] = Call(breaker, endpoint, int(self.loop.now), next(self.loop.count))
+            if leave := self.registry.leave:
                 leave.reserve(endpoint.listed, message.id, breaker.is_open(), message.attempts > 0)
             endpoint.turns += 1 / endpoint.listed.weight
-            breaker.last_sent = endpoint.last_sent = self.turn.now
+            breaker.last_sent = endpoint.last_sent = self.loop.now
             if breaker.is_open():
                 breaker.trial = call
-        self.outgoing.begin(call, message, message.attempts)
-        left = message.until - int(self.turn.now)
-        self.turn.actions.append(face.Send(message.id, name, left, message.attempts))
+        self.inflight.begin(call, message, message.attempts)
+        left = message.until - int(self.loop.now)
+        self.loop.actions.append(face.Send(message.id, name, left, message.attempts))
         message.attempts += 1
 
     def set_wake(self) -> None:
-        if self.roster.list_calls.is_due(self.turn.now):
-            self.turn.actions.append(face.Subscribe())
-        self.roster.set_overdue()
-        due = [self.roster.list_calls.at, self.roster.overdue.next(), self.roster.freed.next()]
-        due += [each[0] - self.settings.tick for each in self.held.deadlines[:1]]
-        due += [each[0] for each in self.held.quiet[:1]]
-        at = min((each for each in due if each > self.turn.now), default=NEVER)
-        if at < self.wake_at or self.wake_at <= self.turn.now < at < NEVER:
+        if self.registry.list_calls.is_due(self.loop.now):
+            self.loop.actions.append(face.Subscribe())
+        self.registry.set_overdue()
+        due = [self.registry.list_calls.at, self.registry.overdue.next(), self.registry.freed.next()]
+        due += [each[0] - self.settings.tick for each in self.pending.deadlines[:1]]
+        due += [each[0] for each in self.pending.quiet[:1]]
+        at = min((each for each in due if each > self.loop.now), default=NEVER)
+        if at < self.wake_at or self.wake_at <= self.loop.now < at < NEVER:
             self.wake_at = at
-            self.turn.actions.append(face.WakeAfter(max(ceil(at - self.turn.now), self.settings.tick)))
+            self.loop.actions.append(face.WakeAfter(max(ceil(at - self.loop.now), self.settings.tick)))
--- a/elmglade/roster.py
+++ b/elmglade/policy/endpoints.py
@@ -1,6 +1,6 @@
 """Who is there: endpoints as listed, destinations, their breakers, and when to look at each.
 
-What something happened to is noted where it happens, so that a turn costs what changed:
+What something happened to is noted where it happens, so that an iteration costs what changed:
 - `open`: destinations that may take a call now, as far as is known; looked at while slots are free. One
   that takes none leaves, and stands in `freed` for when its gap, wait or timeout ends.
 - `changed`: breakers that something happened to; `overdue`: when the oldest call of one is overdue;
@@ -10,24 +10,24 @@
 from collections import defaultdict
 
 from elmglade import interface as face
-from elmglade.breaker import NEVER, Breaker, Endpoint
-from elmglade.schedule import Agenda, Destination, ListCalls, Turn
+from elmglade.policy.breaker import NEVER, Breaker, Endpoint
+from elmglade.policy.schedule import Destination, ListCalls, LoopState, TimerQueue
 
 IDLE_AGE = 60_000_000  # us after which what is unused and unlisted is forgotten: above any outage's length
 QUIET_AGE = 3_600_000_000  # us of silence after which a listed destination is not judged by old figures
 
 
-class Roster:
-    def __init__(self, turn: Turn) -> None:
-        self.turn, self.settings = turn, turn.settings
-        self.kinds = defaultdict(face.Kind, turn.settings.kinds)
+class EndpointRegistry:
+    def __init__(self, loop: LoopState) -> None:
+        self.loop, self.settings = loop, loop.settings
+        self.kinds = defaultdict(face.Kind, loop.settings.kinds)
         self.endpoints: dict[str, Endpoint] = {}
         self.destinations: dict[int, Destination] = {}
         self.open: dict[int, None] = {}
-        self.freed, self.ages = Agenda[int](), Agenda[int]()
-        self.overdue = Agenda[Breaker]()
+        self.freed, self.ages = TimerQueue[int](), TimerQueue[int]()
+        self.overdue = TimerQueue[Breaker]()
         self.changed: dict[Breaker, None] = {}
-        self.list_calls = ListCalls(turn.settings, turn.random)
+        self.list_calls = ListCalls(loop.settings, loop.random)
         self.leave: face.Leave | None = None  # of a budget that a fleet shares
 
     def arouse(self, number: int) -> Destination:
@@ -38,8 +38,8 @@
             at.own = {}
             self.set_breakers(at)
             for each in at.breakers if at.silent_since is not None else ():
-                each.cold_since = self.turn.now
-            self.ages.set(number, self.turn.now + IDLE_AGE)
+                each.cold_since = self.loop.now
+            self.ages.set(number, self.loop.now + IDLE_AGE)
         return at
 
     def all_breakers(self) -> list[Breaker]:
@@ -48,10 +48,10 @@
     def list_endpoints(self, listed: face.EndpointsListed) -> None:
         """Rule: drains are kept, from the moment they are told: only ready endpoints are known here."""
         if listed.listing is face.Listing.FAILED:
-            self.list_calls.failed(self.turn.now)
+            self.list_calls.failed(self.loop.now)
             return
         if listed.listing is face.Listing.CACHED:
-            self.list_calls.start(self.turn.now)
+            self.list_calls.start(self.loop.now)
         known = self.endpoints
         touched: dict[int, None] = {}  # destinations, in the order in which they were named
         if listed.listing is not face.Listing.CHANGES:
@@ -97,9 +97,9 @@
             before = [each.breaker for each in at.endpoints if each.listed.id not in returned]
             for breaker in at.breakers:
                 if breaker not in before:
-                    breaker.cold_since = int(self.turn.now)
+                    breaker.cold_since = int(self.loop.now)
             if at.own is None and not before:
-                at.silent_since = self.turn.now
+                at.silent_since = self.loop.now
 
     def relist(self, at: Destination) -> None:
         """What follows from a destination's endpoints; the others cost nothing."""
@@ -123,16 +123,16 @@
         assert at.own is not None
         key = listed.id if self.kinds[listed.kind].apart else ""
         if key not in at.own:
-            at.own[key] = Breaker(self.turn.pace, at.number)
+            at.own[key] = Breaker(self.loop.pace, at.number)
         return at.own[key]
 
     def spread(self, number: int) -> None:
         """Guards destinations from a crowd that was started again at one time, each with what it found: its
         first call goes within the mean member's time between calls."""
-        for each in self.destinations[number].breakers if self.turn.pace.crowd > 1 else ():
+        for each in self.destinations[number].breakers if self.loop.pace.crowd > 1 else ():
             if each.last_sent == -NEVER and not each.wait_until:
                 gap = min(each.told_gap, each.most_gap)
-                each.wait_until = int(self.turn.now + self.turn.random.uniform(0, gap))
+                each.wait_until = int(self.loop.now + self.loop.random.uniform(0, gap))
 
     def touch(self, breaker: Breaker) -> None:
         """Something happened to it: it may be free now, and its calls may be overdue at another time."""
@@ -149,35 +149,35 @@
     def shut(self, at: Destination) -> None:
         """It takes no call before its time, or before something happens to it."""
         self.open.pop(at.number, None)
-        free = at.free_at(int(self.turn.now))
+        free = at.free_at(int(self.loop.now))
         if self.leave and at.endpoints:
-            now = int(self.turn.now)
+            now = int(self.loop.now)
             free = max(free, min(self.leave.free_at(each.listed, now) for each in at.endpoints))
-        self.freed.set(at.number, free if free > self.turn.now else NEVER)
+        self.freed.set(at.number, free if free > self.loop.now else NEVER)
 
     def leave_grew(self, number: int) -> None:
-        """A part of a budget has grown; the next turn looks at its destination."""
+        """A part of a budget has grown; the next iteration looks at its destination."""
         if number in self.destinations:
             self.open[number] = None
 
     def age_out(self) -> None:
         """Guards a process that lasts from what past destinations leave behind, and quiet ones from being
         judged by old figures."""
-        for number in self.ages.due(self.turn.now):
-            self.turn.looks += 1
+        for number in self.ages.due(self.loop.now):
+            self.loop.looks += 1
             if (at := self.destinations.get(number)) is None or at.own is None:
                 continue
-            self.turn.looks += len(at.own)
+            self.loop.looks += len(at.own)
             for key, each in list(at.own.items()):
                 if each not in at.breakers and self.is_unused(each, IDLE_AGE):
                     self.forget(at, key)
             if at.held or not all(self.is_unused(each, QUIET_AGE) for each in at.own.values()):
-                self.ages.set(number, self.turn.now + IDLE_AGE)
+                self.ages.set(number, self.loop.now + IDLE_AGE)
             else:
                 self.fall_asleep(at)
 
     def is_unused(self, breaker: Breaker, age: int) -> bool:
-        return not breaker.out and max(breaker.last_sent, breaker.wait_until) + age <= self.turn.now
+        return not breaker.out and max(breaker.last_sent, breaker.wait_until) + age <= self.loop.now
 
     def forget(self, at: Destination, key: str) -> None:
         """A breaker that was not used for so long; when that was is all that is kept of it."""
--- a/elmglade/outgoing.py
+++ b/elmglade/policy/inflight.py
@@ -3,20 +3,20 @@
 from itertools import takewhile
 
 from elmglade import interface as face
-from elmglade.breaker import RESET_TIMEOUT, Call, Endpoint, Message
-from elmglade.held import Held
 from elmglade.interface import Outcome
-from elmglade.roster import Roster
-from elmglade.schedule import Turn
+from elmglade.policy.breaker import RESET_TIMEOUT, Call, Endpoint, Message
+from elmglade.policy.endpoints import EndpointRegistry
+from elmglade.policy.pending import PendingQueue
+from elmglade.policy.schedule import LoopState
 
 SCARCE_TIMES = 3  # idle times for which a crowd closes its connections after use where they are scarce
 GONE_TIMES = 4  # reset timeouts for which one that may be gone comes last; the list tells of it meanwhile
 SCARCE_WITHIN = 1_000_000  # us from a refused connect to a served call: an outage's refusals last for longer
 
 
-class Outgoing:
-    def __init__(self, turn: Turn, roster: Roster, held: Held) -> None:
-        self.turn, self.settings, self.roster, self.held = turn, turn.settings, roster, held
+class InFlightCalls:
+    def __init__(self, loop: LoopState, registry: EndpointRegistry, pending: PendingQueue) -> None:
+        self.loop, self.settings, self.registry, self.pending = loop, loop.settings, registry, pending
         self.calls: dict[tuple[str, int], Call] = {}
         self.idle: dict[str, Endpoint] = {}  # with a call just ended
         self.out: dict[Call, None] = {}  # distinct calls, oldest first
@@ -28,16 +28,16 @@
             self.out[call] = call.breaker.fresh[call] = None
             call.breaker.out += 1
             call.endpoint.out += 1
-            self.roster.touch(call.breaker)
+            self.registry.touch(call.breaker)
         call.messages[message.id] = message
         self.calls[message.id, attempt] = call
         message.out = True
-        self.roster.destinations[message.destination].release(message)
+        self.registry.destinations[message.destination].release(message)
 
     def settle(self, call: Call, ended: face.AttemptEnded) -> None:
         """The first result of a call speaks for all its messages."""
-        breaker, endpoint, now = call.breaker, call.endpoint, int(self.turn.now)
-        self.roster.touch(breaker)
+        breaker, endpoint, now = call.breaker, call.endpoint, int(self.loop.now)
+        self.registry.touch(breaker)
         if ended.wait:  # rule: told waits are heeded, from each answer that tells one
             breaker.wait_until = max(breaker.wait_until, now + ended.wait)
         if not call.messages:
@@ -73,54 +73,54 @@
         crowd, whose members see few calls, each counts: a returning destination is not to be pushed over."""
         if outcome not in face.FAILURES or call.overdue:
             return False
-        return outcome is not Outcome.TIMEOUT or call is call.breaker.trial or self.turn.pace.crowd > 1
+        return outcome is not Outcome.TIMEOUT or call is call.breaker.trial or self.loop.pace.crowd > 1
 
     def is_alone(self, call: Call) -> bool:
         """Whether a refused connect speaks against its endpoint alone, as another one is not known to be bad.
         Guards a crowd, whose list may be old, from holding back what that one would take."""
-        if self.turn.pace.crowd <= 1 or call is call.breaker.trial:
+        if self.loop.pace.crowd <= 1 or call is call.breaker.trial:
             return False
-        at = self.roster.destinations[call.breaker.destination]
+        at = self.registry.destinations[call.breaker.destination]
         others = [each for each in at.endpoints if each.breaker is call.breaker and each is not call.endpoint]
-        return any(each.bad_until <= self.turn.now for each in others)
+        return any(each.bad_until <= self.loop.now for each in others)
 
     def find_overdue(self) -> None:
         """Guards against hangs, silence and slowness: a call far too slow counts as a failure at once; with
         no slot free the oldest far overdue is called off, harmless first. May lose a heavy message. Where
         later calls were served the call or its connection is lost, and what may go again does."""
-        changed, now = self.roster.set_overdue(), self.turn.now
+        changed, now = self.registry.set_overdue(), self.loop.now
         late: list[Call] = []
-        for breaker in self.roster.overdue.due(now):
-            self.roster.touch(breaker)
+        for breaker in self.registry.overdue.due(now):
+            self.registry.touch(breaker)
             patience = breaker.patience()
             late += takewhile(lambda call, p=patience: now >= call.sent + p, breaker.fresh)  # type: ignore[misc]
         for call in sorted(late, key=lambda each: each.number):
             self.is_overdue(call)
         if not self.settings.may_cancel:
             return
-        changed |= self.roster.set_overdue()
+        changed |= self.registry.set_overdue()
         short = len(self.out) >= self.settings.slots
         # Nothing else can have become hopeless; but where slots are short, time alone tells.
         stuck = self.stuck if short else [call for breaker in changed for call in breaker.stuck]
         for call in sorted(stuck, key=lambda each: (each.risks(), each.number)):
-            self.turn.looks += 1
+            self.loop.looks += 1
             if not call.called_off and self.is_hopeless(call, short):
                 call.called_off, short = True, False
                 for each in call.messages.values():
-                    self.turn.actions.append(face.CancelAttempt(each.id, each.attempts - 1))
+                    self.loop.actions.append(face.CancelAttempt(each.id, each.attempts - 1))
 
     def is_overdue(self, call: Call) -> None:
-        self.turn.looks += 1
+        self.loop.looks += 1
         call.overdue = True
         del call.breaker.fresh[call]
         call.breaker.stuck[call] = self.stuck[call] = None
-        call.breaker.failed(int(self.turn.now))
-        call.endpoint.bad_until = self.turn.now + RESET_TIMEOUT
-        self.roster.touch(call.breaker)
+        call.breaker.failed(int(self.loop.now))
+        call.endpoint.bad_until = self.loop.now + RESET_TIMEOUT
+        self.registry.touch(call.breaker)
 
     def is_hopeless(self, call: Call, short: bool) -> bool:
         """Whether an overdue call is called off."""
-        lost = self.turn.now - call.sent > 1.5 * call.breaker.patience()
+        lost = self.loop.now - call.sent > 1.5 * call.breaker.patience()
         alone = call.breaker.served_sent > call.sent and self.may_repeat(call)
         harmless = not call.risks() and call.breaker.is_open()
         return alone or harmless or (short and lost)
@@ -129,15 +129,15 @@
         """Whether all its messages may go once more, though this call may have run."""
         return all(
             each.attempts < self.settings.max_attempts
-            and self.held.may_repeat_at(self.turn.now, each, call.sent)
+            and self.pending.may_repeat_at(self.loop.now, each, call.sent)
             for each in call.messages.values()
         )
 
     def wait_told(self, endpoint: str, until: int) -> None:
-        """Rule: waits. It binds calls that are about to go before their turn of events comes."""
+        """Rule: waits. It binds calls that are about to go before the next loop iteration."""
         told = {call.breaker for call in self.out if call.endpoint.listed.id == endpoint}
-        if known := self.roster.endpoints.get(endpoint):  # else it drains or has gone, and that one waits on
-            self.roster.arouse(known.listed.destination)
+        if known := self.registry.endpoints.get(endpoint):  # else it drains or has gone: that one waits on
+            self.registry.arouse(known.listed.destination)
             assert known.breaker is not None
             told.add(known.breaker)
         for breaker in told:
@@ -145,6 +145,6 @@
 
     def close_scarce(self) -> None:
         """Guards against a crowd's idle connections that fill what endpoints accept."""
-        idle, self.idle = self.idle if self.turn.pace.crowd > 1 else {}, {}
-        scarce = [name for name, each in idle.items() if not each.out and self.turn.now < each.scarce_until]
-        self.turn.actions += map(face.CloseIdle, scarce)
+        idle, self.idle = self.idle if self.loop.pace.crowd > 1 else {}, {}
+        scarce = [name for name, each in idle.items() if not each.out and self.loop.now < each.scarce_until]
+        self.loop.actions += map(face.CloseIdle, scarce)
--- a/elmglade/inherit.py
+++ b/elmglade/policy/inherit.py
@@ -7,9 +7,9 @@
 from collections.abc import Iterable, Mapping
 
 from elmglade import interface as face
-from elmglade.breaker import Breaker, Endpoint
-from elmglade.held import Held
-from elmglade.roster import Roster
+from elmglade.policy.breaker import Breaker, Endpoint
+from elmglade.policy.endpoints import EndpointRegistry
+from elmglade.policy.pending import PendingQueue
 
 BREAKER = (
     "calls", "cold_since", "failures", "full_since", "gap", "gap_changed", "known", "last_sent",
@@ -29,14 +29,14 @@
             setattr(of, name, told[name])
 
 
-def tell(roster: Roster, held: Held) -> face.Inherited:
+def tell(registry: EndpointRegistry, pending: PendingQueue) -> face.Inherited:
     """For the process that follows."""
-    found, now = list(roster.destinations.values()), held.turn.now
+    found, now = list(registry.destinations.values()), pending.loop.now
     own = [(at.number, route, each) for at in found for route, each in (at.own or {}).items()]
     return face.Inherited(
         breakers=tuple((number, route, fields(each, BREAKER)) for number, route, each in own),
-        endpoints=tuple((name, fields(each, ENDPOINT)) for name, each in roster.endpoints.items()),
-        keys=tuple((key, line.quiet_until) for key, line in held.keys.items() if line.quiet_until > now),
-        credit=tuple((tenant, left, since) for tenant, (left, since) in held.credit.items()),
+        endpoints=tuple((name, fields(each, ENDPOINT)) for name, each in registry.endpoints.items()),
+        keys=tuple((key, line.quiet_until) for key, line in pending.keys.items() if line.quiet_until > now),
+        credit=tuple((tenant, left, since) for tenant, (left, since) in pending.credit.items()),
         silent=tuple((at.number, at.silent_since) for at in found if at.silent_since is not None),
     )
--- a/elmglade/held.py
+++ b/elmglade/policy/pending.py
@@ -9,9 +9,9 @@
 from collections import OrderedDict
 
 from elmglade import interface as face
-from elmglade.breaker import NEVER, RESET_TIMEOUT, Message
-from elmglade.roster import Roster
-from elmglade.schedule import Destination, Turn, worth
+from elmglade.policy.breaker import NEVER, RESET_TIMEOUT, Message
+from elmglade.policy.endpoints import EndpointRegistry
+from elmglade.policy.schedule import Destination, LoopState, worth
 
 ROUNDING = 1e-9  # of a message: a share that is whole but for the last bits of a float is whole
 CALL_SHARE = 1 / 8  # of the aim: guessed time of a call and its way
@@ -29,9 +29,9 @@
         return next(iter(self.queue.values()))
 
 
-class Held:
-    def __init__(self, turn: Turn, roster: Roster) -> None:
-        self.turn, self.settings, self.roster = turn, (settings := turn.settings), roster
+class PendingQueue:
+    def __init__(self, loop: LoopState, registry: EndpointRegistry) -> None:
+        self.loop, self.settings, self.registry = loop, (settings := loop.settings), registry
         self.classes = {each.name: each for each in settings.classes}
         self.quotas = {name: rate / settings.fleet_size for name, rate in settings.tenants if rate > 0}
         self.credit = {name: (rate, 0) for name, rate in self.quotas.items()}  # left, and when
@@ -50,9 +50,9 @@
         if taken.message in self.messages:
             raise ValueError(f"message {taken.message} was taken before")
         share = self.within_share(taken.tenant) if share is None else share
-        message = Message(taken, self.classes[taken.message_class], int(self.turn.now), share)
+        message = Message(taken, self.classes[taken.message_class], int(self.loop.now), share)
         self.messages[message.id] = message
-        heapq.heappush(self.deadlines, (message.until, next(self.turn.count), message))
+        heapq.heappush(self.deadlines, (message.until, next(self.loop.count), message))
         if message.key:
             self.keys.setdefault(message.key, KeyLine()).queue[message.id] = message
         self.hold(message)
@@ -61,30 +61,30 @@
         if tenant not in self.quotas:
             return 1.0  # no share is told; nothing is kept by a name that any client may make up
         rate, (left, since) = self.quotas[tenant], self.credit[tenant]
-        left = min(left + rate * (self.turn.now - since) / 1e6, max(rate, 1.0))
+        left = min(left + rate * (self.loop.now - since) / 1e6, max(rate, 1.0))
         within = left >= 1 - ROUNDING
-        self.credit[tenant] = left - within, int(self.turn.now)
+        self.credit[tenant] = left - within, int(self.loop.now)
         return 1.0 if within else self.settings.over_share_worth
 
     def hold(self, message: Message) -> None:
-        at = self.roster.arouse(message.destination)
-        message.number = next(self.turn.count)
+        at = self.registry.arouse(message.destination)
+        message.number = next(self.loop.count)
         at.hold(message)
         self.examined.append(message)
-        if self.room_until > self.turn.now and self.may_refuse(message):
+        if self.room_until > self.loop.now and self.may_refuse(message):
             turns = len(self.keys[message.key].queue) - 1 if message.key and not message.attempts else 0
             insort(self.room, self.prospect(message, at, turns))
 
     def rest(self, key: str) -> None:
         if line := self.keys.get(key):
-            line.quiet_until = int(self.turn.now) + self.settings.key_quiet
+            line.quiet_until = int(self.loop.now) + self.settings.key_quiet
             heapq.heappush(self.quiet, (line.quiet_until, key))
 
     def watch_window(self, message: Message) -> None:
         """A held message that may be repeated only for a while is looked at again when that is over."""
         if message.risky_since is not None and message.kind.effect is face.Effect.KEYED:
             last = self.repeat_until(message, message.risky_since) + self.settings.tick
-            heapq.heappush(self.deadlines, (last, next(self.turn.count), message))
+            heapq.heappush(self.deadlines, (last, next(self.loop.count), message))
 
     def repeat_until(self, message: Message, sent: int) -> float:
         """Until when a repeat may go; `sent` is when an attempt went that may have run."""
@@ -100,7 +100,7 @@
     def may_send_again(self, message: Message) -> bool:
         """Rule: no effect twice."""
         left = message.attempts < self.settings.max_attempts
-        return left and self.may_repeat_at(self.turn.now, message, message.risky_since)
+        return left and self.may_repeat_at(self.loop.now, message, message.risky_since)
 
     def may_refuse(self, message: Message) -> bool:
         """Rule: no effect twice; a refusal tells the client that trying again is harmless."""
@@ -110,7 +110,7 @@
 
     def end(self, message: Message) -> None:
         refusal = face.Refuse(message.id, self.come_again())
-        self.turn.actions.append(refusal if self.may_refuse(message) else face.Fail(message.id))
+        self.loop.actions.append(refusal if self.may_refuse(message) else face.Fail(message.id))
         if self.settings.ends_answered:
             self.unanswered[message.id] = message
         self.finish(message)
@@ -122,22 +122,22 @@
         if not message.ended:
             message.ended = True
             del self.messages[message.id]
-            self.roster.destinations[message.destination].release(message)
+            self.registry.destinations[message.destination].release(message)
         if message.id in self.unanswered:
             return  # rule: order; nothing for its key goes before its notice is answered
         if (line := self.keys.get(message.key)) and not message.out and message.id in line.queue:
             del line.queue[message.id]
             if line.queue:
                 self.examined.append(line.head())
-            elif line.quiet_until <= self.turn.now:
+            elif line.quiet_until <= self.loop.now:
                 del self.keys[message.key]
 
     def end_due(self) -> None:
         """Rule: no message is lost. Held ones are ended a tick ahead of their time, or when no more attempt
         is allowed them; one that is out is looked at again when its attempt ends."""
-        soon = self.turn.now + self.settings.tick
+        soon = self.loop.now + self.settings.tick
         while self.deadlines and self.deadlines[0][0] <= soon:
-            self.turn.looks += 1
+            self.loop.looks += 1
             message = heapq.heappop(self.deadlines)[2]
             over = message.until <= soon or not self.may_send_again(message)
             if over and not message.ended and not message.out:
@@ -146,7 +146,7 @@
     def in_turn(self, message: Message) -> bool:
         """Rule: order per key. A message's own further attempts need no rest."""
         line = self.keys.get(message.key)
-        rested = not line or message.attempts > 0 or self.turn.now >= line.quiet_until
+        rested = not line or message.attempts > 0 or self.loop.now >= line.quiet_until
         return not line or (line.head() is message and rested)
 
     def is_held(self, message: Message) -> bool:
@@ -154,42 +154,42 @@
 
     def find_in_turn(self) -> None:
         """What may go since its key has rested, or since it or the one before it came or went."""
-        while self.quiet and self.quiet[0][0] <= self.turn.now:
-            self.turn.looks += 1
+        while self.quiet and self.quiet[0][0] <= self.loop.now:
+            self.loop.looks += 1
             key = heapq.heappop(self.quiet)[1]
-            if (line := self.keys.get(key)) and line.quiet_until <= self.turn.now:
+            if (line := self.keys.get(key)) and line.quiet_until <= self.loop.now:
                 if line.queue:
                     self.examined.append(line.head())
                 else:
                     del self.keys[key]
         for message in self.examined:
-            self.turn.looks += 1
+            self.loop.looks += 1
             if self.is_held(message) and not message.queued and self.in_turn(message):
-                self.roster.destinations[message.destination].queue(message, self.settings.halves)
-                self.roster.open[message.destination] = None
+                self.registry.destinations[message.destination].queue(message, self.settings.halves)
+                self.registry.open[message.destination] = None
         self.examined = []
 
     def prospect(self, message: Message, at: Destination, turns: int) -> tuple[float, int, Message]:
         """Worth when its turn comes, behind `turns` others of its key; of equal ones the first held goes.
         Guards new messages against a room full of what cannot go soon."""
         kind = message.kind
-        then = max(at.ready_at(int(self.turn.now)), self.turn.now) + kind.aim * (0.5 + turns * CALL_SHARE)
+        then = max(at.ready_at(int(self.loop.now)), self.loop.now) + kind.aim * (0.5 + turns * CALL_SHARE)
         value = worth(kind, message.share, then - message.born, self.settings.halves)
         return value, message.number, message
 
     def may_return(self, message: Message) -> bool:
         """Whether it may be ended for room: late; or, unless a start found it, told to wait too long, in its
-        first turn (not taken on yet), or in a small fleet, whose members can tell whose turn comes."""
-        waited, life = self.turn.now - message.came, message.until - message.came
-        told = [each.wait_until for each in self.roster.destinations[message.destination].breakers]
-        early = self.turn.pace.crowd <= 1 or not waited or min(told, default=0) >= message.until
+        first iteration (not taken on yet), or in a small fleet, whose members can tell whose turn comes."""
+        waited, life = self.loop.now - message.came, message.until - message.came
+        told = [each.wait_until for each in self.registry.destinations[message.destination].breakers]
+        early = self.loop.pace.crowd <= 1 or not waited or min(told, default=0) >= message.until
         return waited >= RETURN_FROM * life or (early and not message.restored)
 
     def keep_room(self) -> None:
         """Ends the least promising of what is held where no room is left for one more. Their order is made
         anew only now and then: a walk over all that is held costs so much of a core at the most."""
         excess = len(self.messages) - self.settings.max_open + 1
-        if self.turn.now >= self.room_until:
+        if self.loop.now >= self.room_until:
             self.room = []
             if excess > 0:
                 self.order_room()
@@ -203,10 +203,10 @@
         places: dict[str, int] = {}
         for line in self.keys.values():
             places |= {name: place for place, name in enumerate(line.queue)}
-        self.turn.looks += len(self.messages) + len(places)
+        self.loop.looks += len(self.messages) + len(places)
         self.room = sorted(
-            self.prospect(each, self.roster.destinations[each.destination], places.get(each.id, 0))
+            self.prospect(each, self.registry.destinations[each.destination], places.get(each.id, 0))
             for each in self.messages.values()
             if self.is_held(each) and self.may_refuse(each)
         )
-        self.room_until = self.turn.now + max(PROSPECT_AGE * len(self.messages), 1)
+        self.room_until = self.loop.now + max(PROSPECT_AGE * len(self.messages), 1)
--- a/elmglade/schedule.py
+++ b/elmglade/policy/schedule.py
@@ -1,6 +1,6 @@
 """What is due, and which message goes next, found from what changed: nothing here walks over everything.
 
-- `Agenda`: items with one time each; what is due comes out, and nothing else is looked at.
+- `TimerQueue`: items with one time each; what is due comes out, and nothing else is looked at.
 - `Destination`: its endpoints, its breakers while it is awake, and what is held for it.
 - `ListCalls`: when the list of endpoints is asked for.
 - `Group`: messages of one destination, class and share that may go next, by age. All of them lose worth by
@@ -16,31 +16,31 @@
 from heapq import heapify, heappop, heappush
 from typing import Generic, NamedTuple, TypeVar
 
-from elmglade.breaker import GAP_SENDERS, NEVER, Breaker, Endpoint, Message, Pace
 from elmglade.interface import Action, MessageClass, Settings
+from elmglade.policy.breaker import GAP_SENDERS, NEVER, Breaker, Endpoint, Message, Pace
 
 PASSED_OVER = 0.9  # guessed chance that a message passed over now is still served one aim later
 AT_HAND_AGAIN = 50_000  # us until a list at hand is asked for again: well within the grace of a drain
 LIST_PAUSE = 2_000_000  # us from one call for the list to the next at the most, where it failed at once
 LIST_SPREAD = 500_000  # us over which senders whose calls, or watches, ended at one time ask again
 LIST_START = 4_000_000  # us over which a crowd that has started at one time asks
-STALE = 64  # entries of an agenda that may be stale, above one for each that is not
+STALE = 64  # entries of a timer queue that may be stale, above one for each that is not
 FEW = 8  # messages that are compared one by one
 
 Item = TypeVar("Item", bound=Hashable)
 
 
-class Turn:
-    """What the rooms of a sender's decisions share: its clock, its chance, what is to be done."""
+class LoopState:
+    """What the parts of a sender's decisions share: the iteration's time, its chance, what is to be done."""
 
     def __init__(self, settings: Settings, chance: random.Random) -> None:
         self.settings, self.random, self.pace = settings, chance, Pace.of(settings, chance)
         self.now, self.count = -NEVER, itertools.count()
-        self.looks = 0  # items looked at, ever: what a turn costs is counted by it
+        self.looks = 0  # items looked at, ever: what an iteration costs is counted by it
         self.actions: list[Action] = []
 
 
-class Agenda(Generic[Item]):
+class TimerQueue(Generic[Item]):
     """A heap in which an item has one time at most; entries that were overtaken are passed over."""
 
     def __init__(self) -> None:
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -11,44 +11,73 @@
 #: What each part may import of the package, besides itself; the parts above are not in any of these.
 BASE = {"files", "interface", "message"}
 FLEET = {"budget", "journal", "recovery", "fleet"}  # of a sender of our own, imported where it is asked for
+PARTS = ("breaker", "schedule", "endpoints", "pending", "inflight", "inherit")  # of the policy, from below
 ALLOWED: dict[str, set[str]] = {
     "files": set(),
     "interface": set(),
     "message": set(),
-    "breaker": {"interface"},
-    "schedule": {"breaker", "interface"},
-    "roster": {"breaker", "interface", "schedule"},
-    "held": {"breaker", "interface", "roster", "schedule"},
-    "outgoing": {"breaker", "held", "interface", "roster", "schedule"},
-    "inherit": {"breaker", "held", "interface", "roster"},
-    "rules": {"breaker", "held", "inherit", "interface", "outgoing", "roster", "schedule"},
+    "policy": set(),
+    "policy.breaker": {"interface"},
+    "policy.schedule": {"policy.breaker", "interface"},
+    "policy.endpoints": {"policy.breaker", "interface", "policy.schedule"},
+    "policy.pending": {"policy.breaker", "interface", "policy.endpoints", "policy.schedule"},
+    "policy.inflight": {"interface", *(f"policy.{each}" for each in PARTS[:4])},
+    "policy.inherit": {"policy.breaker", "policy.pending", "interface", "policy.endpoints"},
+    "policy.dispatcher": {"interface", *(f"policy.{each}" for each in PARTS)},
     "settings": {"interface"},
     "journal": BASE,
     "admission": BASE,
     "directory": BASE,
     "handover": {*BASE, "core", "directory"},
     "manage": {*BASE, "core"},
-    "core": {*BASE, "breaker", "inherit", "schedule", "rules", "journal"},
+    "core": {*BASE, "policy.breaker", "policy.inherit", "policy.schedule", "policy.dispatcher", "journal"},
     "tables": set(),
     "config": {*BASE, "directory", "tables"},
-    "http": {*BASE, "admission", "core", "config", "directory", "handover", "inherit", "manage", *FLEET},
+    "http": {
+        *BASE,
+        "admission",
+        "core",
+        "config",
+        "directory",
+        "handover",
+        "policy.inherit",
+        "manage",
+        *FLEET,
+    },
     "grpc": {*BASE, "core", "config", "directory", "journal"},
     "recovery": {*BASE, "fleet", "journal"},
     "fleet": {"files"},
     "lab": {*BASE, "core", "config", "directory", "http", "grpc", "journal"},
-    "adapter": {"interface", "rules", "settings"},
+    "adapter": {"interface", "policy.dispatcher", "settings"},
     "budget": {"fleet"},
-    "emulator": {*BASE, "budget", "config", "core", "directory", "http", "lab", "rules", "tables", *FLEET},
+    "emulator": {
+        *BASE,
+        "budget",
+        "config",
+        "core",
+        "directory",
+        "http",
+        "lab",
+        "policy.dispatcher",
+        "tables",
+        *FLEET,
+    },
     "pcap": {"http"},  # a codec's patterns
     "cli": {"config", "tables", "core", "directory", "emulator", "http", "journal", "lab", "pcap"},
     "start": {"core", "handover", "http", "manage", "settings"},
     "__main__": {"cli", "start"},
-    "__init__": {"rules"},
+    "__init__": {"policy.dispatcher"},
 }
 
 
 def part(file: Path) -> str:
-    return file.relative_to(ROOT).parts[0].removesuffix(".py")
+    parts = file.relative_to(ROOT).with_suffix("").parts
+    return part_of([each for each in parts if each != "__init__"] or ["__init__"])
+
+
+def part_of(names: list[str]) -> str:
+    """A package is one part; the policy's modules are parts by themselves."""
+    return ".".join(names[:2] if names[0] == "policy" else names[:1])
 
 
 def imported(file: Path) -> set[str]:
@@ -63,7 +92,7 @@
         for name in names:
             top, _, rest = name.partition(".")
             if top == "elmglade" and rest:
-                found.add(rest.partition(".")[0])
+                found.add(part_of(rest.split(".")))
     return found
 
 
@@ -92,7 +121,7 @@
 
 
 def test_the_core_and_what_is_below_it_know_no_protocol() -> None:
-    for name in ("core", "journal", "directory", "rules", "interface", "message"):
+    for name in ("core", "journal", "directory", "policy.dispatcher", "interface", "message"):
         assert not ALLOWED[name] & {"http", "grpc", "lab", "cli"}
 
 
--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -6,8 +6,8 @@
 from helpers import MS, SECOND, World, ended, endpoint, sent
 
 from elmglade import interface as face
-from elmglade.breaker import FAILURE_THRESHOLD, RESET_TIMEOUT
 from elmglade.interface import Outcome
+from elmglade.policy.breaker import FAILURE_THRESHOLD, RESET_TIMEOUT
 
 
 def test_opens_at_the_threshold_and_holds() -> None:
@@ -24,7 +24,7 @@
     for _ in range(FAILURE_THRESHOLD - 1):
         world.take("once")
         world.answer(f"m{world.count}", Outcome.RESET)
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     assert breaker.failures == FAILURE_THRESHOLD - 1
     world.take()
     world.answer(f"m{world.count}", Outcome.OK)
@@ -57,7 +57,7 @@
     world = World()
     world.take()
     world.answer("m1", Outcome.FULL)
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     first = breaker.gap
     world.step(face.WakeUp(), after=SECOND)
     world.answer("m1", Outcome.FULL)
@@ -97,7 +97,7 @@
         world = World(must_ask=True, **changes)
         for _ in range(tries):
             world.step(face.EndpointsListed(face.Listing.FAILED), after=MS)
-            failed_at, asked_at = world.now, math.ceil(world.dispatcher.roster.list_calls.at)
+            failed_at, asked_at = world.now, math.ceil(world.dispatcher.registry.list_calls.at)
             assert face.Subscribe() in world.step(face.WakeUp(), after=asked_at - failed_at)
         return asked_at - failed_at
 
@@ -123,7 +123,7 @@
     for _ in range(FAILURE_THRESHOLD):
         world.take("once")
         world.answer(f"m{world.count}", Outcome.ERROR)
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     assert 0 < breaker.failures < FAILURE_THRESHOLD
 
 
@@ -139,7 +139,7 @@
     def gap_after_refusals(fleet: int) -> float:
         world = World(fleet_size=fleet, max_attempts=99)
         world.take(time_left=20 * SECOND)
-        (breaker,) = world.dispatcher.roster.all_breakers()
+        (breaker,) = world.dispatcher.registry.all_breakers()
         for _ in range(30):
             world.answer("m1", Outcome.FULL, after=MS)
             world.step(face.WakeUp(), after=round(breaker.gap))
@@ -177,7 +177,7 @@
     world.take("zoned")
     assert sent(world.take("zoned", after=100 * MS)) == ["m2"]
     world.answer("m2", Outcome.OK)
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     actions = world.step(face.WakeUp(), after=int(breaker.patience()))
     assert [each for each in actions if isinstance(each, face.CancelAttempt)] == [face.CancelAttempt("m1", 0)]
     assert sent(world.answer("m1", Outcome.CANCELLED)) == ["m1"]
@@ -198,7 +198,7 @@
     """Seen: gaps of 2 s, grown by refusals, at a destination that takes 58 calls a second. And gaps far under
     the share, where refused calls use the limit up too: a fifth of the attempts was refused."""
     world = World(endpoint("a", scale=50.0), fleet_size=2, rates_told=True)
-    (breaker,) = world.dispatcher.roster.arouse(1).breakers
+    (breaker,) = world.dispatcher.registry.arouse(1).breakers
     gaps = []
     world.take()
     for _ in range(5):
@@ -211,7 +211,7 @@
 
 def test_a_gap_at_its_share_shrinks_slowly_and_one_that_was_shut_out_fast() -> None:
     world = World(endpoint("a", scale=1.0), rates_told=True, max_attempts=99)
-    (breaker,) = world.dispatcher.roster.arouse(1).breakers
+    (breaker,) = world.dispatcher.registry.arouse(1).breakers
 
     def shrink(gap: float) -> float:
         breaker.gap = gap
@@ -232,7 +232,7 @@
     """Seen: three refusals above a limit in a row, and the destination was warmed for 9 s like one that was
     out. Shut ones refuse for longer than any span lasts, or tell a longer wait; those are warmed."""
     world = World(endpoint("a", scale=50.0), rates_told=True, max_attempts=99)
-    (breaker,) = world.dispatcher.roster.arouse(1).breakers
+    (breaker,) = world.dispatcher.registry.arouse(1).breakers
     world.take()
     for _ in range(FAILURE_THRESHOLD + 1):
         world.answer("m1", Outcome.FULL, wait=wait * MS)
@@ -242,7 +242,7 @@
 
 def test_a_kept_connection_that_breaks_says_nothing_of_the_destination() -> None:
     world = World()
-    (breaker,) = world.dispatcher.roster.arouse(1).breakers
+    (breaker,) = world.dispatcher.registry.arouse(1).breakers
     for _ in range(FAILURE_THRESHOLD + 1):
         world.take("once")
         world.answer(f"m{world.count}", Outcome.STALE)
@@ -255,7 +255,7 @@
     for _ in range(2 * FAILURE_THRESHOLD):
         assert sent(world.take("safe", time_left=50 * MS))
         world.answer(f"m{world.count}", Outcome.TIMEOUT, after=40 * MS)
-    breaker = world.dispatcher.roster.all_breakers()[0]
+    breaker = world.dispatcher.registry.all_breakers()[0]
     assert not breaker.failures and not breaker.sick and not breaker.cold_gap(world.now)
     assert sent(world.take("safe"))
 
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -7,9 +7,9 @@
 
 from elmglade import Dispatcher
 from elmglade import interface as face
-from elmglade.breaker import FAILURE_THRESHOLD, RESET_TIMEOUT
 from elmglade.interface import Outcome
-from elmglade.schedule import LIST_PAUSE, LIST_SPREAD, LIST_START, ListCalls
+from elmglade.policy.breaker import FAILURE_THRESHOLD, RESET_TIMEOUT
+from elmglade.policy.schedule import LIST_PAUSE, LIST_SPREAD, LIST_START, ListCalls
 from elmglade.settings import settings_from
 
 CROWD = 200
@@ -33,7 +33,7 @@
         for _ in range(2):
             world.take("once")
             world.answer(f"m{world.count}", Outcome.RESET)
-        (breaker,) = world.dispatcher.roster.all_breakers()
+        (breaker,) = world.dispatcher.registry.all_breakers()
         assert (breaker.cold_gap(world.now) > 0) == cold
 
 
@@ -43,7 +43,7 @@
         world = World(fleet_size=fleet)
         world.take()
         world.answer("m1", Outcome.FULL)
-        gaps += [breaker.gap for breaker in world.dispatcher.roster.all_breakers()]
+        gaps += [breaker.gap for breaker in world.dispatcher.registry.all_breakers()]
     assert gaps[1] > 10 * gaps[0]
 
 
@@ -51,10 +51,10 @@
     ends = []
     for fleet in (1, CROWD, CROWD):
         world = World(fleet_size=fleet)
-        world.dispatcher.turn.random.seed(len(ends))
+        world.dispatcher.loop.random.seed(len(ends))
         world.take()
         world.answer("m1", Outcome.FULL, wait=SECOND)
-        (breaker,) = world.dispatcher.roster.all_breakers()
+        (breaker,) = world.dispatcher.registry.all_breakers()
         ends.append(breaker.wait_until)
         assert breaker.wait_until >= 10 * MS + SECOND
     assert ends[0] == 10 * MS + SECOND and ends[1] != ends[2]
@@ -66,7 +66,7 @@
         world = World(endpoint("a", scale=scale), fleet_size=CROWD, rates_told=True)
         world.take()
         world.answer("m1", Outcome.FULL)
-        gaps += [breaker.gap for breaker in world.dispatcher.roster.all_breakers()]
+        gaps += [breaker.gap for breaker in world.dispatcher.registry.all_breakers()]
     assert gaps[0] > gaps[1] > 0
 
 
@@ -126,7 +126,7 @@
                 break
             actions = world.answer(calls[0].message, Outcome.CONNECT_FAILED)
             calls = [each for each in actions if isinstance(each, face.Send)]
-            (breaker,) = world.dispatcher.roster.all_breakers()
+            (breaker,) = world.dispatcher.registry.all_breakers()
             found = max(found, breaker.failures)
         assert (found >= counted) and (found == 0) == (counted == 0)
 
@@ -148,7 +148,7 @@
     for _ in range(3):
         world.take()
         world.answer(f"m{world.count}", Outcome.OK, after=50 * MS)
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     assert breaker.took < 200 * MS
 
 
@@ -201,7 +201,7 @@
         for _ in range(60):
             assert sent(world.take(after=800 * MS))
             world.answer(f"m{world.count}", Outcome.OK, after=0)
-        (breaker,) = world.dispatcher.roster.all_breakers()
+        (breaker,) = world.dispatcher.registry.all_breakers()
         assert sent(world.take(after=800 * MS))
         world.answer(f"m{world.count}", Outcome.FULL)
         assert (700 * MS < breaker.gap < 900 * MS) == usual
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -14,16 +14,16 @@
 
 import pytest
 
-from elmglade.breaker import Breaker
 from elmglade.cli import main
 from elmglade.core.engine import Engine
 from elmglade.emulator import life, search, shrink
 from elmglade.emulator.loop import LIVELOCK, DeadlockError, EmulationError, LivelockError, VirtualLoop
 from elmglade.emulator.seal import sealed
-from elmglade.held import Held
 from elmglade.journal.file import Journal
-from elmglade.roster import Roster
-from elmglade.rules import Dispatcher
+from elmglade.policy.breaker import Breaker
+from elmglade.policy.dispatcher import Dispatcher
+from elmglade.policy.endpoints import EndpointRegistry
+from elmglade.policy.pending import PendingQueue
 
 LIVES = 60
 
@@ -61,19 +61,19 @@
 # Planted defects: each is one that a guard in the code is there for.
 
 
-def forget_the_risk(self: Held, now: float, message: Any, sent: Any) -> bool:  # noqa: ANN401
+def forget_the_risk(self: PendingQueue, now: float, message: Any, sent: Any) -> bool:  # noqa: ANN401
     return True
 
 
-def refuse_anything(self: Held, message: Any) -> bool:  # noqa: ANN401
+def refuse_anything(self: PendingQueue, message: Any) -> bool:  # noqa: ANN401
     return True
 
 
-def no_rest(self: Held, key: str) -> None:
+def no_rest(self: PendingQueue, key: str) -> None:
     pass
 
 
-def any_turn(self: Held, message: Any) -> bool:  # noqa: ANN401
+def any_turn(self: PendingQueue, message: Any) -> bool:  # noqa: ANN401
     return True
 
 
@@ -81,7 +81,7 @@
     return True
 
 
-def keep_the_endpoint(self: Roster, endpoint: Any) -> None:  # noqa: ANN401
+def keep_the_endpoint(self: EndpointRegistry, endpoint: Any) -> None:  # noqa: ANN401
     pass
 
 
@@ -111,23 +111,23 @@
     restored(self, dataclasses.replace(kept, outcomes=()))
 
 
-def nothing_is_due(self: Held) -> None:
+def nothing_is_due(self: PendingQueue) -> None:
     pass
 
 
 DEFECTS: dict[str, tuple[Any, str, Callable[..., Any], set[str]]] = {
-    "what may have run is sent again": (Held, "may_repeat_at", forget_the_risk, {"no effect twice"}),
-    "what may have run is refused": (Held, "may_refuse", refuse_anything, {"no effect twice"}),
-    "a key does not rest": (Held, "rest", no_rest, {"order"}),
-    "a key's messages go at once": (Held, "in_turn", any_turn, {"order"}),
+    "what may have run is sent again": (PendingQueue, "may_repeat_at", forget_the_risk, {"no effect twice"}),
+    "what may have run is refused": (PendingQueue, "may_refuse", refuse_anything, {"no effect twice"}),
+    "a key does not rest": (PendingQueue, "rest", no_rest, {"order"}),
+    "a key's messages go at once": (PendingQueue, "in_turn", any_turn, {"order"}),
     "waits and drains do not bind while connecting": (Engine, "may_go", go_anyway, {"waits"}),
-    "an endpoint that drains stays": (Roster, "unlist", keep_the_endpoint, {"drains"}),
+    "an endpoint that drains stays": (EndpointRegistry, "unlist", keep_the_endpoint, {"drains"}),
     "an attempt is not on record": (Journal, "sent", no_record_of_the_attempt, {"no effect twice", "order"}),
     "a message is not on record": (Journal, "taken", no_record_of_the_message, {"one end"}),
     "a wait binds only with the fate": (Engine, "wait_told", wait_binds_with_the_fate, {"waits"}),
     "one that is back is taken for warm": (Breaker, "cold_gap", no_gap, {"cold"}),
     "refusals are forgotten with the process": (Dispatcher, "restore", restore_alone, {"cold"}),
-    "nothing ends when its time is up": (Held, "end_due", nothing_is_due, {"one end"}),
+    "nothing ends when its time is up": (PendingQueue, "end_due", nothing_is_due, {"one end"}),
 }
 #: Lives within which each is found.
 WITHIN = 150
@@ -239,7 +239,7 @@
 def test_a_defect_is_cut_to_a_few_happenings_that_break_the_same_rule_again(
     monkeypatch: pytest.MonkeyPatch, tmp_path: Path, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    monkeypatch.setattr(Held, "rest", no_rest)
+    monkeypatch.setattr(PendingQueue, "rest", no_rest)
     (broken,) = itertools.islice((each for each in search.lives(0, WITHIN, 1) if each.broken()), 1)
     file, trace = tmp_path / "case.json", tmp_path / "trace"
     assert main(["emulate", "shrink", "--seed", str(broken.seed), str(file)]) == 1
@@ -263,7 +263,7 @@
 def test_a_broken_life_and_one_that_fails_are_told_and_counted(
     monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    monkeypatch.setattr(Held, "rest", no_rest)
+    monkeypatch.setattr(PendingQueue, "rest", no_rest)
     assert main(["emulate", "search", "--lives", "20"]) == 1
     assert "order: " in capsys.readouterr().out
     monkeypatch.setattr(Engine, "take", lambda *_: asyncio.get_running_loop().call_soon(1 / 0))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -12,7 +12,6 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from elmglade.breaker import Breaker
 from elmglade.cli import main
 from elmglade.config import ConfigError
 from elmglade.core.engine import Engine
@@ -22,10 +21,11 @@
 from elmglade.emulator.play import play
 from elmglade.emulator.policies import POLICIES
 from elmglade.emulator.receiver import Limit, Luck, Phase, Receiver, Service, Spread, Terms, Trouble
-from elmglade.held import Held
 from elmglade.interface import Outcome
 from elmglade.journal.file import Journal
-from elmglade.roster import QUIET_AGE
+from elmglade.policy.breaker import Breaker
+from elmglade.policy.endpoints import QUIET_AGE
+from elmglade.policy.pending import PendingQueue
 
 ROOT = Path(__file__).parent.parent
 LIBRARY = sorted((ROOT / "scenarios").glob("*.toml"))
@@ -88,7 +88,7 @@
     return 0.0
 
 
-def anything_goes(self: Held, now: float, message: object, sent: object) -> bool:
+def anything_goes(self: PendingQueue, now: float, message: object, sent: object) -> bool:
     return True
 
 
@@ -101,7 +101,7 @@
 
 PLANTED: dict[str, tuple[type, str, Callable[..., Any], str, str]] = {
     "it is taken for warm at once": (Breaker, "cold_gap", warm_at_once, "herd-on-return", "cold"),
-    "unsafe ones go again": (Held, "may_repeat_at", anything_goes, "resets", "no effect twice"),
+    "unsafe ones go again": (PendingQueue, "may_repeat_at", anything_goes, "resets", "no effect twice"),
     "no record of attempts": (Journal, "sent", unrecorded, "kill-between-writes", "no effect twice"),
 }
 
@@ -371,7 +371,7 @@
         assert main(["emulate", *words]) == 2
     assert main(["emulate", "run", str(file), "--set", "clients.rat=3"]) == 1
     assert "clients.rat: is not in the scenario" in capsys.readouterr().err
-    monkeypatch.setattr(Held, "end_due", lambda self: None)
+    monkeypatch.setattr(PendingQueue, "end_due", lambda self: None)
     longer = ["--set", "troubles.0.what=silent", "--set", "troubles.0.until=60"]
     assert main(["emulate", "run", str(file), *longer]) == 1
     assert "broken: " in capsys.readouterr().out
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -24,8 +24,8 @@
 from elmglade.handover.ownership import Ownership, Side
 from elmglade.handover.seat import inherited
 from elmglade.http.succession import engine_from, engine_text, read
-from elmglade.inherit import tell
 from elmglade.interface import Listing, Outcome
+from elmglade.policy.inherit import tell
 
 ORDER = {"semantics": "by_key", "dedup_window": 5_000_000, "key_scope": "zone", "serial_by_key": True}
 
@@ -72,7 +72,7 @@
 def follow(world: World, shift: int = 0) -> World:
     """A world whose decisions were handed over from another one, as a process does it."""
     there = world.dispatcher
-    inherited = tell(there.roster, there.held)
+    inherited = tell(there.registry, there.pending)
     next_one = World(*[each.listed for each in there.endpoints.values()])
     next_one.now, next_one.attempts = world.now + shift, dict(world.attempts)
     next_one.dispatcher = Dispatcher(there.settings, seed=7)
--- a/tests/test_inventory.py
+++ b/tests/test_inventory.py
@@ -12,7 +12,7 @@
 from elmglade.core import inventory
 from elmglade.http.serve import LineTeller, PlainSender, tell_destinations
 from elmglade.interface import Outcome, WakeUp
-from elmglade.roster import IDLE_AGE, QUIET_AGE
+from elmglade.policy.endpoints import IDLE_AGE, QUIET_AGE
 
 
 def world_of_states() -> World:
--- a/tests/test_late.py
+++ b/tests/test_late.py
@@ -178,7 +178,7 @@
     s.watch.write("5\r\nnoise\r\n2\r\n\n\n\r\n")
     s.engine.look()
     tell_again = s.world.platform.watches
-    calls = s.engine.dispatcher.roster.list_calls
+    calls = s.engine.dispatcher.registry.list_calls
     calls.at = float("inf")
     await until(lambda: calls.at < float("inf"))  # it has failed
     assert s.engine.defect == "" and tell_again.empty()
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -16,8 +16,8 @@
     policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["policy"]
     lines = [line for name in policy for line in (ROOT / name).read_text().splitlines()]
     assert sum(1 for line in lines if line.strip()) <= 1200
-    rooms = ("rules", "roster", "held", "outgoing", "breaker", "schedule")
-    assert {f"elmglade/{each}.py" for each in rooms} <= set(policy)
+    parts = ("dispatcher", "endpoints", "pending", "inflight", "breaker", "schedule", "inherit")
+    assert {f"elmglade/policy/{each}.py" for each in parts} <= set(policy)
 
 
 @pytest.mark.parametrize("name", ["slots", "max_open", "max_attempts", "tick", "cold_from", "key_quiet"])
--- a/tests/test_listing.py
+++ b/tests/test_listing.py
@@ -67,9 +67,11 @@
             breakers = tuple(dict.fromkeys(each.breaker for each in at.endpoints if each.breaker))
             assert at.breakers == breakers and (at.endpoints or at.own is not None)
             assert all((x.breaker is None) == (at.own is None) for x in at.endpoints)
-            own = [module.roster.breaker_of(at, x.listed) for x in at.endpoints] if at.own is not None else []
+            own = (
+                [module.registry.breaker_of(at, x.listed) for x in at.endpoints] if at.own is not None else []
+            )
             assert all(x.breaker is each for x, each in zip(at.endpoints, own, strict=False))
-        module.roster.arouse(chance.randrange(7))
+        module.registry.arouse(chance.randrange(7))
 
 
 @pytest.mark.parametrize("size", [10, 10_000])
@@ -77,10 +79,10 @@
     """Counted: the endpoints that a change looks up a breaker for, of destinations that are awake."""
     world = World(*(endpoint(f"e{each}", each // 2) for each in range(size)))
     for each in range(4):
-        world.dispatcher.roster.arouse(each)
+        world.dispatcher.registry.arouse(each)
     visited: list[Any] = []
-    breaker_of = world.dispatcher.roster.breaker_of
-    world.dispatcher.roster.breaker_of = lambda at, x: (visited.append(x.id), breaker_of(at, x))[1]  # type: ignore
+    breaker_of = world.dispatcher.registry.breaker_of
+    world.dispatcher.registry.breaker_of = lambda at, x: (visited.append(x.id), breaker_of(at, x))[1]  # type: ignore
     draining = endpoint("e4", 2, state=EndpointState.DRAINING)
     world.step(face.EndpointsListed(Listing.CHANGES, (draining, endpoint("new", 3))))
     assert visited == ["e5", "e6", "e7", "new"]
--- a/tests/test_overrides.py
+++ b/tests/test_overrides.py
@@ -408,7 +408,7 @@
     world.step(face.EndpointsListed(Listing.CHANGES, (endpoint("a", state=DRAINING),)), after=SECOND)
     world.step(returned, after=SECOND)
     world.take(after=MS)
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     assert (breaker.cold_gap(world.now) > 0) is (others == 0)
 
 
@@ -557,7 +557,7 @@
         assert told["goes_to"] is None
         assert sum((await world.deliver(1)).values()) == 1  # held until the end, and then sent
         await world.until(lambda: not world.sender.overrides.book.overrides)
-        (breaker,) = world.sender.engine.dispatcher.roster.all_breakers()
+        (breaker,) = world.sender.engine.dispatcher.registry.all_breakers()
         assert breaker.cold_gap(world.sender.engine.now()) > 0
 
 
@@ -572,7 +572,7 @@
     async with service(state) as world:
         assert set(world.sender.overrides.book.overrides) == {lasting["name"]} != {short["name"]}
         assert await world.deliver(1) == {"e1": 1}
-        (breaker,) = world.sender.engine.dispatcher.roster.all_breakers()
+        (breaker,) = world.sender.engine.dispatcher.registry.all_breakers()
         assert breaker.cold_gap(world.sender.engine.now()) > 0  # e1 came back while no sender ran
 
 
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -42,7 +42,7 @@
         world = World(fleet_size=fleet)
         world.take("once")
         world.answer("m1", outcome)
-        (breaker,) = world.dispatcher.roster.all_breakers()
+        (breaker,) = world.dispatcher.registry.all_breakers()
         assert (breaker.cold_gap(world.now) > 0) == (cold and fleet == CROWD)
 
 
@@ -50,7 +50,7 @@
     world = World(fleet_size=CROWD)
     world.take("once")
     world.step(face.WakeUp(), after=3 * SECOND)
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     assert breaker.cold_gap(world.now) > 0
 
 
@@ -60,7 +60,7 @@
         for _ in range(2 if fleet == CROWD else 3):
             world.take("safe", after=30 * SECOND)
             world.answer(f"m{world.count}", Outcome.RESET)
-        (breaker,) = world.dispatcher.roster.all_breakers()
+        (breaker,) = world.dispatcher.registry.all_breakers()
         failed, trials = breaker.cold_since, sent(world.step(face.WakeUp(), after=15 * SECOND))
         assert failed > 0 and trials
         begun = world.now
@@ -71,10 +71,10 @@
 def test_members_of_a_crowd_that_saw_one_outage_do_not_come_back_together() -> None:
     def back(seed: int, fleet: int) -> float:
         world = World(endpoint("a", scale=fleet / 4), fleet_size=fleet, rates_told=True)
-        world.dispatcher.turn.random.seed(seed)
+        world.dispatcher.loop.random.seed(seed)
         world.take("once")
         world.answer("m1", Outcome.TIMEOUT)
-        (breaker,) = world.dispatcher.roster.all_breakers()
+        (breaker,) = world.dispatcher.registry.all_breakers()
         return breaker.ready_at(world.now)
 
     assert len({back(seed, CROWD) for seed in range(20)}) == 20
@@ -87,7 +87,7 @@
     at: list[int] = []
     for seed in range(40):
         world = World(endpoint("a", scale=fleet / 4), fleet_size=fleet, rates_told=True)
-        world.dispatcher.turn.random.seed(seed)
+        world.dispatcher.loop.random.seed(seed)
         kept = face.MessageTaken("k", "safe", 1, 20 * SECOND)
         actions = world.step(face.MessageRestored(kept, 0, None, ""))
         while not sent(actions):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,9 +4,9 @@
 from helpers import MS, SECOND, World, ended, endpoint, sent
 
 from elmglade import interface as face
-from elmglade.breaker import COLD_PUSH
 from elmglade.interface import Outcome
-from elmglade.roster import IDLE_AGE
+from elmglade.policy.breaker import COLD_PUSH
+from elmglade.policy.endpoints import IDLE_AGE
 
 
 def test_held_message_is_ended_before_its_time() -> None:
@@ -218,12 +218,12 @@
     world.answer("m2", Outcome.FULL, wait=7200 * SECOND)
     world.take(destination=77, time_left=SECOND)
     world.step(face.WakeUp(), after=SECOND)
-    assert world.dispatcher.keys == {} and world.dispatcher.held.credit == {}
+    assert world.dispatcher.keys == {} and world.dispatcher.pending.credit == {}
     gone = [endpoint("a", state=face.EndpointState.GONE), endpoint("b", state=face.EndpointState.GONE)]
     world.step(face.EndpointsListed(face.Listing.CHANGES, tuple(gone)), after=5 * SECOND)
-    assert len(world.dispatcher.roster.all_breakers()) == 2
+    assert len(world.dispatcher.registry.all_breakers()) == 2
     world.step(face.WakeUp(), after=IDLE_AGE)
-    assert [each.destination for each in world.dispatcher.roster.all_breakers()] == [2]
+    assert [each.destination for each in world.dispatcher.registry.all_breakers()] == [2]
     assert list(world.dispatcher.destinations) == [2]
 
 
@@ -252,7 +252,7 @@
     gaps = []
     for exact in (False, True):
         world = World(endpoint("a", scale=40.0), fleet_size=2, rates_told=exact)
-        (breaker,) = world.dispatcher.roster.arouse(1).breakers
+        (breaker,) = world.dispatcher.registry.arouse(1).breakers
         for _ in range(3):
             breaker.failed(world.now)
         gaps.append(breaker.cold_gap(world.now))
@@ -274,7 +274,7 @@
         taken = face.MessageTaken("m1", "safe", 1, 20 * SECOND)
         outcomes = (("a", Outcome.FULL),) * refusals
         world.step(face.MessageRestored(taken, refusals, None, "", outcomes))
-        (breaker,) = world.dispatcher.roster.all_breakers()
+        (breaker,) = world.dispatcher.registry.all_breakers()
         assert (breaker.cold_gap(world.now) > 0) == cold
 
 
@@ -285,7 +285,7 @@
     world.answer("m1", Outcome.ERROR)
     message = world.dispatcher.messages["m1"]
     assert message.out and message.risky_since is not None
-    last = int(world.dispatcher.held.repeat_until(message, message.risky_since))
+    last = int(world.dispatcher.pending.repeat_until(message, message.risky_since))
     assert world.dispatcher.may_still_go("a", last - 1, "m1")
     assert not world.dispatcher.may_still_go("a", last, "m1")
     assert world.dispatcher.may_still_go("a", last, "another")
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -13,23 +13,23 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from elmglade import held, rules, schedule
 from elmglade import interface as face
-from elmglade.breaker import NEVER, Call, Message
-from elmglade.held import Held
 from elmglade.interface import EndpointState, Listing, Outcome
 from elmglade.lab.stream import Recorder, Shape, StreamWorld, read
-from elmglade.outgoing import Outgoing
-from elmglade.roster import IDLE_AGE, QUIET_AGE
-from elmglade.rules import Dispatcher
-from elmglade.schedule import Agenda, Destination, Group, urgency
+from elmglade.policy import dispatcher, pending, schedule
+from elmglade.policy.breaker import NEVER, Call, Message
+from elmglade.policy.dispatcher import Dispatcher
+from elmglade.policy.endpoints import IDLE_AGE, QUIET_AGE
+from elmglade.policy.inflight import InFlightCalls
+from elmglade.policy.pending import PendingQueue
+from elmglade.policy.schedule import Destination, Group, TimerQueue, urgency
 
 
-class PlainHeld(Held):
+class PlainPendingQueue(PendingQueue):
     def find_in_turn(self) -> None:
         super().find_in_turn()
         for each in self.messages.values():
-            at = self.roster.destinations[each.destination]
+            at = self.registry.destinations[each.destination]
             if self.is_held(each) and self.in_turn(each) and not each.queued:
                 at.queue(each, self.settings.halves)
             elif each.queued and not (self.is_held(each) and self.in_turn(each)):
@@ -41,9 +41,9 @@
         self.room, self.room_until = [], -NEVER
 
 
-class PlainOutgoing(Outgoing):
+class PlainInFlightCalls(InFlightCalls):
     def find_overdue(self) -> None:
-        now = self.turn.now
+        now = self.loop.now
         late = [x for x in self.out if not (x.overdue or x.settled)]
         for call in late:
             if now >= call.sent + call.breaker.patience():
@@ -53,8 +53,8 @@
             if not call.called_off and self.is_hopeless(call, short):
                 call.called_off, short = True, False
                 off = [face.CancelAttempt(x.id, x.attempts - 1) for x in call.messages.values()]
-                self.turn.actions += off
-        self.roster.changed = {}
+                self.loop.actions += off
+        self.registry.changed = {}
 
 
 class Plain(Dispatcher):
@@ -62,7 +62,7 @@
 
     def __init__(self, settings: face.Settings, seed: int) -> None:
         super().__init__(settings, seed)
-        self.held.__class__, self.outgoing.__class__ = PlainHeld, PlainOutgoing
+        self.pending.__class__, self.inflight.__class__ = PlainPendingQueue, PlainInFlightCalls
 
     def find_open(self) -> list[Destination]:
         if len(self.out) >= self.settings.slots:
@@ -70,7 +70,7 @@
         return [x for x in self.destinations.values() if x.groups and any(map(self.may_call, x.breakers))]
 
     def push_best(self, heap: list[Any], at: Destination) -> None:
-        now = self.turn.now
+        now = self.loop.now
         ranked = [
             (schedule.Rank(-urgency(*each.curve[:2], now - born, each.curve[2]), born, number), message)
             for each in (at.groups or {}).values()
@@ -82,7 +82,7 @@
 
     def due(self) -> float:
         """When something is to be done next, found by a walk."""
-        now = self.turn.now
+        now = self.loop.now
         held = [x for x in self.destinations.values() if x.groups]
         free = len(self.out) < self.settings.slots  # else whatever ends first is heard anyway
         due = [x.free_at(int(now)) for x in held if free]
@@ -110,12 +110,12 @@
 @pytest.mark.parametrize("name", SHAPES)
 def test_schedule_and_walk_decide_alike(name: str, seed: int, monkeypatch: pytest.MonkeyPatch) -> None:
     """On what the schedule's own wakes bring about; and it never sleeps past what a walk finds due."""
-    monkeypatch.setattr(held, "PROSPECT_AGE", 0)  # else the order of what makes room may be some ms old
+    monkeypatch.setattr(pending, "PROSPECT_AGE", 0)  # else the order of what makes room may be some ms old
     world = StreamWorld(SHAPES[name], seed)
     module, plain = Dispatcher(world.settings, seed), Plain(world.settings, seed)
 
     def heard(now: int, events: list[face.Event], actions: list[face.Action]) -> None:
-        module.held.room_until = -NEVER
+        module.pending.room_until = -NEVER
         assert told(plain.handle(now, events)) == told(actions), (now, events)
         due = plain.due()
         assert due == NEVER or module.wake_at <= max(due, now + world.settings.tick), (now, due)
@@ -184,14 +184,14 @@
 @given(st.lists(st.tuples(st.integers(0, 9), TIMES), max_size=200), st.integers(0, 50))
 @settings(max_examples=200, deadline=None, derandomize=True)
 def test_an_agenda_tells_what_a_table_of_times_tells(changes: list[tuple[int, float]], now: int) -> None:
-    agenda: Agenda[int] = Agenda()
+    timers: TimerQueue[int] = TimerQueue()
     table: dict[int, float] = {}
     for item, at in changes:
-        agenda.set(item, at)
+        timers.set(item, at)
         table[item] = at
-        assert agenda.next() == min((x for x in table.values()), default=math.inf)
-        assert len(agenda.heap) <= 2 * len(agenda.times) + schedule.STALE + 1
-    due = list(agenda.due(now))
+        assert timers.next() == min((x for x in table.values()), default=math.inf)
+        assert len(timers.heap) <= 2 * len(timers.times) + schedule.STALE + 1
+    due = list(timers.due(now))
     assert sorted(due) == sorted(item for item, at in table.items() if at <= now)
     assert [table[x] for x in due] == sorted(table[x] for x in due)
 
@@ -207,12 +207,12 @@
     def heard(now: int, events: list[face.Event], actions: list[face.Action]) -> None:
         nonlocal heard_of, before
         if now < until * SECOND:
-            before = module.turn.looks
+            before = module.loop.looks
         else:
             heard_of += len(events)
 
     world.run(module.handle, heard)
-    return (module.turn.looks - before) / heard_of
+    return (module.loop.looks - before) / heard_of
 
 
 ROOMY = {"max_open": 10**6, "slots": 64, "rates_told": False, "fleet_size": 1}
@@ -235,17 +235,19 @@
     for each in range(10_000):
         world.take("ordered", key=f"k{each}", after=MS)
         world.answer(f"m{each + 1}", Outcome.OK, after=MS)
-    assert not world.dispatcher.keys and not world.dispatcher.held.examined and not world.dispatcher.messages
+    assert (
+        not world.dispatcher.keys and not world.dispatcher.pending.examined and not world.dispatcher.messages
+    )
 
 
 def test_a_queue_of_one_key_costs_what_goes_and_not_what_waits() -> None:
     world = World(max_open=10**6)
     for _ in range(3000):
         world.take("ordered", key="k")
-    before = world.dispatcher.turn.looks
+    before = world.dispatcher.loop.looks
     for each in range(100):
         assert sent(world.answer(f"m{each + 1}", Outcome.OK)) == [f"m{each + 2}"]
-    assert world.dispatcher.turn.looks - before <= 100 * 8
+    assert world.dispatcher.loop.looks - before <= 100 * 8
 
 
 def test_names_of_tenants_that_were_never_seen_leave_nothing() -> None:
@@ -253,11 +255,11 @@
     for each in range(2000):
         world.take(tenant=f"made up {each}", after=MS)
         world.answer(f"m{each + 1}", Outcome.OK, after=MS)
-    assert list(world.dispatcher.held.credit) == ["known"]
+    assert list(world.dispatcher.pending.credit) == ["known"]
 
 
 def test_more_destinations_than_a_turn_looks_at_all_get_their_turn() -> None:
-    many = rules.LOOKS * 2 + 40
+    many = dispatcher.LOOKS * 2 + 40
     world = World(*(endpoint(f"e{each}", each) for each in range(many)), slots=1, max_open=10**6)
     for each in range(many):
         world.take(destination=each)
@@ -265,9 +267,9 @@
     for _ in range(many):
         (out,) = [name for name, _ in world.dispatcher.calls]
         gone.append(out)
-        before = world.dispatcher.turn.looks
+        before = world.dispatcher.loop.looks
         world.answer(out, Outcome.OK, after=MS)
-        assert world.dispatcher.turn.looks - before <= 2 * rules.LOOKS + 10
+        assert world.dispatcher.loop.looks - before <= 2 * dispatcher.LOOKS + 10
     assert sorted(gone) == sorted(f"m{each + 1}" for each in range(many))
 
 
@@ -305,11 +307,11 @@
     awake = bytes_of(use_all)
     assert awake / MANY <= AWAKE
     world.step(face.WakeUp(), after=25 * SECOND)
-    assert len(world.dispatcher.roster.all_breakers()) == MANY
+    assert len(world.dispatcher.registry.all_breakers()) == MANY
     for _ in range(3):
         world.step(face.WakeUp(), after=QUIET_AGE + IDLE_AGE)
-    assert not world.dispatcher.roster.all_breakers() and not world.dispatcher.held.deadlines
-    assert len(world.dispatcher.destinations) == MANY and not world.dispatcher.roster.overdue.times
+    assert not world.dispatcher.registry.all_breakers() and not world.dispatcher.pending.deadlines
+    assert len(world.dispatcher.destinations) == MANY and not world.dispatcher.registry.overdue.times
 
 
 def asleep(silence: int, outcome: Outcome, **changes: object) -> World:
@@ -331,11 +333,11 @@
     outcome: Outcome, days: int
 ) -> None:
     world = asleep(days * 24 * 3600 * SECOND, outcome)
-    assert not world.dispatcher.messages and not world.dispatcher.roster.all_breakers()
+    assert not world.dispatcher.messages and not world.dispatcher.registry.all_breakers()
     assert len(sent(world.take())) == 1  # no old count holds it back
     for _ in range(30):
         world.take()
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     assert breaker.cold_since == world.now and breaker.failures == 0
     gone = []
     for _ in range(400):
@@ -350,7 +352,7 @@
 
 def test_one_that_is_asked_again_soon_keeps_its_figures() -> None:
     world = asleep(QUIET_AGE // 2, Outcome.RESET)
-    (breaker,) = world.dispatcher.roster.all_breakers()
+    (breaker,) = world.dispatcher.registry.all_breakers()
     assert breaker.is_open() and len(sent(world.take())) == 1 and breaker.trial is not None
 
 
@@ -380,7 +382,7 @@
     for name, other in (("x", "b"), ("y", "a")):
         actions = world.answer(name, Outcome.CONNECT_FAILED)
         assert [x.endpoint for x in actions if isinstance(x, face.Send) and x.message == name] == [other]
-    assert {each.destination for each in world.dispatcher.roster.all_breakers()} == {1, 2}
+    assert {each.destination for each in world.dispatcher.registry.all_breakers()} == {1, 2}
 
 
 def test_ten_thousand_that_wake_within_a_minute_each_get_their_message() -> None:
@@ -388,14 +390,14 @@
     world = World(*(endpoint(f"e{each}", each) for each in range(many)), slots=64, max_open=10**6)
     places = list(range(many))
     chance.shuffle(places)
-    before, out = world.dispatcher.turn.looks, []
+    before, out = world.dispatcher.loop.looks, []
     for number in places:
         out += sent(world.take(destination=number, after=6 * MS))
         if len(out) > 8:
             world.answer(out.pop(0), Outcome.OK, after=0)
     for name in out:
         world.answer(name, Outcome.OK)
-    assert not world.dispatcher.messages and (world.dispatcher.turn.looks - before) / many < 10
+    assert not world.dispatcher.messages and (world.dispatcher.loop.looks - before) / many < 10
 
 
 def test_a_list_sent_whole_again_and_again_changes_nothing() -> None:
@@ -405,7 +407,7 @@
     world.take(destination=7)
     for _ in range(20):
         assert told(world.step(listed, after=SECOND // 10)) == []
-    assert sent(world.take(destination=7)) == ["m2"] and len(world.dispatcher.roster.all_breakers()) == 1
+    assert sent(world.take(destination=7)) == ["m2"] and len(world.dispatcher.registry.all_breakers()) == 1
 
 
 def test_a_share_that_is_whole_but_for_rounding_is_whole() -> None:
--- a/tests/test_shared.py
+++ b/tests/test_shared.py
@@ -223,7 +223,7 @@
     at = SimpleNamespace(held={"m": 1}, endpoints=[SimpleNamespace(listed=listed)], breakers=())
     there = SimpleNamespace(
         endpoints={"e": at.endpoints[0]}, destinations={3: at},
-        roster=SimpleNamespace(kinds={"plain": face.Kind()}, leave_grew=lambda number: None),
+        registry=SimpleNamespace(kinds={"plain": face.Kind()}, leave_grew=lambda number: None),
     )  # fmt: skip
     engine: Any = SimpleNamespace(
         dispatcher=there, config=SimpleNamespace(known=(listed,)), post=lambda event: None, courier=None
@@ -310,22 +310,22 @@
 
 def test_the_module_asks_leave_for_a_trial() -> None:
     world = World()
-    world.dispatcher.roster.leave = leave = Denies("trials")
+    world.dispatcher.registry.leave = leave = Denies("trials")
     world.open_breaker()
     assert not sent(world.take()) and not sent(world.step(face.WakeUp(), after=3 * US))
     leave.what = "repeats"
-    world.dispatcher.roster.leave_grew(1)
+    world.dispatcher.registry.leave_grew(1)
     assert len(sent(world.step(face.WakeUp()))) == 1
     assert leave.reserved[-1][1:] == (True, False)
 
 
 def test_a_repeat_that_waits_for_its_budget_lets_first_attempts_go() -> None:
     world = World()
-    world.dispatcher.roster.leave = leave = Denies("repeats")
+    world.dispatcher.registry.leave = leave = Denies("repeats")
     assert sent(world.take()) == ["m1"] and not sent(world.answer("m1", face.Outcome.ERROR))
     assert sent(world.take(after=US)) == ["m2"] and not sent(world.answer("m2", face.Outcome.OK))
     leave.what = "trials"
-    world.dispatcher.roster.leave_grew(1)
+    world.dispatcher.registry.leave_grew(1)
     assert sent(world.step(face.WakeUp(), after=US)) == ["m1"]
     assert leave.reserved == [("m1", False, False), ("m2", False, False), ("m1", False, True)]
 
@@ -351,8 +351,8 @@
 ) -> None:
     listed = face.Endpoint("e", 3, face.EndpointState.READY, "plain", "", 8.0)
     at = SimpleNamespace(held={}, endpoints=[SimpleNamespace(listed=listed)], breakers=())
-    roster = SimpleNamespace(kinds={"plain": face.Kind()}, leave_grew=lambda number: None)
-    there = SimpleNamespace(endpoints={"e": at.endpoints[0]}, destinations={3: at}, roster=roster)
+    registry = SimpleNamespace(kinds={"plain": face.Kind()}, leave_grew=lambda number: None)
+    there = SimpleNamespace(endpoints={"e": at.endpoints[0]}, destinations={3: at}, registry=registry)
     engine: Any = SimpleNamespace(dispatcher=there, post=lambda event: None, courier=None)
     links = Links(lambda: 0.0, lambda *told: None, 1, US, 0.0, 1)
     links.join("n0", engine, 1)
--- a/tests/test_told.py
+++ b/tests/test_told.py
@@ -17,7 +17,7 @@
 from elmglade.emulator.net import HOST, REFUSED, SILENT, Net
 from elmglade.http import daemon
 from elmglade.http.daemon import Config, Sender
-from elmglade.schedule import ListCalls
+from elmglade.policy.schedule import ListCalls
 from elmglade.start import config_from
 
 TOLD = 6.0  # s
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -21,7 +21,7 @@
 from elmglade.emulator.loop import DeadlockError, VirtualLoop
 from elmglade.emulator.net import HOST, REFUSED, ROOM, SILENT, Net
 from elmglade.emulator.play import play
-from elmglade.held import Held
+from elmglade.policy.pending import PendingQueue
 
 ROOT = Path(__file__).parent.parent
 THERE = ("there", 80)
@@ -272,14 +272,14 @@
     assert sum(each.calls for each in found) > 3000 and sum(each.kills for each in found) > 8
 
 
-def anything_goes(self: Held, now: float, message: object, sent: object) -> bool:
+def anything_goes(self: PendingQueue, now: float, message: object, sent: object) -> bool:
     return True
 
 
 def test_a_planted_defect_is_found_and_cut_to_a_scenario_that_shows_it(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
 ) -> None:
-    monkeypatch.setattr(Held, "may_repeat_at", anything_goes)
+    monkeypatch.setattr(PendingQueue, "may_repeat_at", anything_goes)
     assert main(["emulate", "hunt", "--count", "3", "--keep", str(tmp_path)]) == 1
     assert "no effect twice" in capsys.readouterr().out
     file = next(iter(sorted(tmp_path.glob("no-effect-twice-*.toml"))))
