The docstrings of the policy are in ordinary technical English

Need: the docstrings of the policy spoke in the earlier house style (rooms, guards, turns), which is withdrawn. Change: module, class and method docstrings say what a module keeps and what a method does or returns; no statement, constant or comment on a constant changes. The whole suite was not run on this commit.

--- a/elmglade/policy/breaker.py
+++ b/elmglade/policy/breaker.py
@@ -1,4 +1,4 @@
-"""The breaker of a destination, or of a route where its endpoints are apart: the design's heart.
+"""The circuit breaker of a destination, or of each endpoint where these are separate routes.
 
 Its states, and what moves it between them:
 
@@ -126,8 +126,8 @@
         self.stuck: dict[Call, None] = {}  # out and overdue
 
     def told_rate(self, rate: float) -> None:
-        """Guards busy destinations from gaps made for small ones, and a limit from more than it can take:
-        both ends follow the told rate."""
+        """Scale both bounds of the gap to the announced rate, in calls a second: no long gaps at a busy
+        destination, and no more calls than a limit allows."""
         self.told_gap = 1e6 * self.pace.settings.fleet_size / rate
         self.most_gap = min(RESET_TIMEOUT * self.pace.crowd, TOLD_MOST * self.told_gap)
         self.step = min(TOLD_STEP * self.told_gap, self.most_gap)
@@ -154,7 +154,7 @@
         return float(most)
 
     def restart(self, now: int) -> None:
-        """Guards a destination that is down from a crowd: a failed trial waits out the gap of a cold one."""
+        """Restart the reset timeout; in a large fleet a failed trial waits out a cold destination's gap."""
         timeout: float = RESET_TIMEOUT
         if self.trial and self.pace.crowd > 1:
             self.cold_since = now
@@ -162,7 +162,7 @@
         self.trial, self.trial_at = None, now + timeout
 
     def cold_gap(self, now: int) -> float:
-        """Rule: a returning destination is not pushed over. Own usual rate, or for one that was started again
+        """Rule: a returning destination is not overloaded. Own usual rate, or for one that was started again
         its part of the told one, times the share that is warm. The share grows on beyond the whole: guards
         one that has just become warm from all that is held for it, at once, by each of its senders."""
         settings = self.pace.settings
--- a/elmglade/policy/dispatcher.py
+++ b/elmglade/policy/dispatcher.py
@@ -1,9 +1,9 @@
-"""Every decision of a sender. Its types, events and actions are in elmglade/interface.py.
+"""The delivery policy of one sender: from events to actions, whose types are in elmglade/interface.py.
 
-A circuit breaker per destination (per endpoint where routes are apart, breaker.py) decides the ordinary path:
-failures in a row open it, messages are held, one trial after the reset timeout closes it or restarts the
-timeout, a gap paces calls while closed. The rest guards the six rules. Its parts: the endpoints (`registry`),
-the messages (`pending`), the calls (`inflight`); here is what goes next, and where.
+A circuit breaker per destination (per endpoint where these are separate routes, breaker.py) decides the usual
+case: failures in a row open it, messages are held, one trial call after the reset timeout closes it or
+restarts the timeout, a gap paces calls while it is closed. The rest enforces the six rules. `registry` has
+the endpoints, `pending` the messages, `inflight` the calls; this module selects what is sent next, and where.
 """
 
 import heapq
@@ -29,7 +29,7 @@
 
 class Dispatcher:
     def __init__(self, settings: face.Settings, seed: int) -> None:
-        """One sender's decisions; `seed` is that of its chance, which is used for spreading alone."""
+        """`seed` is of the random generator, which only spreads calls over time."""
         self.settings, self.loop = settings, LoopState(settings, random.Random(seed))
         self.registry = EndpointRegistry(self.loop)
         self.pending = pending = PendingQueue(self.loop, self.registry)
@@ -42,8 +42,8 @@
         self.calls, self.out, self.wait_told = self.inflight.calls, self.inflight.out, self.inflight.wait_told
 
     def handle(self, now_us: int, events: Iterable[face.Event]) -> list[face.Action]:
-        """What follows from these events at that time. Raises ValueError for a clock that went back, a class
-        that is not in the settings and a message that was taken before."""
+        """Process the events at that time, in us, and return the actions that follow. Raises ValueError for a
+        clock that went back, a class that is not in the settings and a message that was taken before."""
         if now_us < self.loop.now:
             raise ValueError(f"the clock went back from {self.loop.now} to {now_us}")
         self.loop.now, self.loop.actions = now_us, []
@@ -77,7 +77,7 @@
                 self.stops_at = self.loop.now + left
 
     def restore(self, kept: face.MessageRestored) -> None:
-        """Rules: a call that was out at the end may have run, and may still; its key rests."""
+        """Restore a message. A call in flight as its process ended may have run or run yet: its key rests."""
         self.pending.take(kept.taken, kept.share)
         message = self.messages[kept.taken.message]
         message.attempts, message.risky_since = kept.attempts, kept.risky_since
@@ -105,7 +105,7 @@
                 breaker.doubt(int(self.loop.now), REFUSALS_KEPT)
 
     def resume(self, message: Message, out: face.CallOut) -> None:
-        """Rules: a call that the process before has out holds its message, key and trial until it ends."""
+        """Adopt a call of the process before: it holds its message, key and trial until it ends."""
         at, number = self.registry.arouse(message.destination), message.destination
         gone = face.Endpoint(out.endpoint, number, face.EndpointState.GONE, "", out.zone)
         endpoint = self.endpoints.get(out.endpoint) or Endpoint(gone)
@@ -156,7 +156,7 @@
             self.pending.watch_window(message)
 
     def find_open(self) -> list[Destination]:
-        """Destinations that take a call now and have a message for it."""
+        """Return the destinations that accept a call now and have a message to send."""
         for number in self.registry.freed.due(self.loop.now):
             self.registry.open[number] = None
         found, most = [], LOOKS if len(self.out) < self.settings.slots else 0
@@ -175,7 +175,7 @@
         return found
 
     def send_next(self) -> None:
-        """The one ordered pass: what goes next, over all destinations that take a call now."""
+        """Send what goes next, in one ordered pass over all destinations that accept a call now."""
         self.pending.find_in_turn()
         self.send_best(self.find_open())
         self.inflight.close_scarce()
@@ -210,7 +210,7 @@
             self.destinations[message.destination].queue(message, self.settings.halves)
 
     def spares_others(self, message: Message, at: Destination, aside: list[Message]) -> bool:
-        """Whether a repeat alone has to wait, for its budget: what has not gone yet may go."""
+        """Whether the budget holds back this repeat alone: a first attempt may still be sent."""
         if (leave := self.registry.leave) is None or not message.attempts or len(aside) >= LOOKS:
             return False
         now, ways = int(self.loop.now), [x for x in at.endpoints if x.breaker and self.may_call(x.breaker)]
@@ -221,8 +221,8 @@
             heapq.heappush(heap, (*best, at))
 
     def may_still_go(self, endpoint: str, now: int, message: str = "") -> bool:
-        """Rules: drains, waits and the time for which a repeat does no harm, asked again as a call's first
-        byte goes: its connection took a while."""
+        """Whether a call may still begin, asked again before its first byte, as connecting takes time: checks
+        drains, announced waits and the window in which a repeat is harmless."""
         known, sent = self.endpoints.get(endpoint), self.messages.get(message)
         if known is None or (known.breaker and known.breaker.wait_until > now):
             return False
@@ -249,8 +249,8 @@
         return min(options)[-1] if options else None
 
     def rank(self, endpoint: Endpoint, joins: bool, weighted: bool) -> tuple[float, ...]:
-        """The lowest goes first. Guards the cheapest of several routes apart from a crowd, which uses up its
-        limit and is refused: there a route's turn comes by its rate times the time that it rested."""
+        """The sort key of an endpoint, lowest first. In a large fleet separate routes go by rate times idle
+        time and not by fee: all senders at the cheapest route would exceed its limit."""
         listed, apart = endpoint.listed, self.registry.kinds[endpoint.listed.kind].apart
         bad, load = max(endpoint.bad_until, self.loop.now), endpoint.turns if weighted else endpoint.out
         if apart and self.loop.pace.crowd > 1:
@@ -259,7 +259,7 @@
         return bad, fee, not joins, load, away, endpoint.last_sent
 
     def holds_pin(self, message: Message) -> bool:
-        """A pin binds while its endpoint is there, and not against the rule on repeats."""
+        """Whether the pin applies: its endpoint is listed, and the rule on repeats allows it."""
         known = self.endpoints.get(message.pinned) if message.pinned else None
         if known is None or known.listed.destination != message.destination:
             return False
--- a/elmglade/policy/endpoints.py
+++ b/elmglade/policy/endpoints.py
@@ -1,10 +1,10 @@
-"""Who is there: endpoints as listed, destinations, their breakers, and when to look at each.
+"""Registry of the listed endpoints, of destinations and their breakers, and of when to check each.
 
-What something happened to is noted where it happens, so that an iteration costs what changed:
-- `open`: destinations that may take a call now, as far as is known; looked at while slots are free. One
-  that takes none leaves, and stands in `freed` for when its gap, wait or timeout ends.
-- `changed`: breakers that something happened to; `overdue`: when the oldest call of one is overdue;
-  `ages`: when a destination may have been silent for long enough.
+Changes are recorded where they happen, so that the cost of an iteration depends on what changed alone:
+- `open`: destinations that may accept a call now, as far as is known; checked while slots are free. One
+  that accepts none moves to `freed`, until its gap, wait or timeout ends.
+- `changed`: breakers that had an event; `overdue`: when the oldest call of one is overdue;
+  `ages`: when a destination may have been idle for long enough.
 """
 
 from collections import defaultdict
@@ -31,7 +31,7 @@
         self.leave: face.Leave | None = None  # of a budget that a fleet shares
 
     def arouse(self, number: int) -> Destination:
-        """A destination that is needed. One that was silent for long is warmed like one that was out."""
+        """Return a destination, awake. One that was idle for long is warmed up like one that was down."""
         if (at := self.destinations.get(number)) is None:
             at = self.destinations[number] = Destination(number)
         if at.own is None:
@@ -46,7 +46,7 @@
         return [each for at in self.destinations.values() for each in (at.own or {}).values()]
 
     def list_endpoints(self, listed: face.EndpointsListed) -> None:
-        """Rule: drains are kept, from the moment they are told: only ready endpoints are known here."""
+        """Apply a list. Rule: drains count once they are announced, so only ready endpoints are kept here."""
         if listed.listing is face.Listing.FAILED:
             self.list_calls.failed(self.loop.now)
             return
@@ -91,7 +91,7 @@
         endpoint.breaker = None
 
     def warm(self, returned: frozenset[str]) -> None:
-        """Guards what was kept out of service, all of its endpoints, from what was held for it meanwhile."""
+        """Warm up what was out of service with all its endpoints, as messages were held for it meanwhile."""
         found = {self.endpoints[name].listed.destination: None for name in returned if name in self.endpoints}
         for at in map(self.destinations.__getitem__, found):
             before = [each.breaker for each in at.endpoints if each.listed.id not in returned]
@@ -102,7 +102,7 @@
                 at.silent_since = self.loop.now
 
     def relist(self, at: Destination) -> None:
-        """What follows from a destination's endpoints; the others cost nothing."""
+        """Update what derives from the endpoints of one destination; the others cost nothing."""
         at.weighted = any(each.listed.weight != 1 for each in at.endpoints)
         for each in at.endpoints:
             each.turns = 0.0
@@ -127,27 +127,27 @@
         return at.own[key]
 
     def spread(self, number: int) -> None:
-        """Guards destinations from a crowd that was started again at one time, each with what it found: its
-        first call goes within the mean member's time between calls."""
+        """Delay the first call after a restart at random, by a mean member's time between calls at the most:
+        a fleet that restarts at one time would send all that it found together."""
         for each in self.destinations[number].breakers if self.loop.pace.crowd > 1 else ():
             if each.last_sent == -NEVER and not each.wait_until:
                 gap = min(each.told_gap, each.most_gap)
                 each.wait_until = int(self.loop.now + self.loop.random.uniform(0, gap))
 
     def touch(self, breaker: Breaker) -> None:
-        """Something happened to it: it may be free now, and its calls may be overdue at another time."""
+        """Record an event of a breaker: it may be free now, and its calls may be overdue at another time."""
         self.changed[breaker] = None
         self.open[breaker.destination] = None
 
     def set_overdue(self) -> dict[Breaker, None]:
-        """The breakers that something happened to since, each due again when its oldest call is overdue."""
+        """Return the breakers that had an event, each due again when its oldest call is overdue."""
         changed, self.changed = self.changed, {}
         for breaker in changed:
             self.overdue.set(breaker, breaker.overdue_at())
         return changed
 
     def shut(self, at: Destination) -> None:
-        """It takes no call before its time, or before something happens to it."""
+        """Mark a destination that accepts no call before its time, or before it has an event."""
         self.open.pop(at.number, None)
         free = at.free_at(int(self.loop.now))
         if self.leave and at.endpoints:
@@ -156,13 +156,13 @@
         self.freed.set(at.number, free if free > self.loop.now else NEVER)
 
     def leave_grew(self, number: int) -> None:
-        """A part of a budget has grown; the next iteration looks at its destination."""
+        """A share of a budget has grown: the next iteration checks its destination."""
         if number in self.destinations:
             self.open[number] = None
 
     def age_out(self) -> None:
-        """Guards a process that lasts from what past destinations leave behind, and quiet ones from being
-        judged by old figures."""
+        """Forget breakers that are not used: bounds the memory of a process that runs for long, and
+        keeps idle destinations from being judged by old figures."""
         for number in self.ages.due(self.loop.now):
             self.loop.looks += 1
             if (at := self.destinations.get(number)) is None or at.own is None:
@@ -180,7 +180,7 @@
         return not breaker.out and max(breaker.last_sent, breaker.wait_until) + age <= self.loop.now
 
     def forget(self, at: Destination, key: str) -> None:
-        """A breaker that was not used for so long; when that was is all that is kept of it."""
+        """Drop a breaker that is not used; of it only the time of its last use is kept."""
         assert at.own is not None
         breaker = at.own.pop(key)
         if breaker.last_sent > -NEVER:
--- a/elmglade/policy/inflight.py
+++ b/elmglade/policy/inflight.py
@@ -1,4 +1,4 @@
-"""The calls of a sender: which are out, what their ends say of their destinations, which take too long."""
+"""The calls in flight: what their results say of their destinations, and which of them take too long."""
 
 from itertools import takewhile
 
@@ -68,16 +68,16 @@
             breaker.trial = None
 
     def speaks(self, call: Call, outcome: Outcome) -> bool:
-        """Whether this end speaks against the destination, and has not done so before. Guards it from those
-        that go with little time left: a call that is not overdue was given up for its message's sake. In a
-        crowd, whose members see few calls, each counts: a returning destination is not to be pushed over."""
+        """Whether this result counts against the destination, and has not before. A timeout that is not
+        overdue came from a message with little time left, and does not. In a large fleet, whose members see
+        few calls, each counts: a returning destination is not to be overloaded."""
         if outcome not in face.FAILURES or call.overdue:
             return False
         return outcome is not Outcome.TIMEOUT or call is call.breaker.trial or self.loop.pace.crowd > 1
 
     def is_alone(self, call: Call) -> bool:
-        """Whether a refused connect speaks against its endpoint alone, as another one is not known to be bad.
-        Guards a crowd, whose list may be old, from holding back what that one would take."""
+        """Whether a refused connect counts against its endpoint alone, as another one is not known to be bad:
+        a large fleet, whose list may be old, must not hold back what that one would accept."""
         if self.loop.pace.crowd <= 1 or call is call.breaker.trial:
             return False
         at = self.registry.destinations[call.breaker.destination]
@@ -85,9 +85,9 @@
         return any(each.bad_until <= self.loop.now for each in others)
 
     def find_overdue(self) -> None:
-        """Guards against hangs, silence and slowness: a call far too slow counts as a failure at once; with
-        no slot free the oldest far overdue is called off, harmless first. May lose a heavy message. Where
-        later calls were served the call or its connection is lost, and what may go again does."""
+        """Count calls that are far too slow as failures at once, and cancel hopeless ones. With no slot free
+        the oldest far overdue one is cancelled, harmless ones first; this may lose a heavy message. Where
+        later calls were served the call or its connection counts as lost, and what may be repeated is."""
         changed, now = self.registry.set_overdue(), self.loop.now
         late: list[Call] = []
         for breaker in self.registry.overdue.due(now):
@@ -119,7 +119,7 @@
         self.registry.touch(call.breaker)
 
     def is_hopeless(self, call: Call, short: bool) -> bool:
-        """Whether an overdue call is called off."""
+        """Whether an overdue call is cancelled."""
         lost = self.loop.now - call.sent > 1.5 * call.breaker.patience()
         alone = call.breaker.served_sent > call.sent and self.may_repeat(call)
         harmless = not call.risks() and call.breaker.is_open()
@@ -134,7 +134,7 @@
         )
 
     def wait_told(self, endpoint: str, until: int) -> None:
-        """Rule: waits. It binds calls that are about to go before the next loop iteration."""
+        """Rule: waits are kept. This one applies to calls that go before the next loop iteration too."""
         told = {call.breaker for call in self.out if call.endpoint.listed.id == endpoint}
         if known := self.registry.endpoints.get(endpoint):  # else it drains or has gone: that one waits on
             self.registry.arouse(known.listed.destination)
@@ -144,7 +144,7 @@
             breaker.wait_until = max(breaker.wait_until, until)
 
     def close_scarce(self) -> None:
-        """Guards against a crowd's idle connections that fill what endpoints accept."""
+        """In a large fleet, close idle connections to endpoints that accept no more of them."""
         idle, self.idle = self.idle if self.loop.pace.crowd > 1 else {}, {}
         scarce = [name for name, each in idle.items() if not each.out and self.loop.now < each.scarce_until]
         self.loop.actions += map(face.CloseIdle, scarce)
--- a/elmglade/policy/inherit.py
+++ b/elmglade/policy/inherit.py
@@ -1,4 +1,4 @@
-"""What a sender's decisions know that its journal does not, told to the process that follows it. Pure.
+"""State of the policy that the journal does not hold, handed to the process that follows. Pure.
 
 By name of field, so that a version which knows other fields leaves those at their defaults. Calls that are
 out are not here: each goes with its message (`MessageRestored.call`).
@@ -23,14 +23,14 @@
 
 
 def believe(of: Breaker | Endpoint, told: Mapping[str, float]) -> None:
-    """What is told, of the fields that are known here."""
+    """Set the fields that are told and known here."""
     for name in BREAKER if isinstance(of, Breaker) else ENDPOINT:
         if name in told:
             setattr(of, name, told[name])
 
 
 def tell(registry: EndpointRegistry, pending: PendingQueue) -> face.Inherited:
-    """For the process that follows."""
+    """Collect the state for the process that follows."""
     found, now = list(registry.destinations.values()), pending.loop.now
     own = [(at.number, route, each) for at in found for route, each in (at.own or {}).items()]
     return face.Inherited(
--- a/elmglade/policy/pending.py
+++ b/elmglade/policy/pending.py
@@ -1,6 +1,6 @@
-"""The messages of a sender: what each may still do, their order within a key, their room, their one end.
+"""The messages of a sender: what each may still do, order within a key, limit on their number, their end.
 
-`examined`: held messages whose turn within their key may have come; `quiet`: when a key has rested;
+`examined`: held messages that may be the next of their key; `quiet`: when the pause of a key ends;
 `deadlines`: when a message may have to end.
 """
 
@@ -20,7 +20,7 @@
 
 
 class KeyLine:
-    """Rule: messages of one key go one at a time, as taken, and rest after an attempt left unsettled."""
+    """Rule: messages of one key go one at a time, as taken, and pause after an attempt of unknown result."""
 
     def __init__(self) -> None:
         self.queue, self.quiet_until = OrderedDict(), 0  # type: OrderedDict[str, Message], int
@@ -153,7 +153,7 @@
         return not (message.ended or message.out)
 
     def find_in_turn(self) -> None:
-        """What may go since its key has rested, or since it or the one before it came or went."""
+        """Queue what may go as the pause of its key ended, or as it or the one before it came or went."""
         while self.quiet and self.quiet[0][0] <= self.loop.now:
             self.loop.looks += 1
             key = heapq.heappop(self.quiet)[1]
@@ -170,8 +170,8 @@
         self.examined = []
 
     def prospect(self, message: Message, at: Destination, turns: int) -> tuple[float, int, Message]:
-        """Worth when its turn comes, behind `turns` others of its key; of equal ones the first held goes.
-        Guards new messages against a room full of what cannot go soon."""
+        """Worth when it is likely to be sent, behind `turns` others of its key; of equal ones the first held
+        goes. Protects new messages from a queue that is full of what cannot go soon."""
         kind = message.kind
         then = max(at.ready_at(int(self.loop.now)), self.loop.now) + kind.aim * (0.5 + turns * CALL_SHARE)
         value = worth(kind, message.share, then - message.born, self.settings.halves)
@@ -186,8 +186,8 @@
         return waited >= RETURN_FROM * life or (early and not message.restored)
 
     def keep_room(self) -> None:
-        """Ends the least promising of what is held where no room is left for one more. Their order is made
-        anew only now and then: a walk over all that is held costs so much of a core at the most."""
+        """End the least promising held messages when the queue is full. Their order is rebuilt only now and
+        then, which bounds the CPU time of walking over all that is held."""
         excess = len(self.messages) - self.settings.max_open + 1
         if self.loop.now >= self.room_until:
             self.room = []
--- a/elmglade/policy/schedule.py
+++ b/elmglade/policy/schedule.py
@@ -1,4 +1,4 @@
-"""What is due, and which message goes next, found from what changed: nothing here walks over everything.
+"""Timers, and which message goes next, found from what changed: nothing here walks over everything.
 
 - `TimerQueue`: items with one time each; what is due comes out, and nothing else is looked at.
 - `Destination`: its endpoints, its breakers while it is awake, and what is held for it.
@@ -31,7 +31,7 @@
 
 
 class LoopState:
-    """What the parts of a sender's decisions share: the iteration's time, its chance, what is to be done."""
+    """What the parts of the policy share: the time of the iteration, random numbers, the actions so far."""
 
     def __init__(self, settings: Settings, chance: random.Random) -> None:
         self.settings, self.random, self.pace = settings, chance, Pace.of(settings, chance)
@@ -41,7 +41,7 @@
 
 
 class TimerQueue(Generic[Item]):
-    """A heap in which an item has one time at most; entries that were overtaken are passed over."""
+    """A heap in which an item has one due time at most; superseded entries are skipped."""
 
     def __init__(self) -> None:
         self.times: dict[Item, float] = {}
@@ -172,8 +172,8 @@
 
 
 class Destination:
-    """What is known of one. It is *listed only* until a message comes for it, *awake* from then on, and
-    *asleep* after a long silence: then its breakers are gone, and only when it was last used is kept."""
+    """One destination. It is *listed only* until a message comes for it, *awake* from then on, and *asleep*
+    after a long idle time: then its breakers are dropped, and only the time of its last use is kept."""
 
     __slots__ = ("breakers", "endpoints", "groups", "held", "number", "own", "silent_since", "weighted")
 
@@ -194,13 +194,13 @@
         self.held[message.id] = message
 
     def release(self, message: Message) -> None:
-        """It is held no more, or never was."""
+        """Stop holding a message, if it was held."""
         self.leave(message)
         if self.held and self.held.pop(message.id, None) and not self.held:
             self.held = None
 
     def queue(self, message: Message, halves: bool) -> None:
-        """Its turn has come."""
+        """Add a message to those that may go next."""
         if self.groups is None:
             self.groups = {}
         name = message.kind.name, message.share
@@ -210,7 +210,7 @@
         message.queued = True
 
     def leave(self, message: Message) -> None:
-        """It may not go next, or has gone."""
+        """Remove a message from those that may go next, if it is one."""
         if not message.queued:
             return
         assert self.groups is not None
