Control channel: sealed datagrams with sessions, replay windows and fragments

Control nodes and senders need a link on which a forged, replayed or old datagram changes nothing. The channel is pure: it names sessions and epochs as the senders' link does, shares the replay window with it by fleet/session.py, and puts larger bodies together from fragments within bounds.

--- /dev/null
+++ b/elmglade/control/channel.py
@@ -0,0 +1,329 @@
+"""Sealed datagrams between control nodes, and between them and senders. Pure; the socket is in udp.py.
+
+Rules:
+
+- A datagram that is not sealed with a key of ours, or does not decode, is counted by its reason and dropped.
+- A datagram is believed only if it names the present session of this end. A stranger is told that session by
+  a `Hello`, a bounded number of times a second; that is all that a replayed datagram can cause.
+- Of each name one start counts, the one of the highest epoch, and of its session each number once.
+- Who comes with an epoch below the one known of its name, or with the same one and another session, is told
+  the epoch that is known. It goes on with a higher one, and knows that its disk is old (`is_behind`).
+- The starts of the names in the table are kept by the caller (`on_start_known`) and given back at the next
+  start, so that an old disk is noticed also after the others were restarted.
+- Who is in the table is called at its address there. Another one is called at the address from which its
+  last believed datagram came.
+- A body that is larger than a datagram goes in fragments, which are put together within bounds.
+"""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+import msgspec
+
+from elmglade.control.messages import Address, Body, Envelope, Fragment, Hello
+from elmglade.fleet.seal import LEAST, MOST, RefusedError, Seal
+from elmglade.fleet.session import PeerSession
+
+GREETINGS_PER_SECOND = 500  # answers to strangers
+HELLO_INTERVAL_S = 0.3  # between two calls to a peer whose session is not known
+WAITING_LIMIT = 4  # bodies that wait for a peer's session, the latest ones
+PEERS_LIMIT = 4096  # peers that are remembered; beyond it the one that was silent longest is forgotten
+FRAGMENT_BYTES = 1_200  # of an encoded body in one datagram
+MESSAGE_BYTES_LIMIT = 256 * 1024  # of one encoded body
+PARTIAL_MESSAGES_LIMIT = 8  # of one peer that are being put together
+PARTIAL_BYTES_LIMIT = 4 * 1024 * 1024  # of all peers
+PARTIAL_AGE_LIMIT_S = 5.0  # after which a message that is not whole is dropped
+
+
+class Refusal(StrEnum):
+    """Why a datagram was dropped."""
+
+    SEAL = "sealed with another key, damaged, or not one of these datagrams"
+    MALFORMED = "does not decode"
+    OWN_NAME = "another one uses this name"
+    OTHER_SESSION = "meant for another session: an old one, or a replay"
+    OLD_START = "of a start before the latest of its name"
+    REPLAY = "a number that has come before"
+    FRAGMENT = "a fragment that fits no message"
+
+
+class BodyTooLargeError(ValueError):
+    """A body beyond MESSAGE_BYTES_LIMIT; nothing of it is sent."""
+
+
+class DroppedError(Exception):
+    """A datagram that is not believed."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(refusal.value)
+        self.refusal = refusal
+
+
+@dataclass(frozen=True, slots=True)
+class KnownStart:
+    """The latest start of a name that was heard of."""
+
+    epoch: int
+    session: int
+
+
+@dataclass(slots=True)
+class PartialMessage:
+    """Fragments of one message that came so far."""
+
+    count: int
+    began: float  # s
+    parts: dict[int, bytes] = field(default_factory=dict)
+
+
+class Channel:
+    """One end of the link, under one name."""
+
+    def __init__(
+        self,
+        name: str,
+        epoch: int,
+        session: int,
+        seal: Seal,
+        addresses: Mapping[str, Address],
+        known_starts: Mapping[str, KnownStart] | None = None,
+    ) -> None:
+        """`epoch`: above that of each start before, as far as the disk knows. `session`: drawn at random,
+        above 0. `addresses`: peers at fixed addresses. `known_starts`: what `on_start_known` told earlier."""
+        self.name, self.epoch, self.session, self.seal = name, epoch, session, seal
+        self.addresses = dict(addresses)
+        self.known_starts = dict(known_starts or {})
+        self.is_behind = False  # others know a later start of this name than its disk does
+        self.on_behind: Callable[[int], None] = lambda epoch: None  # the epoch to keep from now on
+        self.on_start_known: Callable[[str, KnownStart], None] = lambda name, start: None
+        self.refused: Counter[Refusal] = Counter()
+        self.partial_bytes = 0  # of messages that are not whole yet
+        self.sent = self.received = self.sent_bytes = self.received_bytes = 0
+        self._peers: dict[str, PeerSession] = {}
+        self._learned: dict[str, Address] = {}
+        self._waiting: dict[str, list[Body]] = {}
+        self._called: dict[str, float] = {}
+        self._partial: dict[tuple[str, int], PartialMessage] = {}
+        self._number = self._message = 0
+        self._greetings, self._greetings_since = 0, 0.0
+        self._outbox: list[tuple[Address, bytes]] = []
+        self._encoder = msgspec.msgpack.Encoder()
+        self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
+        self._body_decoder = msgspec.msgpack.Decoder(Body)
+
+    # Sending.
+
+    def send(self, to: str, body: Body, now: float) -> None:
+        """Sends `body`, or keeps it until the session of `to` is known. A name whose address is not known is
+        nobody's. Raises BodyTooLargeError."""
+        address = self.address_of(to)
+        if address is None:
+            return
+        peer = self._peers.get(to)
+        if peer is not None:
+            self._send_body(address, peer.session, body)
+            return
+        self._waiting[to] = [*self._waiting.get(to, ()), body][-WAITING_LIMIT:]
+        if now - self._called.get(to, -HELLO_INTERVAL_S) >= HELLO_INTERVAL_S:
+            self._called[to] = now
+            self._send_datagram(address, 0, Hello())
+
+    def address_of(self, name: str) -> Address | None:
+        """Where a peer is called; None where that is not known."""
+        return self.addresses.get(name) or self._learned.get(name)
+
+    def has_session(self, name: str) -> bool:
+        """Whether a body to this peer goes out at once."""
+        return name in self._peers
+
+    def take_datagrams(self) -> list[tuple[Address, bytes]]:
+        """What is to be sent now, each once."""
+        datagrams, self._outbox = self._outbox, []
+        return datagrams
+
+    def _send_body(self, address: Address, session: int, body: Body) -> None:
+        encoded = self._encoder.encode(body)
+        if len(encoded) <= FRAGMENT_BYTES:
+            self._send_datagram(address, session, body)
+            return
+        if len(encoded) > MESSAGE_BYTES_LIMIT:
+            raise BodyTooLargeError(f"{type(body).__name__}: {len(encoded)} bytes of {MESSAGE_BYTES_LIMIT}")
+        self._message += 1
+        pieces = [encoded[at : at + FRAGMENT_BYTES] for at in range(0, len(encoded), FRAGMENT_BYTES)]
+        for index, piece in enumerate(pieces):
+            self._send_datagram(address, session, Fragment(self._message, index, len(pieces), piece))
+
+    def _send_datagram(self, address: Address, session: int, body: Body) -> None:
+        self._number += 1
+        envelope = Envelope(self.name, self.epoch, self.session, session, self._number, body)
+        datagram = self.seal.seal(self._encoder.encode(envelope))
+        assert LEAST < len(datagram) <= MOST, len(datagram)
+        self.sent += 1
+        self.sent_bytes += len(datagram)
+        self._outbox.append((address, datagram))
+
+    # Receiving.
+
+    def receive(self, datagram: bytes, source: Address, now: float) -> list[tuple[str, Body]]:
+        """The bodies that a datagram completes, with the names of their senders: one or none. Never raises
+        for what comes."""
+        try:
+            envelope = self._open(datagram)
+            body = self._believe(envelope, source, now)
+        except DroppedError as error:
+            self.refused[error.refusal] += 1
+            return []
+        self.received += 1
+        self.received_bytes += len(datagram)
+        return [] if body is None else [(envelope.name, body)]
+
+    def _open(self, datagram: bytes) -> Envelope:
+        try:
+            plain = self.seal.open(datagram)
+        except RefusedError:
+            raise DroppedError(Refusal.SEAL) from None
+        try:
+            envelope: Envelope = self._envelope_decoder.decode(plain)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            raise DroppedError(Refusal.MALFORMED) from None
+        return envelope
+
+    def _believe(self, envelope: Envelope, source: Address, now: float) -> Body | None:
+        if envelope.name == self.name:
+            raise DroppedError(Refusal.OWN_NAME)
+        if envelope.to_session != self.session:
+            self._greet(envelope, source, now)
+            if isinstance(envelope.body, Hello) and envelope.to_session == 0:
+                return None
+            raise DroppedError(Refusal.OTHER_SESSION)
+        self._admit(envelope, source, now)
+        match envelope.body:
+            case Hello(known_epoch):
+                self._hear_known_epoch(known_epoch)
+                body = None
+            case Fragment():
+                body = self._reassemble(envelope.name, envelope.body, now)
+            case _:
+                body = envelope.body
+        self._send_waiting(envelope.name)
+        return body
+
+    def _admit(self, envelope: Envelope, source: Address, now: float) -> None:
+        """Notes the session and its number. Raises DroppedError for a start that is over and a replay."""
+        peer = self._peers.get(envelope.name)
+        if peer is None or peer.session != envelope.session:
+            if self._later_epoch(envelope):
+                self._greet(envelope, source, now)
+                raise DroppedError(Refusal.OLD_START)
+            peer = self._begin_session(envelope)
+        if not peer.is_new(envelope.number):
+            raise DroppedError(Refusal.REPLAY)
+        if envelope.epoch > peer.epoch:
+            peer.epoch = envelope.epoch
+        self._note_start(envelope.name, KnownStart(peer.epoch, peer.session))
+        peer.heard = now
+        if envelope.name not in self.addresses:
+            self._learned[envelope.name] = source
+
+    def _begin_session(self, envelope: Envelope) -> PeerSession:
+        if len(self._peers) >= PEERS_LIMIT:
+            strangers = (name for name in self._peers if name not in self.addresses)
+            self._forget(min(strangers, key=lambda name: self._peers[name].heard))
+        for key in [key for key in self._partial if key[0] == envelope.name]:
+            self._drop_partial(key)
+        peer = self._peers[envelope.name] = PeerSession(envelope.epoch, envelope.session)
+        return peer
+
+    def _forget(self, name: str) -> None:
+        for table in (self._peers, self._learned, self._waiting, self._called, self.known_starts):
+            table.pop(name, None)
+
+    def _note_start(self, name: str, start: KnownStart) -> None:
+        if self.known_starts.get(name) == start:
+            return
+        self.known_starts[name] = start
+        if name in self.addresses:
+            self.on_start_known(name, start)
+
+    def _later_epoch(self, envelope: Envelope) -> int:
+        """The epoch known of this name, if this is not a datagram of its latest start; else 0."""
+        known = self.known_starts.get(envelope.name)
+        if known is None or known.session == envelope.session or known.epoch < envelope.epoch:
+            return 0
+        return known.epoch
+
+    def _greet(self, envelope: Envelope, source: Address, now: float) -> None:
+        """Tells a stranger this session, at the address that its datagram came from."""
+        if now - self._greetings_since >= 1.0:
+            self._greetings, self._greetings_since = 0, now
+        if self._greetings >= GREETINGS_PER_SECOND:
+            return
+        self._greetings += 1
+        address = self.addresses.get(envelope.name, source)
+        self._send_datagram(address, envelope.session, Hello(self._later_epoch(envelope), is_answer=True))
+
+    def _hear_known_epoch(self, known_epoch: int) -> None:
+        if known_epoch >= self.epoch:
+            self.epoch = known_epoch + 1
+            self.is_behind = True
+            self.on_behind(self.epoch)
+
+    def _send_waiting(self, name: str) -> None:
+        address = self.address_of(name)
+        if address is None:
+            return
+        for body in self._waiting.pop(name, ()):
+            self._send_body(address, self._peers[name].session, body)
+
+    # Fragments.
+
+    def _reassemble(self, name: str, fragment: Fragment, now: float) -> Body | None:
+        """The whole body once its last missing part is here. Raises DroppedError."""
+        self._drop_old_partial(now)
+        most = -(-MESSAGE_BYTES_LIMIT // FRAGMENT_BYTES)
+        if not fragment.index < fragment.count <= most or len(fragment.data) > FRAGMENT_BYTES:
+            raise DroppedError(Refusal.FRAGMENT)
+        key = name, fragment.message
+        partial = self._partial.get(key)
+        if partial is None:
+            partial = self._begin_partial(key, fragment, now)
+        if partial.count != fragment.count:
+            raise DroppedError(Refusal.FRAGMENT)
+        if fragment.index in partial.parts:
+            return None
+        partial.parts[fragment.index] = fragment.data
+        self.partial_bytes += len(fragment.data)
+        if len(partial.parts) == partial.count:
+            self._drop_partial(key)
+            return self._decode_body(b"".join(partial.parts[index] for index in range(partial.count)))
+        while self.partial_bytes > PARTIAL_BYTES_LIMIT:
+            self._drop_partial(next(iter(self._partial)))
+        return None
+
+    def _begin_partial(self, key: tuple[str, int], fragment: Fragment, now: float) -> PartialMessage:
+        """Makes room: the oldest partial message of the same peer goes where there are too many."""
+        own = [each for each in self._partial if each[0] == key[0]]
+        if len(own) >= PARTIAL_MESSAGES_LIMIT:
+            self._drop_partial(own[0])
+        partial = self._partial[key] = PartialMessage(fragment.count, now)
+        return partial
+
+    def _drop_old_partial(self, now: float) -> None:
+        old = [key for key, each in self._partial.items() if now - each.began > PARTIAL_AGE_LIMIT_S]
+        for key in old:
+            self._drop_partial(key)
+
+    def _drop_partial(self, key: tuple[str, int]) -> None:
+        partial = self._partial.pop(key)
+        self.partial_bytes -= sum(map(len, partial.parts.values()))
+
+    def _decode_body(self, data: bytes) -> Body:
+        try:
+            body: Body = self._body_decoder.decode(data)
+        except (msgspec.MsgspecError, ValueError, RecursionError):
+            raise DroppedError(Refusal.MALFORMED) from None
+        if isinstance(body, Hello | Fragment):
+            raise DroppedError(Refusal.FRAGMENT)
+        return body
--- a/elmglade/fleet/node.py
+++ b/elmglade/fleet/node.py
@@ -22,9 +22,9 @@
 from elmglade.fleet import wire
 from elmglade.fleet.members import Members, State
 from elmglade.fleet.seal import RefusedError, Seal
+from elmglade.fleet.session import PeerSession
 from elmglade.fleet.wire import Address, Envelope, Rumour
 
-WINDOW = 64  # numbers back from the highest that may still come
 GREETINGS = 20  # answers to strangers a second
 JOIN_EVERY = 0.3  # s between calls to the seeds while nobody is known
 REJOIN_EVERY = 2.0  # s between calls to seeds that are not known to be there
@@ -44,29 +44,6 @@
     size: int = 8  # the most members expected
 
 
-@dataclass(slots=True)
-class Peer:
-    """The sessions of one member."""
-
-    epoch: int
-    session: int
-    highest: int = 0
-    seen: int = 0  # bits: of the WINDOW numbers up to the highest
-    heard: float = 0.0
-
-    def is_new(self, number: int) -> bool:
-        """Whether a datagram of this number has not come yet; notes it."""
-        if number > self.highest:
-            self.seen = (self.seen << min(number - self.highest, WINDOW) | 1) & ((1 << WINDOW) - 1)
-            self.highest = number
-            return True
-        bit = 1 << (self.highest - number)
-        if self.highest - number >= WINDOW or self.seen & bit:
-            return False
-        self.seen |= bit
-        return True
-
-
 @dataclass(slots=True)
 class Said:
     """The newest bulletin of a member."""
@@ -92,7 +69,7 @@
         self.me, self.seal, self.session, self.chance = me, seal, session, chance
         self.members = Members(me.name, me.address, epoch, chance)
         self.outbox: list[tuple[Address, bytes]] = []
-        self.peers: dict[str, Peer] = {}
+        self.peers: dict[str, PeerSession] = {}
         self.bulletins: dict[str, Said] = {}
         self.parts: dict[str, tuple[int, int, dict[int, bytes]]] = {}
         self.number, self.version, self.text = 0, 0, b""
@@ -235,7 +212,7 @@
                 raise RefusedError(f"{told.name}: two members use this name")
             peer = None
         if fresh := peer is None:
-            peer = self.peers[told.name] = Peer(told.epoch, told.session)
+            peer = self.peers[told.name] = PeerSession(told.epoch, told.session)
         if not peer.is_new(told.number):
             raise RefusedError(f"{told.name}: a datagram that has come before")
         peer.heard, peer.epoch = now, max(peer.epoch, told.epoch)
