--- a/elmglade/control/document.py
+++ b/elmglade/control/document.py
@@ -5,7 +5,8 @@
 - A document changes by a whole delta or not at all; a delta applies only to the version it was made from.
 - The digest is the exclusive or of one hash a resource: the cost of a change depends on the change alone.
   A delta carries the digest that it leads to, so that a document which would differ is noticed at once.
-- Versions only rise.
+- Versions only rise. A delta from a version to itself is for a document whose content differs from what its
+  version has elsewhere: it mends the content, and is made from a snapshot alone.
 """
 
 from collections.abc import Iterable, Mapping
@@ -73,7 +74,8 @@
         """Raises DeltaMismatchError where `delta` does not lead from this document to its own digest."""
         if delta.from_version != self.version:
             raise DeltaMismatchError(f"a delta from version {delta.from_version}, and {self.version} is here")
-        if delta.to_version <= delta.from_version:
+        is_mending = delta.to_version == delta.from_version and delta.digest != self.digest
+        if delta.to_version <= delta.from_version and not is_mending:
             raise DeltaMismatchError(f"a delta from version {delta.from_version} to {delta.to_version}")
         if self.digest_after(delta.put, delta.delete) != delta.digest:
             raise DeltaMismatchError(f"version {delta.to_version} would differ from the leader's")
--- /dev/null
+++ b/elmglade/control/fetch.py
@@ -0,0 +1,92 @@
+"""The fetching of a snapshot, chunk by chunk: what is asked for next and what has come. Pure.
+
+Rules:
+
+- A request names an offset; the node sends the window of `SNAPSHOT_WINDOW` chunks from there. The next window
+  is asked for when this one is here, so that no more than a window is under way or held out of order.
+- Chunks come in any order, doubled or not at all. One that lies outside the window or names another length
+  is dropped. What is missing is asked for again from the first missing byte.
+- All chunks are of one version. Their bytes are the same at every node: a fetch goes on at another one.
+- Memory: the bytes that have come in order, and at most a window out of order. A snapshot longer than
+  `SNAPSHOT_BYTES_LIMIT` isn't fetched.
+- The whole is believed only if it decodes, its version is the one asked for and its content has its digest.
+"""
+
+from elmglade.control.document import Document, SnapshotError, decode_snapshot
+from elmglade.control.messages import CHUNK_BYTES, Delta, Resource, SnapshotChunk, SnapshotRequest
+
+SNAPSHOT_WINDOW = 16  # chunks in flight
+SNAPSHOT_BYTES_LIMIT = 64 * 1024 * 1024
+
+
+class SnapshotFetch:
+    """One snapshot under way. `digest`: what the document at `version` must have, as far as known."""
+
+    def __init__(self, version: int, digest: int | None = None) -> None:
+        self.version = version
+        self.digest = digest
+        self.total: int | None = None
+        self._data = bytearray()
+        self._ahead: dict[int, bytes] = {}
+        self._window_end = SNAPSHOT_WINDOW * CHUNK_BYTES
+
+    def request(self) -> SnapshotRequest:
+        """Asks for a window from the first missing byte on."""
+        self._window_end = len(self._data) + SNAPSHOT_WINDOW * CHUNK_BYTES
+        return SnapshotRequest(self.version, len(self._data))
+
+    def add(self, chunk: SnapshotChunk) -> bool:
+        """Takes a chunk of this version; false where it brings nothing."""
+        if not self._is_wanted(chunk):
+            return False
+        self.total = chunk.total
+        self._ahead[chunk.offset] = chunk.data
+        while (data := self._ahead.pop(len(self._data), None)) is not None:
+            self._data += data
+        return True
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every byte is here."""
+        return self.total is not None and len(self._data) == self.total
+
+    @property
+    def is_window_complete(self) -> bool:
+        """Whether the next window is to be asked for."""
+        return len(self._data) >= self._window_end
+
+    @property
+    def bytes_held(self) -> int:
+        """Bytes in memory."""
+        return len(self._data) + sum(map(len, self._ahead.values()))
+
+    def document(self) -> Document:
+        """The whole. Raises SnapshotError where it isn't the document at this version."""
+        document = decode_snapshot(bytes(self._data))
+        if document.version != self.version:
+            raise SnapshotError(f"version {document.version} in a snapshot of version {self.version}")
+        if self.digest is not None and document.digest != self.digest:
+            raise SnapshotError(f"version {self.version}: the snapshot differs from the node's document")
+        return document
+
+    def _is_wanted(self, chunk: SnapshotChunk) -> bool:
+        if self.total not in (None, chunk.total) or chunk.total > SNAPSHOT_BYTES_LIMIT:
+            return False
+        end = chunk.offset + len(chunk.data)
+        if end > chunk.total or chunk.offset % CHUNK_BYTES:
+            return False
+        if len(chunk.data) != CHUNK_BYTES and end != chunk.total:
+            return False
+        is_new = chunk.offset >= len(self._data) and chunk.offset not in self._ahead
+        return is_new and chunk.offset < self._window_end
+
+
+def difference(present: Document, wanted: Document) -> Delta:
+    """The delta that leads from one document to the other."""
+    put = tuple(
+        Resource(name, value)
+        for name, value in sorted(wanted.resources.items())
+        if present.resources.get(name) != value
+    )
+    delete = tuple(name for name in sorted(present.resources) if name not in wanted.resources)
+    return Delta(present.version, wanted.version, put, delete, wanted.digest)
