--- a/elmglade/control/fanout.py
+++ b/elmglade/control/fanout.py
@@ -73,8 +73,9 @@
             return 0.0
         missing = max(0.0, size + reserve - self._tokens)
         refilled_at = now + missing / self.bytes_per_second
-        self._next_slot = max(self._next_slot + size / self.bytes_per_second, refilled_at)
-        return min(self._next_slot - now, RETRY_AFTER_LIMIT)
+        next_slot = max(self._next_slot + size / self.bytes_per_second, refilled_at)
+        self._next_slot = min(next_slot, now + RETRY_AFTER_LIMIT)
+        return self._next_slot - now
 
 
 @dataclass(slots=True)
--- a/elmglade/control/watch.py
+++ b/elmglade/control/watch.py
@@ -48,6 +48,7 @@
 DAMAGED_SNAPSHOT_WAIT = 10.0
 
 UNANSWERED_LIMIT = 3
+FETCH_STALLS_LIMIT = 12  # requests without a chunk, over changes of node
 MS_PER_SECOND = 1_000
 
 
@@ -225,7 +226,6 @@
         self._unanswered = 0
         self._poll_due = now
         self._fetch_due = now
-        self._fetch_stalls = 0
 
     # What nodes say.
 
@@ -356,7 +356,7 @@
     def _repeat_fetch(self, now: float) -> None:
         """Nothing came for a while. Whether the node is there the polls tell; they begin a fetch anew too."""
         self._fetch_stalls += 1
-        if self._fetch and self._fetch_stalls <= UNANSWERED_LIMIT:
+        if self._fetch and self._fetch_stalls <= FETCH_STALLS_LIMIT:
             self._request_chunks(self._fetch, now)
         else:
             self._fetch = None
--- /dev/null
+++ b/tests/test_control_fanout.py
@@ -0,0 +1,239 @@
+"""A control node's side of the watches: sessions, pushes, snapshots and the budget of bytes."""
+
+import random
+
+from watching import ChangedStore
+
+from elmglade.control.document import Document, encode_snapshot
+from elmglade.control.fanout import (
+    BURST_BYTES,
+    DELTA_RESERVE_BYTES,
+    RETRY_AFTER_LIMIT,
+    SESSION_AGE,
+    ByteBudget,
+    Fanout,
+)
+from elmglade.control.fetch import SNAPSHOT_WINDOW
+from elmglade.control.messages import (
+    CHUNK_BYTES,
+    Delta,
+    Poll,
+    SnapshotChunk,
+    SnapshotRequest,
+    VersionNotice,
+    WatchMessage,
+)
+
+
+class Bench:
+    """A fan-out on a clock of its own."""
+
+    def __init__(self, store: ChangedStore | None = None, sessions_limit: int = 1_000) -> None:
+        self.store = store or ChangedStore()
+        self.now = 1000.0
+        self.fanout = Fanout(
+            self.store, random.Random(47), self.now, lambda: 7, sessions_limit=sessions_limit
+        )
+
+    def poll(self, sender: str, document: Document, refused: int = 0, reason: str = "") -> WatchMessage:
+        """The one answer."""
+        message = Poll(document.version, document.digest, refused, reason)
+        self.fanout.receive(sender, message, self.now)
+        ((to, answer),) = self.fanout.take_messages()
+        assert to == sender
+        return answer
+
+    def ask(self, sender: str, version: int, offset: int) -> list[WatchMessage]:
+        self.fanout.receive(sender, SnapshotRequest(version, offset), self.now)
+        return [message for _, message in self.fanout.take_messages()]
+
+    def push(self) -> list[tuple[str, WatchMessage]]:
+        self.fanout.version_changed(self.now)
+        return self.fanout.take_messages()
+
+
+def version(document: Document) -> Document:
+    return Document(document.version, document.resources)
+
+
+def test_a_poll_with_the_present_version_gets_a_notice() -> None:
+    bench = Bench()
+    bench.store.change(a=b"1")
+    present = bench.store.document
+    assert bench.poll("s1", present) == VersionNotice(1, present.digest, age_ms=7)
+
+
+def test_a_poll_with_the_present_version_and_another_digest_is_told_to_fetch() -> None:
+    bench = Bench()
+    bench.store.change(a=b"1")
+    answer = bench.poll("s1", Document(1, {"a": b"2"}))
+    assert isinstance(answer, VersionNotice) and answer.needs_snapshot
+
+
+def test_a_poll_with_an_older_version_gets_the_delta_or_is_told_to_fetch() -> None:
+    bench = Bench(ChangedStore(history_limit=2))
+    for number in range(4):
+        bench.store.change({f"r{number}": b"1"})
+    answer = bench.poll("s1", Document(2))
+    assert isinstance(answer, Delta) and (answer.from_version, answer.to_version) == (2, 4)
+    answer = bench.poll("s1", Document(1))
+    assert isinstance(answer, VersionNotice) and answer.needs_snapshot and answer.version == 4
+
+
+def test_a_poll_with_a_newer_version_learns_that_the_node_is_behind() -> None:
+    bench = Bench()
+    assert bench.poll("s1", Document(9)) == VersionNotice(0, 0, age_ms=7)
+    assert bench.ask("s1", 9, 0) == [VersionNotice(0, 0, age_ms=7)]
+
+
+def test_a_new_version_is_pushed_at_once_to_all_that_polled_lately() -> None:
+    bench = Bench()
+    for name in ("s1", "s2", "paused"):
+        bench.poll(name, Document())
+    bench.now += 20
+    for name in ("s1", "s2"):
+        bench.poll(name, Document())
+    bench.store.change(a=b"1")
+    pushed = bench.push()
+    assert [name for name, _ in pushed] == ["s1", "s2"]
+    assert all(message == bench.store.delta_from(0) for _, message in pushed)
+
+
+def test_a_burst_is_pushed_one_behind_the_other_without_waiting_for_polls() -> None:
+    bench = Bench()
+    bench.poll("s1", Document())
+    for _ in range(3):
+        bench.store.change(a=b"1")
+        ((_, message),) = bench.push()
+        assert isinstance(message, Delta) and message.from_version == message.to_version - 1
+    assert bench.fanout.watchers(bench.now)[0].version == 0, "not acknowledged"
+    answer = bench.poll("s1", Document())
+    assert isinstance(answer, Delta) and (answer.from_version, answer.to_version) == (0, 3)
+
+
+def test_a_refused_version_is_not_sent_again_and_a_newer_one_is() -> None:
+    bench = Bench()
+    bench.store.change(a=b"1")
+    bench.poll("s1", Document(), 1, "bad")
+    assert bench.push() == []
+    assert isinstance(bench.poll("s1", Document(), 1, "bad"), VersionNotice)
+    (watcher,) = bench.fanout.watchers(bench.now)
+    assert (watcher.version, watcher.refused_version, watcher.reason) == (0, 1, "bad")
+    bench.store.change(a=b"2")
+    ((_, message),) = bench.push()
+    assert isinstance(message, Delta) and message.to_version == 2
+
+
+def test_a_session_that_is_silent_is_shown_so_and_dropped_after_a_day() -> None:
+    bench = Bench()
+    bench.poll("s1", Document())
+    bench.now += 60
+    bench.fanout.tick(bench.now)
+    assert bench.fanout.watchers(bench.now)[0].silent_ms == 60_000
+    bench.now += SESSION_AGE
+    bench.fanout.tick(bench.now)
+    assert bench.fanout.watchers(bench.now) == ()
+
+
+def test_sessions_are_bounded_and_the_longest_silent_one_goes_first() -> None:
+    bench = Bench(sessions_limit=3)
+    for name in ("s1", "s2", "s3", "s1", "s4"):
+        bench.now += 1
+        bench.poll(name, Document())
+    assert [watcher.name for watcher in bench.fanout.watchers(bench.now)] == ["s1", "s3", "s4"]
+
+
+def large_store() -> ChangedStore:
+    store = ChangedStore(history_limit=2)
+    for number in range(3):
+        store.change({f"r{number}-{at}": bytes([65 + at]) * 700 for at in range(40)})
+    return store
+
+
+def test_chunks_are_sent_a_window_a_request() -> None:
+    bench = Bench(large_store())
+    data = encode_snapshot(bench.store.document)
+    messages = bench.ask("s1", 3, 16_000)
+    chunks = [message for message in messages if isinstance(message, SnapshotChunk)]
+    assert len(chunks) == len(messages) == SNAPSHOT_WINDOW
+    assert b"".join(chunk.data for chunk in chunks) == data[16_000:32_000]
+    assert {(chunk.version, chunk.total) for chunk in chunks} == {(3, len(data))}
+    assert len(bench.ask("s1", 3, len(data) // CHUNK_BYTES * CHUNK_BYTES)) == 1
+    assert bench.ask("s1", 3, 10**12) == []
+
+
+def test_a_snapshot_that_was_begun_is_served_while_the_history_leads_on_from_it() -> None:
+    bench = Bench(large_store())
+    begun = encode_snapshot(bench.store.document)
+    bench.ask("s1", 3, 0)
+    bench.store.change(a=b"1")
+    first = bench.ask("s1", 3, 16_000)[0]
+    assert isinstance(first, SnapshotChunk) and first.data == begun[16_000:17_000]
+    for _ in range(2):
+        bench.store.change(a=b"1")
+    first = bench.ask("s1", 3, 16_000)[0]
+    assert isinstance(first, SnapshotChunk) and (first.version, first.offset) == (6, 0)
+    assert bench.fanout.counts.snapshots_encoded == 2
+
+
+def test_an_encoded_snapshot_that_nobody_asks_for_is_dropped() -> None:
+    bench = Bench(large_store())
+    bench.ask("s1", 3, 0)
+    bench.now += 61
+    bench.fanout.tick(bench.now)
+    bench.ask("s1", 3, 0)
+    assert bench.fanout.counts.snapshots_encoded == 2
+
+
+def test_fetches_at_once_are_bounded_and_told_when_to_come_again() -> None:
+    bench = Bench(large_store())
+    messages = [bench.ask(f"s{number}", 3, 0) for number in range(630)]
+    served = [each for each in messages if len(each) == SNAPSHOT_WINDOW]
+    sent = sum(len(each) for each in served) * (CHUNK_BYTES + 130)
+    assert sent <= BURST_BYTES - DELTA_RESERVE_BYTES
+    waits = [m.retry_after_ms for each in messages for m in each if isinstance(m, VersionNotice)]
+    assert len(served) + len(waits) == 630 and min(waits) > 0
+    assert max(waits) <= 1.2 * RETRY_AFTER_LIMIT * 1000 + 1
+    assert len({wait // 100 for wait in waits}) > 10, "spread"
+
+
+def test_deltas_go_out_while_fetches_have_emptied_their_part() -> None:
+    bench = Bench(large_store())
+    for number in range(630):
+        bench.poll(f"s{number}", bench.store.document)
+        bench.ask(f"s{number}", 3, 0)
+    bench.store.change(a=b"1")
+    pushed = bench.push()
+    assert len(pushed) == 630 and all(isinstance(message, Delta) for _, message in pushed)
+
+
+def test_deltas_are_bounded_too() -> None:
+    bench = Bench()
+    for number in range(630):
+        bench.poll(f"s{number}", Document())
+    bench.store.change(a=b"1" * 30_000)
+    pushed = [message for _, message in bench.push()]
+    deltas = [message for message in pushed if isinstance(message, Delta)]
+    assert len(deltas) * 30_000 <= BURST_BYTES and len(pushed) == 630
+    assert all(m.retry_after_ms for m in pushed if isinstance(m, VersionNotice))
+
+
+def test_the_bucket_gives_no_more_than_its_rate_and_each_waiter_a_time_of_its_own() -> None:
+    budget = ByteBudget(1_000, 500, 0.0)
+    given = now = 0.0
+    while now < 60:
+        given += 100 * (budget.take(100, 0, now) == 0)
+        now += 0.01
+    assert 59_000 <= given <= 60_600
+    budget = ByteBudget(1_000, 500, 0.0)
+    waits = [budget.take(100, 0, 0.0) for _ in range(20)]
+    assert waits[:5] == [0] * 5 and 0 not in waits[5:]
+    waits = waits[5:]
+    assert waits == sorted(waits) and len(set(waits)) == len(waits)
+
+
+def test_what_is_larger_than_the_bucket_passes_when_it_is_full() -> None:
+    budget = ByteBudget(1_000, 500, 0.0)
+    assert budget.take(800, 100, 0.0) == 0
+    assert budget.take(800, 100, 0.5) > 0
+    assert budget.take(800, 100, 0.81) == 0
--- /dev/null
+++ b/tests/watching.py
@@ -0,0 +1,62 @@
+"""What the tests of watch and fan-out share: an applier that keeps a record, and a store that is changed."""
+
+from collections.abc import Mapping
+
+from elmglade.control.document import Document
+from elmglade.control.messages import Change, ChangeResult, Delta, LogEntry, Resource
+from elmglade.control.store import ConfigurationStore, encode_change
+from elmglade.control.watch import RefusedConfigurationError
+
+BAD = b"bad"  # a value that no sender puts in force
+
+
+class RecordingApplier:
+    """Puts resources in force whole or not at all, keeps a stored copy, and records each version."""
+
+    def __init__(self, stored: Document | None = None) -> None:
+        self.stored = stored or Document()
+        self.in_force = dict(self.stored.resources)
+        self.steps: list[tuple[int, int]] = []
+        self.attempts: list[int] = []
+        self.full_disk = False
+
+    def apply(self, document: Document, delta: Delta) -> None:
+        self.attempts.append(delta.to_version)
+        self.check(delta)
+        if self.full_disk:
+            raise OSError("no space left on device")
+        stored = Document(document.version, document.resources)
+        stored.apply(delta)
+        self.stored = stored
+        for resource in delta.put:
+            self.in_force[resource.name] = resource.value
+        for name in delta.delete:
+            del self.in_force[name]
+        self.steps.append((delta.from_version, delta.to_version))
+
+    def check(self, delta: Delta) -> None:
+        bad = [each.name for each in delta.put if each.value == BAD]
+        if bad:
+            raise RefusedConfigurationError(f"cannot be put in force: {', '.join(bad)}")
+
+
+class ChangedStore(ConfigurationStore):
+    """A store with a log of its own."""
+
+    index = 0
+
+    def change(
+        self, put: Mapping[str, bytes] | None = None, delete: tuple[str, ...] = (), **more: bytes
+    ) -> ChangeResult:
+        """Makes the next version."""
+        self.index += 1
+        values = {**(put or {}), **more}
+        puts = tuple(Resource(name, value) for name, value in values.items())
+        change = Change(f"request-{self.index}", self.document.version, puts, delete)
+        result = self.apply(LogEntry(self.index, 1, encode_change(change)))
+        assert result is not None and result.version == self.document.version
+        return result
+
+
+def copy_of(document: Document) -> Document:
+    return Document(document.version, document.resources)
