Raft state machine of the control plane with weighted votes

The control plane needs a replicated log that is durable on a majority before a change is confirmed. This adds the pure state machine with the agreed interface: weighted quorum, pre-vote, check quorum, learners and batches, and a Ready that is made durable before its messages leave.

--- /dev/null
+++ b/elmglade/control/log.py
@@ -0,0 +1,66 @@
+"""The replicated log in memory: entries by index from 1 on, without a gap."""
+
+from collections.abc import Sequence
+
+from elmglade.control.messages import LogEntry
+
+
+class ReplicatedLog:
+    """All entries of a node's log. Index 0 stands for the beginning, before any entry, with term 0."""
+
+    def __init__(self, entries: Sequence[LogEntry]) -> None:
+        self._entries = list(entries)
+        for index, entry in enumerate(self._entries, 1):
+            if entry.index != index:
+                raise ValueError(f"log entry {entry.index} stands where {index} should be")
+
+    @property
+    def last_index(self) -> int:
+        return len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        return self._entries[-1].term if self._entries else 0
+
+    def entry(self, index: int) -> LogEntry:
+        """The entry at `index`; IndexError if there is none."""
+        if not 1 <= index <= len(self._entries):
+            raise IndexError(f"no log entry {index}; the last one is {len(self._entries)}")
+        return self._entries[index - 1]
+
+    def has(self, index: int, term: int) -> bool:
+        """Whether the log holds an entry of this term at `index`, or `index` is the beginning."""
+        if index == 0:
+            return term == 0
+        return index <= len(self._entries) and self._entries[index - 1].term == term
+
+    def append(self, entry: LogEntry) -> None:
+        if entry.index != self.last_index + 1:
+            raise ValueError(f"log entry {entry.index} does not follow {self.last_index}")
+        self._entries.append(entry)
+
+    def truncate_from(self, index: int) -> None:
+        """Drops the entry at `index` and all behind it."""
+        del self._entries[index - 1 :]
+
+    def between(self, first: int, last: int) -> tuple[LogEntry, ...]:
+        """The entries from `first` to `last`, both included, as far as there are any."""
+        return tuple(self._entries[first - 1 : last])
+
+    def batch(self, first: int, bytes_limit: int) -> tuple[LogEntry, ...]:
+        """Entries from `first` on whose data fit `bytes_limit`; always one, if there is one."""
+        size = 0
+        last = first - 1
+        for entry in self._entries[first - 1 :]:
+            size += len(entry.data)
+            if size > bytes_limit and last >= first:
+                break
+            last = entry.index
+        return self.between(first, last)
+
+    def index_before_term_at(self, index: int) -> int:
+        """The last index before the run of entries that have the same term as the one at `index`."""
+        term = self._entries[index - 1].term
+        while index > 0 and self._entries[index - 1].term == term:
+            index -= 1
+        return index
--- /dev/null
+++ b/elmglade/control/progress.py
@@ -0,0 +1,64 @@
+"""What a leader knows of one other node's log (as etcd's raft library keeps it)."""
+
+from dataclasses import dataclass
+
+IN_FLIGHT_REQUESTS_LIMIT = 8  # requests with entries without an answer, until the next heartbeat
+
+
+@dataclass(slots=True)
+class Progress:
+    """One peer's log as its leader knows it.
+
+    The leader sends entries ahead of the answers. After a refusal it probes: it sends one batch from where
+    the peer says that its log ends, and goes on once that is answered; heartbeats repeat the question.
+    """
+
+    next_index: int  # the next entry to send
+    match_index: int = 0  # durable there and equal to the leader's log
+    is_voter: bool = True  # once it said that it is no voter, it is none for the rest of the term
+    answered_round: int = 0
+    sent_commit_index: int = 0
+    is_heartbeat_due: bool = True
+    is_probing: bool = False
+    is_probe_sent: bool = False
+    in_flight: int = 0
+
+    def can_send(self, last_index: int) -> bool:
+        """Whether entries are to be sent now."""
+        if self.next_index > last_index:
+            return False
+        if self.is_probing:
+            return not self.is_probe_sent
+        return self.in_flight < IN_FLIGHT_REQUESTS_LIMIT
+
+    def entries_sent(self, last_sent: int) -> None:
+        if self.is_probing:
+            self.is_probe_sent = True
+            return
+        self.next_index = last_sent + 1
+        self.in_flight += 1
+
+    def heartbeat_due(self) -> None:
+        self.is_heartbeat_due = True
+        self.in_flight = 0
+
+    def matched(self, index: int) -> None:
+        """The peer's log equals the leader's up to `index`, durably."""
+        self.match_index = max(self.match_index, index)
+        self.next_index = max(self.next_index, self.match_index + 1)
+        self.is_probing = False
+        self.in_flight = max(0, self.in_flight - 1)
+
+    def refused(self, hint: int) -> None:
+        """The peer has not the entry before `next_index`; `hint` is where to try next.
+
+        A learner may have lost what it had; a voter never loses what it has confirmed.
+        """
+        if not self.is_voter:
+            self.match_index = min(self.match_index, hint)
+        next_index = max(hint, self.match_index) + 1
+        if next_index >= self.next_index:
+            return  # an answer to an earlier request
+        self.next_index = next_index
+        self.is_probing = True
+        self.is_probe_sent = False
--- /dev/null
+++ b/elmglade/control/quorum.py
@@ -0,0 +1,36 @@
+"""Weighted votes: a majority is more than half of all votes of the configuration, absent ones included.
+
+Any two majorities share at least one node, which is all that Raft's proof asks of them.
+"""
+
+from collections.abc import Iterable, Mapping
+
+
+class Quorum:
+    """The votes of each node; they don't change while a node runs."""
+
+    def __init__(self, votes: Mapping[str, int]) -> None:
+        if any(weight < 1 for weight in votes.values()):
+            raise ValueError("each node needs at least one vote")
+        self._votes = dict(votes)
+        self._total = sum(self._votes.values())
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        return tuple(self._votes)
+
+    def is_majority(self, names: Iterable[str]) -> bool:
+        """Whether these nodes (each named once) have more than half of all votes."""
+        return 2 * sum(self._votes[name] for name in names) > self._total
+
+    def majority_value(self, values: Mapping[str, int]) -> int:
+        """The highest number that a majority has reached, by what each node has reached; 0 if there is none.
+
+        A node that is not in `values` has reached nothing, but its votes still count in the total.
+        """
+        reached = 0
+        for name in sorted(values, key=lambda each: -values[each]):
+            reached += self._votes[name]
+            if 2 * reached > self._total:
+                return values[name]
+        return 0
--- /dev/null
+++ b/elmglade/control/replica.py
@@ -0,0 +1,468 @@
+"""Replication of the control plane's log: Raft with weighted votes, as a state machine without I/O.
+
+Source: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014); pre-vote and check
+quorum as in Ongaro's thesis, sections 9.6 and 6.2.
+
+The rules:
+
+- **Majority.** More than half of all votes of the configuration, those of absent nodes and learners included.
+- **One vote a term.** A node votes for at most one candidate a term, whose log is at least as new as its own.
+  Term and vote are durable before the answer leaves.
+- **Pre-vote.** A node whose election time-out passed first asks whether it would be elected, without raising
+  its term. A node that heard a leader within the least election time-out says no, and so does a leader.
+- **Log matching.** A follower takes entries only behind an entry that its log has with the same term. What
+  conflicts is truncated, and only that: a request that comes late or twice never shortens the log.
+- **Commitment.** An entry is committed once it is durable on a majority and is of the leader's own term;
+  those before it are committed with it (figure 8 of the paper). The leader counts itself once its disk has it.
+  It begins its term with an empty entry, so that entries of earlier terms are committed soon.
+- **Check quorum.** A leader that no majority answered for an election time-out steps down.
+- **Learner.** A node that may have forgotten a vote or an entry copies the log. It never votes, is never
+  counted and never a candidate. Once a leader heard so it counts that node no more in its term.
+- **Durable first.** A `Ready` holds what is to be made durable, then sent, then applied. There is one at a
+  time, and messages of later events wait for the next one.
+
+All times are seconds of the caller's monotonic clock; only differences count, and safety needs no clock.
+"""
+
+import random
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass
+from enum import StrEnum
+
+from elmglade.control.log import ReplicatedLog
+from elmglade.control.messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    RaftMessage,
+    VoteReply,
+    VoteRequest,
+)
+from elmglade.control.progress import Progress
+from elmglade.control.quorum import Quorum
+
+HEARTBEAT_INTERVAL_S = 0.1
+ELECTION_TIMEOUT_LEAST_S = 0.6
+ELECTION_TIMEOUT_MOST_S = 1.2
+BATCH_BYTES_LIMIT = 24 * 1024  # data of the entries of one AppendRequest; one larger entry goes alone
+
+
+class Role(StrEnum):
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre-candidate"
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+    LEARNER = "learner"
+
+
+class NotLeaderError(Exception):
+    """Only a leader takes proposals; `leader` is its name as far as known, or empty."""
+
+    def __init__(self, leader: str) -> None:
+        super().__init__(f"not the leader; it is {leader or 'unknown'}")
+        self.leader = leader
+
+
+class ReplicaInvariantError(Exception):
+    """Something that Raft excludes: a disk that forgot, or two nodes of one name. The node must stop."""
+
+
+@dataclass(frozen=True, slots=True)
+class HardState:
+    """What a node must never forget besides its log."""
+
+    term: int = 0
+    voted_for: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Ready:
+    """What the caller does next, in this order.
+
+    It removes the log's entries from `truncate_from` on, appends `entries`, stores `hard_state`, and makes
+    all of it durable; then it sends `messages` (each with its receiver), calls `persisted`, and applies
+    `committed`.
+    """
+
+    hard_state: HardState | None
+    truncate_from: int | None
+    entries: tuple[LogEntry, ...]
+    messages: tuple[tuple[str, RaftMessage], ...]
+    committed: tuple[LogEntry, ...]
+
+
+def is_well_formed(message: RaftMessage) -> bool:
+    """Whether the entries of an AppendRequest follow its previous index without a gap."""
+    if not isinstance(message, AppendRequest):
+        return True
+    first = message.previous_index + 1
+    return all(entry.index == index for index, entry in enumerate(message.entries, first))
+
+
+class Replica:
+    """One control node's part in the replication; see the rules at the top of the module."""
+
+    def __init__(
+        self,
+        name: str,
+        votes: Mapping[str, int],
+        hard_state: HardState,
+        entries: Sequence[LogEntry],
+        chance: random.Random,
+        now: float,
+        is_voter: bool = True,
+    ) -> None:
+        """`hard_state` and `entries` are what the disk holds; ValueError if `name` has no votes."""
+        if name not in votes:
+            raise ValueError(f"{name} has no votes")
+        self.name = name
+        self.is_voter = is_voter
+        self.learner_reason = ""
+        self.role = Role.FOLLOWER if is_voter else Role.LEARNER
+        self.leader = ""
+        self.commit_index = 0
+        self._quorum = Quorum(votes)
+        self._peers = tuple(each for each in votes if each != name)
+        self._log = ReplicatedLog(entries)
+        self._hard_state = self._restored(hard_state)
+        self._durable_hard_state = hard_state
+        self._durable_index = self._log.last_index  # up to here the disk equals the log
+        self._disk_last_index = self._log.last_index
+        self._handed_index = 0  # the last committed entry that a Ready has held
+        self._outstanding: Ready | None = None
+        self._messages: list[tuple[str, RaftMessage]] = []
+        self._granted: frozenset[str] = frozenset()
+        self._progress: dict[str, Progress] = {}
+        self._round = 0
+        self._round_started_at: dict[int, float] = {}
+        self._chance = chance
+        self._started_at = now
+        self._authority_at: float | None = None  # when it last knew a leader with a majority
+        self._heartbeat_at = now
+        self._restart_election_timer(now)
+
+    def _restored(self, hard_state: HardState) -> HardState:
+        """A crash may leave entries of a term whose hard state was not written: then it had no vote in it."""
+        if self._log.last_term > hard_state.term:
+            return HardState(self._log.last_term, "")
+        return hard_state
+
+    # What others read.
+
+    @property
+    def term(self) -> int:
+        return self._hard_state.term
+
+    @property
+    def last_index(self) -> int:
+        return self._log.last_index
+
+    def entry(self, index: int) -> LogEntry:
+        """The log's entry at `index`; IndexError if there is none."""
+        return self._log.entry(index)
+
+    def authority_age(self, now: float) -> float:
+        """Seconds since it last knew a leader with a majority; if it never did, since it started.
+
+        A leader counts from the start of the last heartbeat round that a majority answered, a follower from
+        the last AppendRequest of the leader.
+        """
+        since = self._started_at if self._authority_at is None else self._authority_at
+        return max(0.0, now - since)
+
+    # Events.
+
+    def receive(self, sender: str, message: RaftMessage, now: float) -> None:
+        """Takes a message of another node; one of a node without votes, or not well formed, is ignored."""
+        if sender not in self._peers or not is_well_formed(message):
+            return
+        match message:
+            case VoteRequest():
+                self._receive_vote_request(sender, message, now)
+            case VoteReply():
+                self._receive_vote_reply(sender, message, now)
+            case AppendRequest():
+                self._receive_append_request(sender, message, now)
+            case AppendReply():
+                self._receive_append_reply(sender, message, now)
+
+    def tick(self, now: float) -> None:
+        """Does what is due by now; to be called at least each HEARTBEAT_INTERVAL_S."""
+        if self.role is Role.LEADER:
+            if now - (self._authority_at or 0.0) > self._election_timeout:
+                self._become_follower(self.term, "", now)
+            elif now >= self._heartbeat_at:
+                self._start_round(now)
+            return
+        if now < self._election_at:
+            return
+        if self.role is Role.LEARNER:
+            self.leader = ""
+            self._restart_election_timer(now)
+        else:
+            self._start_pre_vote(now)
+
+    def propose(self, data: bytes, now: float) -> tuple[int, int]:
+        """Appends an entry; gives its index and term. It is confirmed once it comes back as committed.
+
+        Raises NotLeaderError, and ValueError for empty data, which is the leader's own first entry.
+        """
+        if not data:
+            raise ValueError("an entry needs data")
+        if self.role is not Role.LEADER:
+            raise NotLeaderError(self.leader)
+        return self._append_own(data)
+
+    def become_learner(self, reason: str) -> None:
+        """Its disk was lost or is old: it may have forgotten a vote, and so copies the log from now on."""
+        self.is_voter = False
+        self.learner_reason = reason
+        if self.role is Role.LEADER:
+            self.leader = ""
+        self.role = Role.LEARNER
+        self._granted = frozenset()
+        self._progress = {}
+
+    def take_ready(self) -> Ready | None:
+        """What is to be done now; None: nothing, or the last one is not `persisted` yet."""
+        if self._outstanding is not None:
+            return None
+        self._queue_append_requests()
+        ready = Ready(
+            hard_state=self._hard_state if self._hard_state != self._durable_hard_state else None,
+            truncate_from=self._durable_index + 1 if self._disk_last_index > self._durable_index else None,
+            entries=self._log.between(self._durable_index + 1, self._log.last_index),
+            messages=tuple(self._messages),
+            committed=self._log.between(self._handed_index + 1, self.commit_index),
+        )
+        if ready == Ready(None, None, (), (), ()):
+            return None
+        self._messages.clear()
+        self._handed_index = self.commit_index
+        self._outstanding = ready
+        return ready
+
+    def persisted(self, ready: Ready) -> None:
+        """All of `ready` is durable and its messages are sent."""
+        if ready is not self._outstanding:
+            raise ValueError("not the Ready that is outstanding")
+        self._outstanding = None
+        if ready.hard_state is not None:
+            self._durable_hard_state = ready.hard_state
+        if ready.truncate_from is not None:
+            self._disk_last_index = ready.truncate_from - 1
+        for entry in ready.entries:
+            self._disk_last_index = entry.index
+            if entry.index == self._durable_index + 1 and self._log.has(entry.index, entry.term):
+                self._durable_index = entry.index
+        if self.role is Role.LEADER:
+            self._advance_commit()
+
+    # Elections.
+
+    def _restart_election_timer(self, now: float) -> None:
+        self._election_timeout = self._chance.uniform(ELECTION_TIMEOUT_LEAST_S, ELECTION_TIMEOUT_MOST_S)
+        self._election_at = now + self._election_timeout
+
+    def _become_follower(self, term: int, leader: str, now: float) -> None:
+        if term > self.term:
+            self._hard_state = HardState(term, "")
+        if self.role in (Role.LEADER, Role.CANDIDATE, Role.PRE_CANDIDATE):
+            self.role = Role.FOLLOWER
+            self._restart_election_timer(now)
+        self.leader = leader
+        self._granted = frozenset()
+        self._progress = {}
+
+    def _start_pre_vote(self, now: float) -> None:
+        self.role = Role.PRE_CANDIDATE
+        self._ask_for_votes(self.term + 1, is_pre_vote=True, now=now)
+        if self._quorum.is_majority(self._granted):
+            self._start_election(now)
+
+    def _start_election(self, now: float) -> None:
+        self.role = Role.CANDIDATE
+        self._hard_state = HardState(self.term + 1, self.name)
+        self._ask_for_votes(self.term, is_pre_vote=False, now=now)
+        if self._quorum.is_majority(self._granted):
+            self._become_leader(now)
+
+    def _ask_for_votes(self, term: int, is_pre_vote: bool, now: float) -> None:
+        self.leader = ""
+        self._granted = frozenset((self.name,))
+        self._restart_election_timer(now)
+        request = VoteRequest(term, self._log.last_index, self._log.last_term, is_pre_vote)
+        self._messages.extend((peer, request) for peer in self._peers)
+
+    def _become_leader(self, now: float) -> None:
+        self.role = Role.LEADER
+        self.leader = self.name
+        self._authority_at = now
+        self._progress = {peer: Progress(self._log.last_index + 1) for peer in self._peers}
+        self._round = 0
+        self._round_started_at = {}
+        self._append_own(b"")
+        self._start_round(now)
+
+    def _receive_vote_request(self, sender: str, request: VoteRequest, now: float) -> None:
+        if self.role is Role.LEARNER:
+            return
+        if request.is_pre_vote:
+            is_granted = self._would_vote(request, now)
+            term = request.term if is_granted else self.term
+        else:
+            if request.term > self.term:
+                self._become_follower(request.term, "", now)
+            is_granted = request.term == self.term and self._votes_for(sender, request)
+            term = self.term
+            if is_granted:
+                self._hard_state = HardState(self.term, sender)
+                self._restart_election_timer(now)
+        self._messages.append((sender, VoteReply(term, is_granted, request.is_pre_vote)))
+
+    def _would_vote(self, request: VoteRequest, now: float) -> bool:
+        if self.role is Role.LEADER or request.term <= self.term:
+            return False
+        if self._authority_at is not None and now - self._authority_at < ELECTION_TIMEOUT_LEAST_S:
+            return False
+        return self._is_log_new_enough(request)
+
+    def _votes_for(self, sender: str, request: VoteRequest) -> bool:
+        return self._hard_state.voted_for in ("", sender) and self._is_log_new_enough(request)
+
+    def _is_log_new_enough(self, request: VoteRequest) -> bool:
+        return (request.last_term, request.last_index) >= (self._log.last_term, self._log.last_index)
+
+    def _receive_vote_reply(self, sender: str, reply: VoteReply, now: float) -> None:
+        if not reply.is_granted:
+            if reply.term > self.term:
+                self._become_follower(reply.term, "", now)
+            return
+        asked = Role.PRE_CANDIDATE if reply.is_pre_vote else Role.CANDIDATE
+        term = self.term + 1 if reply.is_pre_vote else self.term
+        if self.role is not asked or reply.term != term:
+            return
+        self._granted |= {sender}
+        if not self._quorum.is_majority(self._granted):
+            return
+        if reply.is_pre_vote:
+            self._start_election(now)
+        else:
+            self._become_leader(now)
+
+    # The leader's side of replication.
+
+    def _append_own(self, data: bytes) -> tuple[int, int]:
+        entry = LogEntry(self._log.last_index + 1, self.term, data)
+        self._log.append(entry)
+        return entry.index, entry.term
+
+    def _start_round(self, now: float) -> None:
+        self._round += 1
+        self._round_started_at[self._round] = now
+        self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
+        for progress in self._progress.values():
+            progress.heartbeat_due()
+        self._note_answered_rounds()
+
+    def _queue_append_requests(self) -> None:
+        """Entries that peers lack, a commit index that rose, and heartbeats that are due."""
+        for peer, progress in self._progress.items():
+            while progress.can_send(self._log.last_index):
+                self._queue_append_request(peer, progress, has_entries=True)
+            if progress.is_heartbeat_due or progress.sent_commit_index < self.commit_index:
+                self._queue_append_request(peer, progress, has_entries=False)
+
+    def _queue_append_request(self, peer: str, progress: Progress, has_entries: bool) -> None:
+        previous_index = progress.next_index - 1
+        previous_term = self._log.entry(previous_index).term if previous_index else 0
+        entries = self._log.batch(progress.next_index, BATCH_BYTES_LIMIT) if has_entries else ()
+        request = AppendRequest(
+            self.term, previous_index, previous_term, self.commit_index, self._round, entries
+        )
+        self._messages.append((peer, request))
+        progress.is_heartbeat_due = False
+        progress.sent_commit_index = self.commit_index
+        if entries:
+            progress.entries_sent(entries[-1].index)
+
+    def _receive_append_reply(self, sender: str, reply: AppendReply, now: float) -> None:
+        if reply.term > self.term:
+            self._become_follower(reply.term, "", now)
+            return
+        if self.role is not Role.LEADER or reply.term < self.term:
+            return
+        progress = self._progress[sender]
+        progress.is_voter = progress.is_voter and reply.is_voter
+        progress.answered_round = max(progress.answered_round, reply.round)
+        self._note_answered_rounds()
+        if reply.is_match:
+            progress.matched(min(reply.match_index, self._log.last_index))
+            self._advance_commit()
+        else:
+            progress.refused(reply.match_index)
+
+    def _voting_peers(self) -> list[tuple[str, Progress]]:
+        return [(peer, progress) for peer, progress in self._progress.items() if progress.is_voter]
+
+    def _note_answered_rounds(self) -> None:
+        """A round that a majority answered shows that this leader had authority when the round started."""
+        answered = {peer: progress.answered_round for peer, progress in self._voting_peers()}
+        answered[self.name] = self._round
+        answered_round = self._quorum.majority_value(answered)
+        if answered_round not in self._round_started_at:
+            return
+        self._authority_at = self._round_started_at[answered_round]
+        for each in [each for each in self._round_started_at if each < answered_round]:
+            del self._round_started_at[each]
+
+    def _advance_commit(self) -> None:
+        durable = {peer: progress.match_index for peer, progress in self._voting_peers()}
+        durable[self.name] = self._durable_index
+        index = self._quorum.majority_value(durable)
+        if index > self.commit_index and self._log.entry(index).term == self.term:
+            self.commit_index = index
+
+    # The follower's side of replication.
+
+    def _receive_append_request(self, sender: str, request: AppendRequest, now: float) -> None:
+        if request.term < self.term:
+            self._reply_to_append(sender, request, is_match=False, match_index=self._log.last_index)
+            return
+        if self.role is Role.LEADER and request.term == self.term:
+            raise ReplicaInvariantError(f"{sender} and {self.name} both lead term {self.term}")
+        self._become_follower(request.term, sender, now)
+        self._authority_at = now
+        self._restart_election_timer(now)
+        if not self._log.has(request.previous_index, request.previous_term):
+            self._reply_to_append(sender, request, is_match=False, match_index=self._conflict_hint(request))
+            return
+        self._merge(request.entries)
+        match_index = request.previous_index + len(request.entries)
+        self.commit_index = max(self.commit_index, min(request.commit_index, match_index))
+        self._reply_to_append(sender, request, is_match=True, match_index=match_index)
+
+    def _reply_to_append(self, sender: str, request: AppendRequest, is_match: bool, match_index: int) -> None:
+        reply = AppendReply(self.term, is_match, match_index, request.round, self.is_voter)
+        self._messages.append((sender, reply))
+
+    def _conflict_hint(self, request: AppendRequest) -> int:
+        """Where the leader is to try next: the log's end, or before the term that conflicts."""
+        if request.previous_index > self._log.last_index:
+            return self._log.last_index
+        return max(self.commit_index, self._log.index_before_term_at(request.previous_index))
+
+    def _merge(self, entries: Sequence[LogEntry]) -> None:
+        """Appends what the log lacks; from the first conflict on the leader's entries replace its own."""
+        for entry in entries:
+            if self._log.has(entry.index, entry.term):
+                continue
+            if entry.index <= self._log.last_index:
+                self._truncate_from(entry.index)
+            self._log.append(entry)
+
+    def _truncate_from(self, index: int) -> None:
+        if index <= self.commit_index:
+            raise ReplicaInvariantError(f"entry {index} is committed and would be replaced")
+        self._log.truncate_from(index)
+        self._durable_index = min(self._durable_index, index - 1)
