--- a/elmglade/control/log.py
+++ b/elmglade/control/log.py
@@ -30,9 +30,11 @@
 
     def has(self, index: int, term: int) -> bool:
         """Whether the log holds an entry of this term at `index`, or `index` is the beginning."""
-        if index == 0:
-            return term == 0
-        return index <= len(self._entries) and self._entries[index - 1].term == term
+        return index <= len(self._entries) and self.term_at(index) == term
+
+    def term_at(self, index: int) -> int:
+        """The term of the entry at `index`; 0 at the beginning."""
+        return self._entries[index - 1].term if index else 0
 
     def append(self, entry: LogEntry) -> None:
         if entry.index != self.last_index + 1:
--- a/elmglade/control/replica.py
+++ b/elmglade/control/replica.py
@@ -13,8 +13,8 @@
 - **Log matching.** A follower takes entries only behind an entry that its log has with the same term. What
   conflicts is truncated, and only that: a request that comes late or twice never shortens the log.
 - **Commitment.** An entry is committed once it is durable on a majority and is of the leader's own term;
-  those before it are committed with it (figure 8 of the paper). The leader counts itself once its disk has it.
-  It begins its term with an empty entry, so that entries of earlier terms are committed soon.
+  those before it are committed with it (figure 8 of the paper). The leader counts itself once its own disk
+  has the entry. It begins its term with an empty entry, so that entries of earlier terms are committed soon.
 - **Check quorum.** A leader that no majority answered for an election time-out steps down.
 - **Learner.** A node that may have forgotten a vote or an entry copies the log. It never votes, is never
   counted and never a candidate. Once a leader heard so it counts that node no more in its term.
@@ -26,9 +26,8 @@
 
 import random
 from collections.abc import Mapping, Sequence
-from dataclasses import dataclass
-from enum import StrEnum
 
+from elmglade.control.leadership import Leadership
 from elmglade.control.log import ReplicatedLog
 from elmglade.control.messages import (
     AppendReply,
@@ -38,65 +37,22 @@
     VoteReply,
     VoteRequest,
 )
-from elmglade.control.progress import Progress
 from elmglade.control.quorum import Quorum
+from elmglade.control.raft import (
+    NOTHING_READY,
+    HardState,
+    NotLeaderError,
+    Ready,
+    ReplicaInvariantError,
+    Role,
+    is_well_formed,
+)
+
+__all__ = ["HardState", "NotLeaderError", "Ready", "Replica", "ReplicaInvariantError", "Role"]
 
 HEARTBEAT_INTERVAL_S = 0.1
 ELECTION_TIMEOUT_LEAST_S = 0.6
 ELECTION_TIMEOUT_MOST_S = 1.2
-BATCH_BYTES_LIMIT = 24 * 1024  # data of the entries of one AppendRequest; one larger entry goes alone
-
-
-class Role(StrEnum):
-    FOLLOWER = "follower"
-    PRE_CANDIDATE = "pre-candidate"
-    CANDIDATE = "candidate"
-    LEADER = "leader"
-    LEARNER = "learner"
-
-
-class NotLeaderError(Exception):
-    """Only a leader takes proposals; `leader` is its name as far as known, or empty."""
-
-    def __init__(self, leader: str) -> None:
-        super().__init__(f"not the leader; it is {leader or 'unknown'}")
-        self.leader = leader
-
-
-class ReplicaInvariantError(Exception):
-    """Something that Raft excludes: a disk that forgot, or two nodes of one name. The node must stop."""
-
-
-@dataclass(frozen=True, slots=True)
-class HardState:
-    """What a node must never forget besides its log."""
-
-    term: int = 0
-    voted_for: str = ""
-
-
-@dataclass(frozen=True, slots=True)
-class Ready:
-    """What the caller does next, in this order.
-
-    It removes the log's entries from `truncate_from` on, appends `entries`, stores `hard_state`, and makes
-    all of it durable; then it sends `messages` (each with its receiver), calls `persisted`, and applies
-    `committed`.
-    """
-
-    hard_state: HardState | None
-    truncate_from: int | None
-    entries: tuple[LogEntry, ...]
-    messages: tuple[tuple[str, RaftMessage], ...]
-    committed: tuple[LogEntry, ...]
-
-
-def is_well_formed(message: RaftMessage) -> bool:
-    """Whether the entries of an AppendRequest follow its previous index without a gap."""
-    if not isinstance(message, AppendRequest):
-        return True
-    first = message.previous_index + 1
-    return all(entry.index == index for index, entry in enumerate(message.entries, first))
 
 
 class Replica:
@@ -132,9 +88,7 @@
         self._outstanding: Ready | None = None
         self._messages: list[tuple[str, RaftMessage]] = []
         self._granted: frozenset[str] = frozenset()
-        self._progress: dict[str, Progress] = {}
-        self._round = 0
-        self._round_started_at: dict[int, float] = {}
+        self._leadership: Leadership | None = None  # while it is the leader
         self._chance = chance
         self._started_at = now
         self._authority_at: float | None = None  # when it last knew a leader with a majority
@@ -168,6 +122,8 @@
         the last AppendRequest of the leader.
         """
         since = self._started_at if self._authority_at is None else self._authority_at
+        if self._leadership is not None:
+            since = self._leadership.authority_at
         return max(0.0, now - since)
 
     # Events.
@@ -188,11 +144,11 @@
 
     def tick(self, now: float) -> None:
         """Does what is due by now; to be called at least each HEARTBEAT_INTERVAL_S."""
-        if self.role is Role.LEADER:
-            if now - (self._authority_at or 0.0) > self._election_timeout:
+        if self._leadership is not None:
+            if now - self._leadership.authority_at > self._election_timeout:
                 self._become_follower(self.term, "", now)
             elif now >= self._heartbeat_at:
-                self._start_round(now)
+                self._start_round(self._leadership, now)
             return
         if now < self._election_at:
             return
@@ -217,17 +173,18 @@
         """Its disk was lost or is old: it may have forgotten a vote, and so copies the log from now on."""
         self.is_voter = False
         self.learner_reason = reason
-        if self.role is Role.LEADER:
+        if self.leader == self.name:
             self.leader = ""
+        self._end_leadership()
         self.role = Role.LEARNER
         self._granted = frozenset()
-        self._progress = {}
 
     def take_ready(self) -> Ready | None:
         """What is to be done now; None: nothing, or the last one is not `persisted` yet."""
         if self._outstanding is not None:
             return None
-        self._queue_append_requests()
+        if self._leadership is not None:
+            self._messages.extend(self._leadership.take_requests(self.commit_index))
         ready = Ready(
             hard_state=self._hard_state if self._hard_state != self._durable_hard_state else None,
             truncate_from=self._durable_index + 1 if self._disk_last_index > self._durable_index else None,
@@ -235,7 +192,7 @@
             messages=tuple(self._messages),
             committed=self._log.between(self._handed_index + 1, self.commit_index),
         )
-        if ready == Ready(None, None, (), (), ()):
+        if ready == NOTHING_READY:
             return None
         self._messages.clear()
         self._handed_index = self.commit_index
@@ -255,8 +212,8 @@
             self._disk_last_index = entry.index
             if entry.index == self._durable_index + 1 and self._log.has(entry.index, entry.term):
                 self._durable_index = entry.index
-        if self.role is Role.LEADER:
-            self._advance_commit()
+        if self._leadership is not None:
+            self._advance_commit(self._leadership)
 
     # Elections.
 
@@ -272,7 +229,12 @@
             self._restart_election_timer(now)
         self.leader = leader
         self._granted = frozenset()
-        self._progress = {}
+        self._end_leadership()
+
+    def _end_leadership(self) -> None:
+        if self._leadership is not None:
+            self._authority_at = self._leadership.authority_at
+            self._leadership = None
 
     def _start_pre_vote(self, now: float) -> None:
         self.role = Role.PRE_CANDIDATE
@@ -297,12 +259,9 @@
     def _become_leader(self, now: float) -> None:
         self.role = Role.LEADER
         self.leader = self.name
-        self._authority_at = now
-        self._progress = {peer: Progress(self._log.last_index + 1) for peer in self._peers}
-        self._round = 0
-        self._round_started_at = {}
+        self._leadership = Leadership(self.name, self.term, self._peers, self._quorum, self._log, now)
         self._append_own(b"")
-        self._start_round(now)
+        self._start_round(self._leadership, now)
 
     def _receive_vote_request(self, sender: str, request: VoteRequest, now: float) -> None:
         if self.role is Role.LEARNER:
@@ -357,71 +316,19 @@
         self._log.append(entry)
         return entry.index, entry.term
 
-    def _start_round(self, now: float) -> None:
-        self._round += 1
-        self._round_started_at[self._round] = now
+    def _start_round(self, leadership: Leadership, now: float) -> None:
+        leadership.start_round(now)
         self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
-        for progress in self._progress.values():
-            progress.heartbeat_due()
-        self._note_answered_rounds()
-
-    def _queue_append_requests(self) -> None:
-        """Entries that peers lack, a commit index that rose, and heartbeats that are due."""
-        for peer, progress in self._progress.items():
-            while progress.can_send(self._log.last_index):
-                self._queue_append_request(peer, progress, has_entries=True)
-            if progress.is_heartbeat_due or progress.sent_commit_index < self.commit_index:
-                self._queue_append_request(peer, progress, has_entries=False)
-
-    def _queue_append_request(self, peer: str, progress: Progress, has_entries: bool) -> None:
-        previous_index = progress.next_index - 1
-        previous_term = self._log.entry(previous_index).term if previous_index else 0
-        entries = self._log.batch(progress.next_index, BATCH_BYTES_LIMIT) if has_entries else ()
-        request = AppendRequest(
-            self.term, previous_index, previous_term, self.commit_index, self._round, entries
-        )
-        self._messages.append((peer, request))
-        progress.is_heartbeat_due = False
-        progress.sent_commit_index = self.commit_index
-        if entries:
-            progress.entries_sent(entries[-1].index)
 
     def _receive_append_reply(self, sender: str, reply: AppendReply, now: float) -> None:
         if reply.term > self.term:
             self._become_follower(reply.term, "", now)
-            return
-        if self.role is not Role.LEADER or reply.term < self.term:
-            return
-        progress = self._progress[sender]
-        progress.is_voter = progress.is_voter and reply.is_voter
-        progress.answered_round = max(progress.answered_round, reply.round)
-        self._note_answered_rounds()
-        if reply.is_match:
-            progress.matched(min(reply.match_index, self._log.last_index))
-            self._advance_commit()
-        else:
-            progress.refused(reply.match_index)
-
-    def _voting_peers(self) -> list[tuple[str, Progress]]:
-        return [(peer, progress) for peer, progress in self._progress.items() if progress.is_voter]
+        elif reply.term == self.term and self._leadership is not None:
+            self._leadership.receive(sender, reply)
+            self._advance_commit(self._leadership)
 
-    def _note_answered_rounds(self) -> None:
-        """A round that a majority answered shows that this leader had authority when the round started."""
-        answered = {peer: progress.answered_round for peer, progress in self._voting_peers()}
-        answered[self.name] = self._round
-        answered_round = self._quorum.majority_value(answered)
-        if answered_round not in self._round_started_at:
-            return
-        self._authority_at = self._round_started_at[answered_round]
-        for each in [each for each in self._round_started_at if each < answered_round]:
-            del self._round_started_at[each]
-
-    def _advance_commit(self) -> None:
-        durable = {peer: progress.match_index for peer, progress in self._voting_peers()}
-        durable[self.name] = self._durable_index
-        index = self._quorum.majority_value(durable)
-        if index > self.commit_index and self._log.entry(index).term == self.term:
-            self.commit_index = index
+    def _advance_commit(self, leadership: Leadership) -> None:
+        self.commit_index = max(self.commit_index, leadership.committed_index(self._durable_index))
 
     # The follower's side of replication.
 
