--- /dev/null
+++ b/tests/test_control_channel.py
@@ -0,0 +1,315 @@
+"""The link of control nodes and senders: what is believed of what comes, and what is put together again."""
+
+import itertools
+import random
+from collections.abc import Callable, Mapping
+
+import pytest
+
+from elmglade.control import channel as channel_module
+from elmglade.control.channel import BodyTooLargeError, Channel, KnownStart, Refusal
+from elmglade.control.messages import Address, Body, Hello, LogEntry, Poll, StatusRequest
+from elmglade.control.messages import AppendRequest as Append
+from elmglade.fleet.seal import MOST, Seal
+
+KEY = bytes(range(32))
+ADDRESSES: Mapping[str, Address] = {f"c{number}": ("10.0.0.1", 7000 + number) for number in range(3)}
+NAMES = {address: name for name, address in ADDRESSES.items()}
+WATCHER: Address = ("10.0.9.9", 9000)
+
+
+def make(
+    name: str,
+    epoch: int = 1,
+    session: int = 0,
+    key: bytes = KEY,
+    known: Mapping[str, KnownStart] | None = None,
+    addresses: Mapping[str, Address] = ADDRESSES,
+) -> Channel:
+    chance = random.Random(f"{name} {epoch} {session}")
+    return Channel(name, epoch, session or chance.getrandbits(60) + 1, Seal([key]), addresses, known)
+
+
+def exchange(
+    channels: Mapping[str, Channel],
+    now: float = 0.0,
+    keep: Callable[[bytes], bool] = lambda datagram: True,
+    sources: Mapping[str, Address] = ADDRESSES,
+) -> list[tuple[str, str, Body]]:
+    """Carries datagrams until none is left: what each receiver believed, with its sender."""
+    heard: list[tuple[str, str, Body]] = []
+    names = {sources[name]: name for name in channels}
+    while datagrams := [
+        (name, *each) for name, channel in channels.items() for each in channel.take_datagrams()
+    ]:
+        for sender, address, datagram in datagrams:
+            if address in names and keep(datagram):
+                receiver = names[address]
+                bodies = channels[receiver].receive(datagram, sources[sender], now)
+                heard += [(receiver, name, body) for name, body in bodies]
+    return heard
+
+
+def large(size: int) -> Append:
+    data = random.Random(size).randbytes(size)
+    return Append(1, 0, 0, 0, 1, (LogEntry(1, 1, data),))
+
+
+def pair() -> tuple[Channel, Channel]:
+    """Two that know each other's session."""
+    one, two = make("c0"), make("c1")
+    one.send("c1", StatusRequest(1), 0.0)
+    two.send("c0", StatusRequest(1), 0.0)
+    exchange({"c0": one, "c1": two})
+    assert one.has_session("c1") and two.has_session("c0")
+    return one, two
+
+
+def test_what_is_sent_to_a_stranger_arrives_after_its_answer() -> None:
+    one, two = make("c0"), make("c1")
+    for number in range(6):
+        one.send("c1", StatusRequest(number), 0.0)
+    heard = exchange({"c0": one, "c1": two})
+    assert heard == [("c1", "c0", StatusRequest(number)) for number in (2, 3, 4, 5)]
+    one.send("c1", Poll(3, 4), 0.1)
+    assert exchange({"c0": one, "c1": two}, 0.1) == [("c1", "c0", Poll(3, 4))]
+    assert not one.refused and not two.refused
+
+
+def test_a_stranger_that_stays_silent_is_called_a_few_times_a_second() -> None:
+    one = make("c0")
+    for step in range(100):
+        one.send("c1", StatusRequest(step), step / 100)
+    assert len(one.take_datagrams()) == 4
+
+
+def test_a_replay_is_counted_and_nothing_else() -> None:
+    one, two = pair()
+    one.send("c1", StatusRequest(7), 0.0)
+    ((_, datagram),) = one.take_datagrams()
+    assert two.receive(datagram, ADDRESSES["c0"], 0.0) == [("c0", StatusRequest(7))]
+    for _ in range(5):
+        assert two.receive(datagram, ADDRESSES["c0"], 0.0) == []
+    assert two.refused == {Refusal.REPLAY: 5}
+    assert two.take_datagrams() == []
+
+
+def test_a_replay_to_a_later_start_causes_a_bounded_number_of_greetings() -> None:
+    one, _ = pair()
+    one.send("c1", StatusRequest(7), 0.0)
+    ((_, datagram),) = one.take_datagrams()
+    again = make("c1", 2)
+    for _ in range(2_000):
+        assert again.receive(datagram, ADDRESSES["c0"], 0.5) == []
+    assert again.refused == {Refusal.OTHER_SESSION: 2_000}
+    greetings = again.take_datagrams()
+    assert len(greetings) == channel_module.GREETINGS_PER_SECOND
+    assert {address for address, _ in greetings} == {ADDRESSES["c0"]}
+
+
+def test_foreign_forged_and_damaged_datagrams_are_counted_by_reason() -> None:
+    one, two = pair()
+    foreign = make("c0", key=bytes(32))
+    foreign.send("c1", StatusRequest(1), 0.0)
+    ((_, datagram),) = foreign.take_datagrams()
+    two.receive(datagram, ADDRESSES["c0"], 0.0)
+    one.send("c1", StatusRequest(2), 0.0)
+    ((_, datagram),) = one.take_datagrams()
+    for at in range(len(datagram)):
+        damaged = bytearray(datagram)
+        damaged[at] ^= 1
+        assert two.receive(bytes(damaged), ADDRESSES["c0"], 0.0) == []
+        assert two.receive(datagram[:at], ADDRESSES["c0"], 0.0) == []
+    assert two.refused == {Refusal.SEAL: 1 + 2 * len(datagram)}
+    for content in (b"", b"\xc1", b"\x93\x01", b"\x96\xa1x\x01\x01\x01\x01\x92\x63\x01"):
+        assert two.receive(Seal([KEY]).seal(content), ADDRESSES["c0"], 0.0) == []
+    assert two.refused[Refusal.MALFORMED] == 4
+    assert two.take_datagrams() == []
+    assert two.receive(datagram, ADDRESSES["c0"], 0.0) == [("c0", StatusRequest(2))]
+
+
+def test_the_key_is_changed_while_the_link_goes_on() -> None:
+    one, two = pair()
+    one.seal.change([bytes(32), KEY])
+    one.send("c1", StatusRequest(2), 0.0)
+    ((_, datagram),) = one.take_datagrams()
+    assert two.receive(datagram, ADDRESSES["c0"], 0.0) == []
+    two.seal.change([KEY, bytes(32)])
+    assert two.receive(datagram, ADDRESSES["c0"], 0.0) == [("c0", StatusRequest(2))]
+
+
+def test_fragments_in_any_order_and_doubled_are_put_together_once() -> None:
+    one, two = pair()
+    body = large(20_000)
+    one.send("c1", body, 0.0)
+    datagrams = [datagram for _, datagram in one.take_datagrams()]
+    assert len(datagrams) > 15 and max(map(len, datagrams)) <= MOST
+    datagrams = datagrams * 2
+    random.Random(4).shuffle(datagrams)
+    heard = [each for datagram in datagrams for each in two.receive(datagram, ADDRESSES["c0"], 0.0)]
+    assert heard == [("c0", body)]
+    assert two.partial_bytes == 0
+    assert two.refused == {Refusal.REPLAY: len(datagrams) // 2}
+
+
+def test_a_lost_fragment_leaves_nothing_behind() -> None:
+    one, two = pair()
+    one.send("c1", large(20_000), 0.0)
+    for _, datagram in one.take_datagrams()[1:]:
+        assert two.receive(datagram, ADDRESSES["c0"], 0.0) == []
+    assert two.partial_bytes > 15_000
+    one.send("c1", large(3_000), 10.0)
+    for _, datagram in one.take_datagrams()[1:]:
+        assert two.receive(datagram, ADDRESSES["c0"], 10.0) == []
+    assert two.partial_bytes < 3_000
+
+
+def test_messages_that_are_not_whole_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    one, two = pair()
+    for _ in range(channel_module.PARTIAL_MESSAGES_LIMIT + 5):
+        one.send("c1", large(10_000), 0.0)
+        for _, datagram in one.take_datagrams()[1:]:
+            two.receive(datagram, ADDRESSES["c0"], 0.0)
+    assert two.partial_bytes <= channel_module.PARTIAL_MESSAGES_LIMIT * 10_100
+    monkeypatch.setattr(channel_module, "PARTIAL_BYTES_LIMIT", 30_000)
+    one.send("c1", large(20_000), 0.0)
+    for _, datagram in one.take_datagrams()[1:]:
+        two.receive(datagram, ADDRESSES["c0"], 0.0)
+    assert two.partial_bytes <= 30_000
+    with pytest.raises(BodyTooLargeError):
+        one.send("c1", large(channel_module.MESSAGE_BYTES_LIMIT), 0.0)
+
+
+def test_a_body_of_the_most_bytes_arrives_under_the_longest_name() -> None:
+    name = "n" * 64
+    addresses = {name: ("10.0.0.1", 1), "c1": ADDRESSES["c1"]}
+    one = make(name, epoch=2**62, session=2**62, addresses=addresses)
+    two = make("c1", session=2**62, addresses=addresses)
+    body = large(channel_module.MESSAGE_BYTES_LIMIT - 100)
+    one.send("c1", body, 0.0)
+    assert exchange({name: one, "c1": two}, sources=addresses) == [("c1", name, body)]
+
+
+def test_a_restart_begins_a_new_session_and_the_old_one_is_over() -> None:
+    one, two = pair()
+    one.send("c1", StatusRequest(8), 0.0)
+    ((_, old),) = one.take_datagrams()
+    again = make("c0", 2)
+    again.send("c1", StatusRequest(9), 0.0)
+    assert exchange({"c0": again, "c1": two}) == [("c1", "c0", StatusRequest(9))]
+    assert two.receive(old, ADDRESSES["c0"], 0.0) == []
+    assert two.refused == {Refusal.OLD_START: 1}
+    two.send("c0", StatusRequest(10), 0.0)
+    assert exchange({"c0": again, "c1": two}) == [("c0", "c1", StatusRequest(10))]
+    assert not again.is_behind
+
+
+@pytest.mark.parametrize(
+    ("epoch", "own_session"), [(1, False), (4, False), (5, False), (5, True), (6, False)]
+)
+@pytest.mark.parametrize("is_restarted", [False, True], ids=["the same start", "a later start"])
+def test_who_comes_with_an_old_disk_learns_so(epoch: int, own_session: bool, is_restarted: bool) -> None:
+    """`c1` has heard of the start 5 of `c0`, whose disk is then one of an earlier start; also where `c1` was
+    restarted meanwhile."""
+    kept: dict[str, KnownStart] = {}
+    latest, two = make("c0", 5, 55), make("c1", 3)
+    two.on_start_known = kept.__setitem__
+    latest.send("c1", StatusRequest(1), 0.0)
+    exchange({"c0": latest, "c1": two})
+    assert kept == {"c0": KnownStart(5, 55)}
+    if is_restarted:
+        two = make("c1", 4, known=kept)
+    raised: list[int] = []
+    back = make("c0", epoch, 55 if own_session else 77)
+    back.on_behind = raised.append
+    for now in (1.0, 2.0):
+        back.send("c1", StatusRequest(2), now)
+        exchange({"c0": back, "c1": two}, now)
+    is_old = epoch <= 5 and not own_session
+    assert back.is_behind is is_old
+    assert raised == ([6] if is_old else [])
+    assert back.epoch == (6 if is_old else epoch)
+    assert back.has_session("c1")
+
+
+def test_no_body_of_an_old_start_is_believed_before_it_knows() -> None:
+    """Its vote would come before it knows that its disk forgot one."""
+    two = make("c1", known={"c0": KnownStart(5, 55)})
+    back = make("c0", 2, 77)
+    order: list[str] = []
+    back.on_behind = lambda epoch: order.append("behind")
+    back.send("c1", StatusRequest(2), 0.0)
+    for _ in range(10):
+        for channel, other in ((back, two), (two, back)):
+            for _, datagram in channel.take_datagrams():
+                bodies = other.receive(datagram, ADDRESSES[channel.name], 0.0)
+                order += [type(body).__name__ for _, body in bodies]
+    assert order[0] == "behind"
+
+
+def test_a_sender_is_answered_where_it_speaks_from() -> None:
+    node, watcher = make("c0"), make("watcher")
+    sources = {**ADDRESSES, "watcher": WATCHER}
+    watcher.send("c0", Poll(0, 0), 0.0)
+    exchange({"c0": node, "watcher": watcher}, sources=sources)
+    node.send("watcher", StatusRequest(1), 0.0)
+    assert exchange({"c0": node, "watcher": watcher}, sources=sources) == [
+        ("watcher", "c0", StatusRequest(1))
+    ]
+    assert node.address_of("watcher") == WATCHER
+    watcher.send("c0", Poll(1, 1), 0.0)
+    moved: Address = ("10.0.9.9", 9001)
+    exchange({"c0": node, "watcher": watcher}, sources={**sources, "watcher": moved})
+    assert node.address_of("watcher") == moved
+    node.send("nobody", StatusRequest(1), 0.0)
+    assert node.take_datagrams() == []
+
+
+def test_another_one_of_the_same_name_is_counted() -> None:
+    one, two = make("c0"), make("c0", 2)
+    two.addresses = {"c0": ADDRESSES["c1"]}
+    two.send("c0", Hello(), 0.0)
+    ((_, datagram),) = two.take_datagrams()
+    assert one.receive(datagram, ADDRESSES["c1"], 0.0) == []
+    assert one.refused == {Refusal.OWN_NAME: 1}
+
+
+def test_peers_that_are_not_in_the_table_are_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(channel_module, "PEERS_LIMIT", 5)
+    node = make("c0")
+    for number in range(20):
+        watcher = make(f"w{number}")
+        watcher.send("c0", Poll(0, 0), float(number))
+        sources = {**ADDRESSES, watcher.name: ("10.0.9.9", 9000 + number)}
+        exchange({"c0": node, watcher.name: watcher}, float(number), sources=sources)
+    assert [name for name in (f"w{number}" for number in range(20)) if node.has_session(name)] == [
+        f"w{number}" for number in range(15, 20)
+    ]
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_over_a_bad_network_each_body_is_believed_at_most_once(seed: int) -> None:
+    """Loss, doubling, disorder and restarts; what was said more than once arrives in the end."""
+    chance = random.Random(seed)
+    channels = {"c0": make("c0"), "c1": make("c1")}
+    heard: list[int] = []
+    air: list[tuple[str, str, bytes]] = []
+    numbers = itertools.count()
+    epoch = 1
+    for step in range(400):
+        now = step / 20
+        if chance.random() < 0.02:
+            epoch += 1
+            channels["c1"] = make("c1", epoch)
+        channels["c0"].send("c1", StatusRequest(next(numbers)), now)
+        for name, channel in channels.items():
+            air += [(name, NAMES[address], datagram) for address, datagram in channel.take_datagrams()]
+        chance.shuffle(air)
+        for _ in range(chance.randrange(len(air) + 1)):
+            sender, receiver, datagram = air.pop()
+            if chance.random() < 0.2:
+                air.append((sender, receiver, datagram))
+            if chance.random() < 0.8:
+                bodies = channels[receiver].receive(datagram, ADDRESSES[sender], now)
+                heard += [body.number for _, body in bodies if isinstance(body, StatusRequest)]
+    assert len(heard) == len(set(heard)) and len(heard) > 80
