What a configuration of the control plane may hold; `[control]` in a sender's file

A control node validates a document whole before it is written, and a sender turns it into endpoints and budgets; both need one description of what a resource may be. control/schema.py reads `[[endpoints]]` and `[[budgets]]` into resources with canonical JSON values, names every fault at once with its path, and gives places and shared budgets back. The tables that a sender's own file shares with it move from config.py to resource_tables.py, names unchanged, and `[control]` names the control nodes, the key file, the region and the UDP address.

--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -14,19 +14,42 @@
 from elmglade import interface as face
 from elmglade.directory.eject import Terms
 from elmglade.directory.static import Dial, Place
+from elmglade.resource_tables import (
+    MOST,
+    WHOLE,
+    Address,
+    BudgetTable,
+    Endpoints,
+    EndpointTable,
+    Figure,
+    Positive,
+    Shared,
+    Whole,
+    budget_faults,
+    us,
+)
 from elmglade.tables import ConfigError, Fault, Share, Table, check, parse, within
 
-MS = 1000  # us
-MOST = 1e12  # of any figure without a bound of its own
-WHOLE = 10**9
 HEADER_NAME = re.compile(r"[A-Za-z0-9!#$%&'*+.^_`|~-]{1,64}")
+CONTROL_NAME_LENGTH_LIMIT = 64  # characters, as elmglade/control/messages.py has it
+CONTROL_NAME = re.compile(r"[A-Za-z0-9.-]{1,64}")
 BLANK = ("authorization", "proxy-authorization", "cookie", "set-cookie")
-BY = ("destination", "endpoint", "zone", "tenant")  # what a budget may be bound to
-HELD = frozenset({"in_flight", "trials", "connections"})  # what is held at once, and has no rate
-BUDGET_NAME = re.compile(r"[A-Za-z0-9.-]{1,48}")
-ADDRESS = re.compile(r"(\[[0-9a-fA-F:.]+\]|[^:\s]+):([0-9]{1,5})")
 
-__all__ = ["CaptureTo", "ConfigError", "Fault", "General", "Lists", "load", "read", "read_endpoints"]
+__all__ = [
+    "BudgetTable",
+    "CaptureTo",
+    "ConfigError",
+    "ControlNode",
+    "ControlPlane",
+    "EndpointTable",
+    "Fault",
+    "General",
+    "Lists",
+    "Shared",
+    "load",
+    "read",
+    "read_endpoints",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,23 +93,22 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Shared:
-    """A budget that all senders of the fleet spend from. Times in us."""
+class ControlNode:
+    """A control node that a sender may watch."""
 
     name: str
-    of: str  # as in BudgetTable
-    by: str  # what it is bound to: destination, endpoint, zone or tenant
-    value: int | str | None  # which one; None: each of them has one of its own
-    whole: int | None  # None: what the list, or an answer, tells of the destination's rate
-    share: float | None  # of repeats, in place of a whole: so many for each first attempt
-    span: int | None  # of a rate; None: things that are held
-    floor: int
-    lease: int
-    slack: int
-    held: int  # the longest that a thing is held
+    address: Dial
+    region: str
 
-    def is_each(self) -> bool:
-        return self.value is None
+
+@dataclass(frozen=True, slots=True)
+class ControlPlane:
+    """Where a sender gets endpoints and budgets from, in place of its own file's."""
+
+    nodes: tuple[ControlNode, ...]
+    key_file: Path
+    region: str  # the sender's own: nodes of it are watched before the others
+    listen: Dial  # UDP address that is bound
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,15 +126,7 @@
     durability: Durability = Durability("none", None)
     fleet: Fleet | None = None
     budgets: tuple[Shared, ...] = ()
-
-
-def as_dial(value: object) -> Dial:
-    if not isinstance(value, str):
-        raise ValueError(f"must be a text, not {value!r}")
-    found = ADDRESS.fullmatch(value)
-    if not found or int(found[2]) > 65535:
-        raise ValueError(f"must be host:port, not {value!r}")
-    return found[1].strip("[]"), int(found[2])
+    control: ControlPlane | None = None
 
 
 def texts(what: str, form: re.Pattern[str]) -> PlainValidator:
@@ -126,34 +140,18 @@
     return PlainValidator(check)
 
 
+def control_name(value: str) -> str:
+    if not CONTROL_NAME.fullmatch(value):
+        raise ValueError(f"must be letters, digits, dots and dashes, {CONTROL_NAME_LENGTH_LIMIT} at the most")
+    return value
+
+
 def some(classes: dict[str, "ClassTable"]) -> dict[str, "ClassTable"]:
     if not classes:
         raise ValueError("must name at least one class")
     return classes
 
 
-def us(ms: float) -> int:
-    return int(ms * MS)
-
-
-def number_or_each(value: object) -> int | str:
-    if value == "each" or (isinstance(value, int) and not isinstance(value, bool) and 0 <= value <= WHOLE):
-        return value
-    raise ValueError(f'must be a number or "each", not {value!r}')
-
-
-def whole_or_told(value: object) -> int | str:
-    if value == "told" or (isinstance(value, int) and not isinstance(value, bool) and 1 <= value <= WHOLE):
-        return value
-    raise ValueError(f'must be a whole number from 1 to {WHOLE} or "told", not {value!r}')
-
-
-Address = Annotated[Dial, PlainValidator(as_dial)]
-Figure = Annotated[float, within(0, MOST)]
-Positive = Annotated[float, within(1, MOST)]
-Whole = Annotated[int, within(1, WHOLE)]
-
-
 class ClassTable(Table):
     effect: Literal["safe", "keyed", "unsafe"]
     aim_ms: Positive
@@ -182,44 +180,6 @@
         )  # fmt: skip
 
 
-class EndpointTable(Table):
-    id: str
-    destination: Annotated[int, within(0, WHOLE)]
-    dial: Address
-    state: Literal["ready", "draining"] = "ready"
-    zone: str = ""
-    rate: Figure = 1.0
-    own_limit: bool = False
-
-    @model_validator(mode="after")
-    def consistent(self) -> Self:
-        if not self.id:
-            raise ValueError("id: must not be empty")
-        return self
-
-    def told(self) -> Place:
-        state, kind = face.EndpointState(self.state), "apart" if self.own_limit else "plain"
-        return Place(face.Endpoint(self.id, self.destination, state, kind, self.zone, self.rate), self.dial)
-
-
-class Endpoints(Table):
-    """What names endpoints."""
-
-    endpoints: tuple[EndpointTable, ...] = ()
-
-    @model_validator(mode="after")
-    def once(self) -> Self:
-        names = [each.id for each in self.endpoints]
-        wrong = [
-            f"endpoints[{at}].id: {name!r} is listed twice"
-            for at, name in enumerate(names)
-            if name in names[:at]
-        ]
-        if wrong:
-            raise ValueError("\n".join(wrong))
-        return self
-
-
 class LimitsTable(Table):
     slots: Whole = 64
     max_open: Whole = 1000
@@ -299,52 +259,42 @@
         )
 
 
-class BudgetTable(Table):
-    name: str
-    of: Literal["calls", "in_flight", "trials", "repeats", "connections", "handshakes", "tenant"]
-    destination: Annotated[int | str, PlainValidator(number_or_each)] | None = None
-    endpoint: str = ""
-    zone: str = ""
-    tenant: str = ""
-    whole: Annotated[int | str, PlainValidator(whole_or_told)] | None = None
-    share: Annotated[float, within(0.001, 100)] | None = None
-    per_ms: Annotated[float, within(10, 3_600_000)] | None = None
-    floor: Annotated[int, within(0, WHOLE)] = 0
-    lease_ms: Annotated[float, within(200, 60_000)] = 2000.0
-    slack_ms: Annotated[float, within(0, 1000)] = 10.0
-    held_ms: Annotated[float, within(100, 600_000)] = 5000.0
+class ControlNodeTable(Table):
+    name: Annotated[str, AfterValidator(control_name)]
+    address: Address
+    region: str = ""
+
+    def told(self) -> ControlNode:
+        return ControlNode(self.name, self.address, self.region)
+
+
+class ControlTable(Table):
+    nodes: tuple[ControlNodeTable, ...]
+    key_file: str
+    region: str = ""
+    listen: Address = "0.0.0.0:0"  # type: ignore[assignment]  # read as what a file says
 
     @model_validator(mode="after")
     def consistent(self) -> Self:
-        wrong = []
-        if not BUDGET_NAME.fullmatch(self.name):
-            wrong.append("name: must be letters, digits, dots and dashes, 48 of them at the most")
-        if (self.of in HELD) is not (self.per_ms is None):
-            wrong.append("per_ms: must be told for what has a rate, and not for what is held at once")
-        bound = [by for by in BY if getattr(self, by) not in ("", None)]
-        if len(bound) != 1 or (self.of == "tenant") is not (bound == ["tenant"]):
-            of = "tenant" if self.of == "tenant" else "destination, endpoint or zone"
-            wrong.append(f'{bound[-1] if bound else "destination"}: must name one {of}, or "each"')
-        if (self.whole is None) is (self.share is None) or (self.share and self.of != "repeats"):
-            wrong.append("whole: must be told, or for repeats a share in its place")
-        if self.whole == "told" and (self.of != "calls" or bound != ["destination"]):
-            wrong.append("whole: can be told for the calls of a destination alone")
+        wrong, names, addresses = [], set[str](), set[Dial]()
+        if not self.nodes:
+            wrong.append("nodes: must name at least one control node")
+        for at, each in enumerate(self.nodes):
+            if each.name in names:
+                wrong.append(f"nodes[{at}].name: {each.name!r} is listed twice")
+            if each.address in addresses:
+                wrong.append(f"nodes[{at}].address: two nodes at one address")
+            if each.address[1] == 0:
+                wrong.append(f"nodes[{at}].address: must name a port")
+            names.add(each.name)
+            addresses.add(each.address)
         if wrong:
             raise ValueError("\n".join(wrong))
         return self
 
-    def place(self) -> tuple[str, str, object]:
-        (by,) = (by for by in BY if getattr(self, by) not in ("", None))
-        return self.of, by, getattr(self, by)
-
-    def told(self) -> Shared:
-        _, by, value = self.place()
-        return Shared(
-            self.name, self.of, by, None if value == "each" else value,  # type: ignore[arg-type]
-            self.whole if isinstance(self.whole, int) else None, self.share,
-            None if self.per_ms is None else us(self.per_ms), self.floor, us(self.lease_ms),
-            us(self.slack_ms), us(self.held_ms),
-        )  # fmt: skip
+    def told(self, folder: Path) -> ControlPlane:
+        nodes = tuple(each.told() for each in self.nodes)
+        return ControlPlane(nodes, folder / self.key_file, self.region, self.listen)
 
 
 class GeneralTable(Endpoints):
@@ -362,22 +312,15 @@
     durability: DurabilityTable = DurabilityTable()
     fleet: FleetTable | None = None
     budgets: tuple[BudgetTable, ...] = ()
+    control: ControlTable | None = None
 
     @model_validator(mode="after")
     def shared(self) -> Self:
-        wrong, names, places = [], set[str](), set[tuple[str, str, object]]()
-        if self.budgets and not self.fleet:
-            wrong.append("budgets: need a [fleet] to be shared in")
-        for at, each in enumerate(self.budgets):
-            if each.name in names:
-                wrong.append(f"budgets[{at}].name: {each.name!r} is there twice")
-            if each.place() in places:
-                wrong.append(f"budgets[{at}].of: two budgets over one thing")
-            size = self.fleet.size if self.fleet else 1
-            if isinstance(each.whole, int) and each.floor * size > each.whole:
-                wrong.append(f"budgets[{at}].floor: {each.floor} for each of {size} is over the whole")
-            names.add(each.name)
-            places.add(each.place())
+        size = self.fleet.size if self.fleet else 1
+        wrong = ["budgets: need a [fleet] to be shared in"] if self.budgets and not self.fleet else []
+        wrong += [f"budgets[{x.index}].{x.field}: {x.text}" for x in budget_faults(self.budgets, size)]
+        if self.control and len(self.name) > CONTROL_NAME_LENGTH_LIMIT:
+            wrong.append(f"name: must be {CONTROL_NAME_LENGTH_LIMIT} characters at the most with [control]")
         if wrong:
             raise ValueError("\n".join(wrong))
         return self
@@ -430,6 +373,7 @@
         table.durability.told(),
         table.fleet.told(folder) if table.fleet else None,
         tuple(each.told() for each in table.budgets),
+        table.control.told(folder) if table.control else None,
     )
 
 
--- /dev/null
+++ b/elmglade/control/schema.py
@@ -0,0 +1,215 @@
+"""What a configuration may hold: resources from TOML, every fault at once, what a sender makes of them. Pure.
+
+Rules:
+
+- A resource's name is its kind, a slash and its own name: `endpoints/hub-1`, `budgets/rate`. Other kinds are
+  faults.
+- Its value is a table as in a sender's own file, without the field that its name already tells (`id` of an
+  endpoint, `name` of a budget), as canonical JSON: defaults left out, keys sorted, no blanks, addresses as
+  text. Two tables that mean the same have the same bytes.
+- A fault names the path to what is wrong: `endpoints/hub-1.dial: must be host:port, not 'here'`.
+- A control node doesn't know how many senders a fleet has: it checks a budget's floor against the whole for
+  one. A sender checks it for its own fleet's size.
+"""
+
+import json
+import tomllib
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from functools import lru_cache
+from pathlib import Path
+from typing import Any, NamedTuple
+
+from elmglade.directory.static import Dial, Place
+from elmglade.resource_tables import (
+    BudgetTable,
+    Endpoints,
+    EndpointTable,
+    Shared,
+    budget_faults,
+)
+from elmglade.tables import ConfigError, Fault, Table, check
+
+ENDPOINTS, BUDGETS = "endpoints", "budgets"
+VALUE_CACHE_SIZE = 4096  # tables of resources that are kept, least recently used first out
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of resource."""
+
+    name: str
+    table: type[Table]
+    key: str  # the field of the table that the resource's name tells
+
+
+KINDS = {
+    ENDPOINTS: Kind(ENDPOINTS, EndpointTable, "id"),
+    BUDGETS: Kind(BUDGETS, BudgetTable, "name"),
+}
+
+
+class Difference(NamedTuple):
+    """What leads from one set of resources to another."""
+
+    put: dict[str, bytes]
+    delete: tuple[str, ...]
+
+
+class ConfigurationTable(Endpoints):
+    """A file that is put into the control plane; `endpoints` comes from its base."""
+
+    budgets: tuple[BudgetTable, ...] = ()
+
+
+def encode_value(value: object) -> bytes:
+    """Canonical JSON of any JSON value."""
+    text = json.dumps(value, sort_keys=True, separators=(",", ":"), ensure_ascii=False, allow_nan=False)
+    return text.encode()
+
+
+def dial_text(dial: Dial) -> str:
+    """An address as a file has it."""
+    host, port = dial
+    return f"[{host}]:{port}" if ":" in host else f"{host}:{port}"
+
+
+def resource_of(kind: Kind, table: Table) -> tuple[str, bytes]:
+    """Name and canonical value."""
+    fields = table.model_dump(exclude_defaults=True)
+    name = fields.pop(kind.key)
+    if "dial" in fields:
+        fields["dial"] = dial_text(fields["dial"])
+    return f"{kind.name}/{name}", encode_value(fields)
+
+
+# From a file.
+
+
+def read_toml(source: Path | str) -> dict[str, bytes]:
+    """The resources in a TOML file, or in a text. Raises ConfigError with all faults, and OSError."""
+    where = str(source) if isinstance(source, Path) else "text"
+    try:
+        text = source.read_text() if isinstance(source, Path) else source
+        told = tomllib.loads(text)
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError([Fault(where, str(error))]) from None
+    table = check(ConfigurationTable, told)
+    faults = [
+        Fault(f"budgets[{each.index}].{each.field}", each.text) for each in budget_faults(table.budgets, 1)
+    ]
+    if faults:
+        raise ConfigError(faults)
+    found = [resource_of(KINDS[ENDPOINTS], each) for each in table.endpoints]
+    found += [resource_of(KINDS[BUDGETS], each) for each in table.budgets]
+    return dict(found)
+
+
+def write_toml(resources: Mapping[str, bytes]) -> str:
+    """The file that `read_toml` reads as these. Raises ConfigError for resources that are not in order."""
+    blocks = []
+    for name in sorted(resources):
+        kind, table = parsed(name, resources[name])
+        fields = {kind.key: getattr(table, kind.key), **json.loads(resources[name])}
+        rows = [f"{key} = {toml_text(value)}" for key, value in fields.items()]
+        blocks.append("\n".join([f"[[{kind.name}]]", *rows]))
+    return "\n\n".join(blocks) + "\n" if blocks else ""
+
+
+def toml_text(value: object) -> str:
+    """A text, a number or a truth value: JSON's form is TOML's, but for one control character."""
+    return json.dumps(value, ensure_ascii=False).replace("\x7f", "\\u007f")
+
+
+# Checking.
+
+
+@lru_cache(VALUE_CACHE_SIZE)
+def parsed(name: str, value: bytes) -> tuple[Kind, Any]:
+    """The kind and the checked table of a resource. Raises ConfigError with paths from its name on."""
+    kind_name, _, own_name = name.partition("/")
+    if (kind := KINDS.get(kind_name)) is None:
+        known = ", ".join(f"{each}/NAME" for each in KINDS)
+        raise ConfigError([Fault(name, f"must be one of {known}")])
+    try:
+        told = json.loads(value)
+    except (ValueError, RecursionError) as error:
+        raise ConfigError([Fault(name, f"no JSON: {error}")]) from None
+    if not isinstance(told, dict):
+        raise ConfigError([Fault(name, "must be a table")])
+    if kind.key in told:
+        raise ConfigError([Fault(f"{name}.{kind.key}", "is not known here: the resource's name tells it")])
+    try:
+        return kind, check(kind.table, {kind.key: own_name, **told})
+    except ConfigError as error:
+        faults = [Fault(name if x.path == "file" else f"{name}.{x.path}", x.text) for x in error.faults]
+        raise ConfigError(faults) from None
+
+
+def faults_in(resources: Mapping[str, bytes], size: int = 1) -> Iterator[Fault]:
+    """Every fault, those of single resources first; `size`: the most senders that share a budget."""
+    budgets = []
+    for name in sorted(resources):
+        try:
+            kind, table = parsed(name, resources[name])
+        except ConfigError as error:
+            yield from error.faults
+            continue
+        if kind.name == BUDGETS:
+            budgets.append(table)
+    for each in budget_faults(budgets, size):
+        yield Fault(f"{BUDGETS}/{budgets[each.index].name}.{each.field}", each.text)
+
+
+def validate(resources: Mapping[str, bytes], size: int = 1) -> tuple[str, ...]:
+    """All faults of a whole configuration as texts with their paths; none where it is in order."""
+    return tuple(str(each) for each in faults_in(resources, size))
+
+
+def read_values(values: Mapping[str, object]) -> dict[str, bytes]:
+    """Resources from JSON values, in canonical form. Raises ConfigError with all faults."""
+    found, faults = dict[str, bytes](), list[Fault]()
+    for name, value in values.items():
+        try:
+            kind, table = parsed(name, encode_value(value))
+        except ConfigError as error:
+            faults += error.faults
+        except ValueError as error:
+            faults.append(Fault(name, str(error)))
+        else:
+            own_name, encoded = resource_of(kind, table)
+            found[own_name] = encoded
+    if faults:
+        raise ConfigError(faults)
+    return found
+
+
+# What a sender uses.
+
+
+def places(resources: Mapping[str, bytes]) -> tuple[Place, ...]:
+    """The endpoints, in the order of their names. Raises ConfigError."""
+    return tuple(table.told() for table in tables(resources, ENDPOINTS))
+
+
+def budgets(resources: Mapping[str, bytes]) -> tuple[Shared, ...]:
+    """The shared budgets, in the order of their names. Raises ConfigError."""
+    return tuple(table.told() for table in tables(resources, BUDGETS))
+
+
+def tables(resources: Mapping[str, bytes], kind_name: str) -> Iterator[Any]:
+    """The checked tables of one kind."""
+    for name in sorted(resources):
+        if has_kind(name, kind_name):
+            yield parsed(name, resources[name])[1]
+
+
+def has_kind(name: str, kind_name: str) -> bool:
+    """Whether a resource's name is of that kind."""
+    return name.startswith(f"{kind_name}/")
+
+
+def changes_between(old: Mapping[str, bytes], new: Mapping[str, bytes]) -> Difference:
+    """What leads from the old resources to the new ones."""
+    put = {name: value for name, value in new.items() if old.get(name) != value}
+    return Difference(put, tuple(sorted(old.keys() - new.keys())))
