A changed document costs a sender what the change touches, not its whole list

With 10,000 endpoints one change of one endpoint took 1,608 ms of the loop, as each check read every resource again. A sender now keeps what it made of the document (schema.Interpretation) and reads what is put alone.

--- a/elmglade/control/schema.py
+++ b/elmglade/control/schema.py
@@ -14,7 +14,7 @@
 
 import json
 import tomllib
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from functools import lru_cache
 from pathlib import Path
@@ -148,17 +148,16 @@
 
 def faults_in(resources: Mapping[str, bytes], size: int = 1) -> Iterator[Fault]:
     """Every fault, those of single resources first; `size`: the most senders that share a budget."""
-    budgets = []
+    good = dict[str, bytes]()
     for name in sorted(resources):
         try:
-            kind, table = parsed(name, resources[name])
+            kind, _ = parsed(name, resources[name])
         except ConfigError as error:
             yield from error.faults
             continue
         if kind.name == BUDGETS:
-            budgets.append(table)
-    for each in budget_faults(budgets, size):
-        yield Fault(f"{BUDGETS}/{budgets[each.index].name}.{each.field}", each.text)
+            good[name] = resources[name]
+    yield from interpret(good).faults(size)
 
 
 def validate(resources: Mapping[str, bytes], size: int = 1) -> tuple[str, ...]:
@@ -187,21 +186,64 @@
 # What a sender uses.
 
 
+@dataclass(frozen=True, slots=True)
+class Interpretation:
+    """The resources of a document as a sender uses them. A change costs what it touches, and a copy of the
+    tables of names."""
+
+    places: dict[str, Place]
+    budgets: dict[str, BudgetTable]
+
+    def changed(self, put: Mapping[str, bytes], delete: Iterable[str]) -> "Interpretation":
+        """With these changes. Raises ConfigError with all faults of what is put."""
+        places, budgets, faults = dict(self.places), dict(self.budgets), list[Fault]()
+        for name in delete:
+            places.pop(name, None)
+            budgets.pop(name, None)
+        for name, value in put.items():
+            try:
+                _, table = parsed(name, value)
+            except ConfigError as error:
+                faults += error.faults
+                continue
+            if isinstance(table, EndpointTable):
+                places[name] = table.told()
+            elif isinstance(table, BudgetTable):
+                budgets[name] = table
+        if faults:
+            raise ConfigError(faults)
+        return Interpretation(places, budgets)
+
+    def faults(self, size: int) -> list[Fault]:
+        """Those of budgets held against one another, and against a fleet of `size` senders."""
+        tables = [self.budgets[name] for name in sorted(self.budgets)]
+        return [
+            Fault(f"{BUDGETS}/{tables[each.index].name}.{each.field}", each.text)
+            for each in budget_faults(tables, size)
+        ]
+
+    def endpoints(self) -> tuple[Place, ...]:
+        """In the order of their names."""
+        return tuple(self.places[name] for name in sorted(self.places))
+
+    def shared_budgets(self) -> tuple[Shared, ...]:
+        """In the order of their names."""
+        return tuple(self.budgets[name].told() for name in sorted(self.budgets))
+
+
+def interpret(resources: Mapping[str, bytes]) -> Interpretation:
+    """Raises ConfigError with all faults of single resources."""
+    return Interpretation({}, {}).changed(resources, ())
+
+
 def places(resources: Mapping[str, bytes]) -> tuple[Place, ...]:
     """The endpoints, in the order of their names. Raises ConfigError."""
-    return tuple(table.told() for table in tables(resources, ENDPOINTS))
+    return interpret(resources).endpoints()
 
 
 def budgets(resources: Mapping[str, bytes]) -> tuple[Shared, ...]:
     """The shared budgets, in the order of their names. Raises ConfigError."""
-    return tuple(table.told() for table in tables(resources, BUDGETS))
-
-
-def tables(resources: Mapping[str, bytes], kind_name: str) -> Iterator[Any]:
-    """The checked tables of one kind."""
-    for name in sorted(resources):
-        if has_kind(name, kind_name):
-            yield parsed(name, resources[name])[1]
+    return interpret(resources).shared_budgets()
 
 
 def has_kind(name: str, kind_name: str) -> bool:
--- a/elmglade/http/configuration.py
+++ b/elmglade/http/configuration.py
@@ -14,16 +14,17 @@
 """
 
 import logging
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import replace
 from pathlib import Path
 from typing import Protocol
 
-from elmglade.config import General, Shared
+from elmglade.config import ConfigError, General, Shared
 from elmglade.control import schema
 from elmglade.control.document import DeltaMismatchError, Document
 from elmglade.control.document_file import DamagedDocumentError, DocumentFile
 from elmglade.control.messages import Delta
+from elmglade.control.schema import Interpretation
 from elmglade.control.watch import RefusedConfigurationError
 from elmglade.directory.static import Place
 from elmglade.journal.disk import Disk
@@ -48,24 +49,21 @@
     def waits_for_start(self, budgets: tuple[Shared, ...]) -> list[str]: ...
 
 
-def overlaid(config: General, resources: Mapping[str, bytes]) -> General:
+def overlaid(config: General, interpretation: Interpretation) -> General:
     """The sender's own configuration with the document's resources over it."""
     return replace(
         config,
-        places=schema.places(resources) or config.places,
-        budgets=schema.budgets(resources) or config.budgets,
+        places=interpretation.endpoints() or config.places,
+        budgets=interpretation.shared_budgets() or config.budgets,
     )
 
 
-def faults_here(config: General, resources: Mapping[str, bytes]) -> list[str]:
+def faults_here(config: General, interpretation: Interpretation) -> list[str]:
     """Why this sender could not have these in force, whether it begins with them or not."""
-    found = list(schema.validate(resources, config.fleet.size if config.fleet else 1))
+    found = [str(each) for each in interpretation.faults(config.fleet.size if config.fleet else 1)]
     if config.fleet is None:
-        found += [
-            f"{name}: needs a [fleet] to be shared in, and this sender has none"
-            for name in sorted(resources)
-            if schema.has_kind(name, schema.BUDGETS)
-        ]
+        reason = "needs a [fleet] to be shared in, and this sender has none"
+        found += [f"{name}: {reason}" for name in sorted(interpretation.budgets)]
     return found
 
 
@@ -81,6 +79,7 @@
         self.newest_version = 0  # the newest that was in force here, as far as the disk knows
         self.directory: Directory | None = None
         self.budgets: SharedBudgets | None = None
+        self.interpretation = Interpretation({}, {})  # of the document
         self.document = self.begin()
 
     def bind(self, directory: Directory, budgets: SharedBudgets | None) -> None:
@@ -89,7 +88,7 @@
 
     def in_force(self) -> General:
         """The sender's own configuration with what the control plane holds over it."""
-        return overlaid(self.file, self.document.resources)
+        return overlaid(self.file, self.interpretation)
 
     def reread(self, config: General) -> General:
         """The sender's own file was read anew: what is to be in force now."""
@@ -104,9 +103,12 @@
         self.newest_version = stored.version if stored else 0
         if waiting and waiting.version > self.newest_version:
             self.next_start_version = waiting.version
-            if self.begins_with(waiting):
+            interpretation = self.usable(waiting)
+            if interpretation and self.is_kept(waiting):
+                self.interpretation = interpretation
                 return waiting
-        if stored and self.is_usable(stored):
+        if stored and (interpretation := self.usable(stored)):
+            self.interpretation = interpretation
             return stored
         return Document()
 
@@ -128,18 +130,21 @@
         except OSError as error:
             log.error("control: it cannot be put aside: %s", error)
 
-    def is_usable(self, document: Document) -> bool:
-        """Whether this sender can begin with it; else the record says why."""
-        faults = faults_here(self.file, document.resources)
+    def usable(self, document: Document) -> Interpretation | None:
+        """What this sender makes of it; None where it cannot begin with it: the log says why."""
+        try:
+            interpretation = schema.interpret(document.resources)
+            faults = faults_here(self.file, interpretation)
+        except ConfigError as error:
+            faults = [str(each) for each in error.faults]
         if faults:
             reasons = "; ".join(faults)
             log.error("control: version %d is not used by this start: %s", document.version, reasons)
-        return not faults
+            return None
+        return interpretation
 
-    def begins_with(self, waiting: Document) -> bool:
-        """Makes a version that waited for this start the one in force."""
-        if not self.is_usable(waiting):
-            return False
+    def is_kept(self, waiting: Document) -> bool:
+        """Makes a version that waited for this start durable as the one in force."""
         try:
             self.in_force_file.store(waiting)
         except OSError as error:
@@ -158,14 +163,15 @@
         after = self.changed(document, delta)
         if after.version < self.newest_version:
             raise RefusedConfigurationError(f"version {self.newest_version} was in force here")
-        if faults := faults_here(self.file, after.resources):
+        interpretation = self.interpreted(document, delta)
+        if faults := faults_here(self.file, interpretation):
             raise RefusedConfigurationError("; ".join(faults))
-        before, config = self.in_force(), overlaid(self.file, after.resources)
+        before, config = self.in_force(), overlaid(self.file, interpretation)
         if reasons := self.waits_for_start(before, config):
             self.keep_for_start(after)
             raise RefusedConfigurationError("; ".join(reasons))
         self.in_force_file.store(after)
-        self.document, self.newest_version = after, after.version
+        self.document, self.interpretation, self.newest_version = after, interpretation, after.version
         self.put_in_force(before, config)
         if self.next_start_version:
             self.forget_waiting()
@@ -182,6 +188,16 @@
             raise RefusedConfigurationError(str(error)) from None
         return after
 
+    def interpreted(self, document: Document, delta: Delta) -> Interpretation:
+        """What a sender makes of the changed document."""
+        put = {each.name: each.value for each in delta.put}
+        try:
+            is_present = (document.version, document.digest) == (self.document.version, self.document.digest)
+            known = self.interpretation if is_present else schema.interpret(document.resources)
+            return known.changed(put, delta.delete)
+        except ConfigError as error:
+            raise RefusedConfigurationError("; ".join(map(str, error.faults))) from None
+
     def waits_for_start(self, before: General, after: General) -> list[str]:
         """What would have to change and can't while the sender runs."""
         if before.budgets == after.budgets:
--- a/tests/test_control_configuration.py
+++ b/tests/test_control_configuration.py
@@ -216,6 +216,21 @@
     assert scene.configuration.document.version == 1 and scene.running.ids() == ["a"]
 
 
+def test_a_waiting_version_that_cannot_be_kept_waits_on(tmp_path: Path) -> None:
+    disk = FullDisk()
+    disk.is_full = False
+    scene = Scene(tmp_path, disk)
+    scene.running.reasons = ["budgets: the link to the fleet could not be made at this start"]
+    scene.refused(2, {"budgets/rate": RATE, "endpoints/a": endpoint(2)})
+    disk.is_full = True
+    scene.start()
+    assert scene.configuration.document.version == 0 and scene.configuration.next_start_version == 2
+    assert scene.running.ids() == ["own"] and not scene.running.told
+    disk.is_full = False
+    scene.start()
+    assert scene.configuration.document.version == 2 and scene.running.ids() == ["a"]
+
+
 def test_a_version_below_the_one_that_was_in_force_is_refused_after_a_start(tmp_path: Path) -> None:
     scene = Scene(tmp_path)
     scene.to(7, {"budgets/rate": RATE})
