--- /dev/null
+++ b/elmglade/control/configuration.py
@@ -0,0 +1,86 @@
+"""The TOML file of a control node, checked whole: every fault at once, with its path."""
+
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Self
+
+from pydantic import AfterValidator, model_validator
+
+from elmglade.control.messages import NAME_LENGTH_LIMIT, Address
+from elmglade.control.watch import ControlNodeAddress
+from elmglade.resource_tables import Address as AddressField
+from elmglade.tables import Table, check, parse, within
+
+VOTES_LIMIT = 100
+
+
+def node_name(name: str) -> str:
+    if not name or len(name) > NAME_LENGTH_LIMIT or not name.isascii() or not name.isprintable():
+        raise ValueError(f"must be 1 to {NAME_LENGTH_LIMIT} printable ASCII characters, not {name!r}")
+    return name
+
+
+@dataclass(frozen=True, slots=True)
+class NodeConfiguration:
+    """One control node's configuration; paths are those of the file system."""
+
+    name: str
+    cluster: str
+    listen: Address
+    state: Path
+    key_file: Path
+    nodes: tuple[ControlNodeAddress, ...]
+    votes: dict[str, int]
+
+    def addresses(self) -> dict[str, Address]:
+        """Of the other nodes."""
+        return {each.name: each.address for each in self.nodes if each.name != self.name}
+
+
+class NodeTable(Table):
+    name: Annotated[str, AfterValidator(node_name)]
+    address: AddressField
+    region: str = ""
+    votes: Annotated[int, within(1, VOTES_LIMIT)] = 1
+
+
+class NodeFile(Table):
+    name: Annotated[str, AfterValidator(node_name)]
+    cluster: Annotated[str, AfterValidator(node_name)]
+    listen: AddressField
+    state: str
+    key_file: str
+    nodes: tuple[NodeTable, ...]
+
+    @model_validator(mode="after")
+    def consistent(self) -> Self:
+        wrong, names, addresses = [], set[str](), set[Address]()
+        for at, each in enumerate(self.nodes):
+            if each.name in names:
+                wrong.append(f"nodes[{at}].name: {each.name!r} is listed twice")
+            if each.address in addresses:
+                wrong.append(f"nodes[{at}].address: two nodes at one address")
+            if each.address[1] == 0:
+                wrong.append(f"nodes[{at}].address: must name a port")
+            names.add(each.name)
+            addresses.add(each.address)
+        if self.name not in names:
+            wrong.append(f"name: {self.name!r} is not among the nodes")
+        if wrong:
+            raise ValueError("\n".join(wrong))
+        return self
+
+
+def load(path: Path) -> NodeConfiguration:
+    """Raises ConfigError with all faults, and OSError."""
+    table = check(NodeFile, parse(path))
+    folder = path.parent
+    return NodeConfiguration(
+        name=table.name,
+        cluster=table.cluster,
+        listen=table.listen,
+        state=folder / table.state,
+        key_file=folder / table.key_file,
+        nodes=tuple(ControlNodeAddress(each.name, each.address, each.region) for each in table.nodes),
+        votes={each.name: each.votes for each in table.nodes},
+    )
--- a/elmglade/control/messages.py
+++ b/elmglade/control/messages.py
@@ -212,6 +212,7 @@
     commit_index: Count
     age_ms: Count
     watchers: tuple[WatcherStatus, ...]
+    fault: str = ""  # a disk that takes no writes, or why the node is a learner
 
 
 RaftMessage = VoteRequest | VoteReply | AppendRequest | AppendReply
--- /dev/null
+++ b/elmglade/control/operators.py
@@ -0,0 +1,110 @@
+"""What operators may ask of a control node over its socket: set, get, status (directory/control.py)."""
+
+import asyncio
+import json
+from collections.abc import Callable, Mapping
+from typing import Any
+
+import msgspec
+
+from elmglade.control.messages import Change, ChangeResult, NodeStatus, Outcome, Resource
+from elmglade.control.node import ControlNode
+from elmglade.control.schema import read_values
+from elmglade.control.udp import NodeDriver
+from elmglade.directory.control import AskedBadlyError, Command
+from elmglade.tables import ConfigError
+
+
+class SetRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """A change as an operator asks for it; values are JSON."""
+
+    do: str
+    request_id: str
+    base_version: int
+    put: dict[str, Any] = {}
+    delete: list[str] = []
+    author: str = ""
+
+
+class OperatorCommands:
+    """Answers the requests of one node's control socket."""
+
+    def __init__(self, driver: NodeDriver) -> None:
+        self.driver = driver
+
+    @property
+    def node(self) -> ControlNode:
+        return self.driver.node
+
+    def commands(self) -> dict[str, Command]:
+        return {"set": self.set, "get": self.get, "status": self.status}
+
+    async def set(self, asked: Mapping[str, Any]) -> dict[str, Any]:
+        """Raises AskedBadlyError for a request that is none; faults of the configuration are an answer."""
+        try:
+            request = msgspec.convert(asked, SetRequest)
+        except msgspec.ValidationError as error:
+            raise AskedBadlyError(str(error)) from None
+        try:
+            put = read_values(request.put)
+        except ConfigError as error:
+            version = self.node.store.document.version
+            return _answer(Outcome.INVALID, version, tuple(map(str, error.faults)))
+        if request.base_version < 0:
+            raise AskedBadlyError("base_version: must be 0 or more")
+        resources = tuple(Resource(name, value) for name, value in sorted(put.items()))
+        change = Change(
+            request.request_id, request.base_version, resources, tuple(request.delete), request.author
+        )
+        result = await self._wait_for(lambda answer, now: self.node.submit(change, answer, now))
+        return _answer(result.outcome, result.version, result.faults)
+
+    def get(self, asked: Mapping[str, Any]) -> dict[str, Any]:
+        """The document that is in force here, and how old this node's knowledge is."""
+        document = self.node.store.document
+        status = self.node.status(self.driver.loop.time())
+        return {
+            "version": document.version,
+            "digest": document.digest,
+            "resources": {name: json.loads(value) for name, value in sorted(document.resources.items())},
+            "age_ms": status.age_ms,
+            "role": status.role,
+            "leader": status.leader,
+        }
+
+    async def status(self, asked: Mapping[str, Any]) -> dict[str, Any]:
+        """All nodes' own words; who does not answer in time is not reachable."""
+        found = await self._wait_for(self.node.query_status)
+        nodes: list[dict[str, Any]] = []
+        for name in self.node.node_names():
+            if name in found:
+                nodes.append(_described(found[name]))
+            else:
+                nodes.append({"name": name, "is_reachable": False})
+        own = next(each for each in nodes if each["name"] == self.node.name)
+        refused = self.node.channel.refused
+        own["refused_datagrams"] = {reason.value: number for reason, number in refused.items()}
+        return {"nodes": nodes}
+
+    async def _wait_for(self, begin: Callable[[Callable[[Any], None], float], None]) -> Any:  # noqa: ANN401
+        """What `begin` calls its argument with."""
+        future: asyncio.Future[Any] = self.driver.loop.create_future()
+
+        def answer(value: ChangeResult | dict[str, NodeStatus]) -> None:
+            if not future.done():
+                future.set_result(value)
+
+        self.driver.do(lambda now: begin(answer, now))
+        return await future
+
+
+def _answer(outcome: Outcome, version: int, faults: tuple[str, ...]) -> dict[str, Any]:
+    return {"outcome": outcome.name.lower(), "version": version, "faults": list(faults)}
+
+
+def _described(status: NodeStatus) -> dict[str, Any]:
+    fields = {name: getattr(status, name) for name in status.__struct_fields__ if name != "number"}
+    watchers = [
+        {name: getattr(each, name) for name in each.__struct_fields__} for each in status.watchers
+    ]  # fmt: skip
+    return {**fields, "watchers": watchers, "is_reachable": True}
--- a/elmglade/control/process.py
+++ b/elmglade/control/process.py
@@ -1,16 +1,182 @@
-"""A control node as a process: configuration, signals, control socket."""
+"""A control node as a process: state folder, log, socket, signals, control socket.
 
+`python -m elmglade.control.process FILE` serves with records in plain form; `elmglade control serve` is the
+same with records as the other commands have them.
+"""
+
+import asyncio
+import logging
+import random
+import secrets
+import signal
+import sys
+from datetime import UTC, datetime
 from pathlib import Path
 
+from elmglade.control.channel import Channel
+from elmglade.control.configuration import NodeConfiguration, load
+from elmglade.control.folder import FolderError, Identity, StateFolder
+from elmglade.control.log_file import LOG_FILE, LogFile
+from elmglade.control.node import ControlNode
+from elmglade.control.operators import OperatorCommands
+from elmglade.control.replica import Replica
+from elmglade.control.schema import validate
+from elmglade.control.store import ConfigurationStore
+from elmglade.control.udp import FolderNotes, NodeDriver, UdpSocket
+from elmglade.directory.control import Control
+from elmglade.fleet.seal import KeyFileError, Seal, read_keys
+from elmglade.journal.disk import Disk, Files
+from elmglade.journal.lock import Lock, LockTakenError
+from elmglade.tables import ConfigError, Fault
+
+SESSION_BITS = 62
+SEED_BITS = 64
+
+log = logging.getLogger(__name__)
+
+
+def initialise(path: Path) -> None:
+    """Makes the state folder of the node configured at `path`. Raises ConfigError, and OSError where the
+    folder holds anything."""
+    config = load(path)
+    created = datetime.now(UTC).isoformat(timespec="seconds")
+    disk = Files()
+    try:
+        StateFolder(config.state).initialise(Identity(config.cluster, config.name, created), disk)
+    finally:
+        disk.finish()
+
 
 def run(path: Path) -> int:
     """Serves by the TOML configuration at `path` until SIGTERM; the exit code.
 
-    Raises ConfigError and OSError."""
-    raise NotImplementedError
+    Raises ConfigError and OSError.
+    """
+    return asyncio.run(serve(load(path)))
 
 
-def initialise(path: Path) -> None:
-    """Makes the state folder of the node configured at `path`. Raises ConfigError, and OSError where
-    the folder was used before."""
-    raise NotImplementedError
+async def serve(config: NodeConfiguration, disk: Disk | None = None) -> int:
+    """Serves until SIGTERM or SIGINT; 1 if a defect ended it. Raises ConfigError and OSError."""
+    config.state.mkdir(parents=True, exist_ok=True)
+    try:
+        lock = Lock(config.state)
+    except LockTakenError:
+        raise FolderError(f"another process uses {config.state}") from None
+    disk = disk or Files()
+    try:
+        seal = read_seal(config)
+        return await NodeProcess(config, seal, disk).run()
+    finally:
+        disk.finish()
+        lock.release()
+
+
+def read_seal(config: NodeConfiguration) -> Seal:
+    """Raises ConfigError."""
+    try:
+        return Seal(read_keys(config.key_file))
+    except KeyFileError as error:
+        raise ConfigError([Fault("key_file", str(error))]) from None
+
+
+def load_log(folder: StateFolder, log_file: LogFile, config: NodeConfiguration) -> tuple[Replica, str]:
+    """The replica as the disk has it, and why it is a learner. A learner is marked as one before a damaged
+    log is replaced. Raises OSError."""
+    identity = folder.identity()
+    if identity and (identity.cluster, identity.name) != (config.cluster, config.name):
+        raise FolderError(f"{folder.path}: belongs to {identity.name} of the cluster {identity.cluster}")
+    reason = folder.learner_reason()
+    if identity is None:
+        reason = reason or "its folder was not initialised (elmglade control init)"
+    loaded = log_file.load()
+    if loaded.damage:
+        where = f"{LOG_FILE}: {loaded.damage.reason} at byte {loaded.damage.offset}"
+        log.error("control: %s; nothing from there on is believed", where)
+        reason = reason or f"a damaged log: {where}"
+        if identity is not None:
+            folder.mark_learner(reason)
+        log_file.replace_damaged(loaded)
+    elif loaded.torn_bytes:
+        log.info("control: %d bytes of a write that was never whole are dropped", loaded.torn_bytes)
+    chance = random.Random(secrets.randbits(SEED_BITS))
+    now = asyncio.get_running_loop().time()
+    replica = Replica(
+        config.name, config.votes, loaded.hard_state, loaded.entries, chance, now, is_voter=not reason
+    )  # fmt: skip
+    return replica, reason
+
+
+def build_node(config: NodeConfiguration, seal: Seal, folder: StateFolder, log_file: LogFile) -> ControlNode:
+    """A node as it starts: its epoch is raised, durably. Raises OSError."""
+    replica, reason = load_log(folder, log_file, config)
+    if reason:
+        log.warning("control: starts as a learner, which counts for no majority: %s", reason)
+    epoch = folder.read_epoch() + 1
+    folder.write_epoch(epoch)
+    session = secrets.randbits(SESSION_BITS) + 1
+    channel = Channel(config.name, epoch, session, seal, config.addresses(), folder.read_starts())
+    chance = random.Random(secrets.randbits(SEED_BITS))
+    now = asyncio.get_running_loop().time()
+    return ControlNode(channel, replica, ConfigurationStore(), validate, chance, now, reason)
+
+
+class NodeProcess:
+    """The node's process from its start to its end."""
+
+    def __init__(self, config: NodeConfiguration, seal: Seal, disk: Disk) -> None:
+        """Raises OSError."""
+        self.config, self.seal = config, seal
+        self.loop = asyncio.get_running_loop()
+        self.stopped: asyncio.Future[int] = self.loop.create_future()
+        folder = StateFolder(config.state)
+        self.log_file = LogFile(config.state, disk)
+        node = build_node(config, seal, folder, self.log_file)
+        self.socket = UdpSocket()
+        self.driver = NodeDriver(
+            node, self.log_file, FolderNotes(folder, node), self.socket.send, self.failed
+        )  # fmt: skip
+        self.socket.on_datagram = self.driver.received
+        self.control = Control(config.state, OperatorCommands(self.driver).commands())
+
+    async def run(self) -> int:
+        """Raises OSError where an address cannot be bound."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop, 0)
+        self.loop.add_signal_handler(signal.SIGHUP, self.reread_keys)
+        try:
+            await self.socket.open(self.config.listen)
+            await self.control.start()
+            self.driver.start()
+            log.info("control: %s: ready on %s:%d", self.config.name, *self.config.listen)
+            return await self.stopped
+        finally:
+            self.driver.close()
+            self.control.close()
+            self.socket.close()
+            self.log_file.disk.finish()
+            self.log_file.close()
+
+    def stop(self, code: int) -> None:
+        if not self.stopped.done():
+            log.info("control: %s: ends", self.config.name)
+            self.stopped.set_result(code)
+
+    def failed(self, error: Exception) -> None:
+        """A defect: better no node than one that goes on with half a step done."""
+        log.critical("control: %s: ended by a defect", self.config.name, exc_info=error)
+        self.stop(1)
+
+    def reread_keys(self) -> None:
+        """SIGHUP."""
+        try:
+            keys = read_keys(self.config.key_file)
+        except KeyFileError as error:
+            log.error("control: the keys stay as they were: %s", error)
+            return
+        self.seal.change(keys)
+        log.info("control: %d keys from now on", len(keys))
+
+
+if __name__ == "__main__":
+    logging.basicConfig(format="%(asctime)s %(levelname)s %(message)s", level=logging.INFO)
+    sys.exit(run(Path(sys.argv[1])))
--- /dev/null
+++ b/elmglade/control/requests.py
@@ -0,0 +1,219 @@
+"""Operators' changes on their way: validated and proposed by the leader, forwarded to it by any other node.
+
+Rules:
+
+- A request waits at the node that it was made at, and is proposed or forwarded again each `RETRY_INTERVAL_S`
+  until its answer is here. After `ANSWER_TIMEOUT_S` the answer is `unavailable`: whether the change was made
+  is known once it is asked for again, under the same id.
+- The leader answers from the store where the id was applied. Otherwise it validates what the change leads to,
+  against the document that the change names as its base: faults and an older base are answered at once, and
+  nothing is written. A leader that has not applied an entry of its own term yet does not answer: its document
+  may lack changes that were confirmed.
+- In one term an id is proposed once. Where a term was lost the store's memory of ids makes it once.
+- A node answers its operator once its own document has the version, so that what is read there shows it.
+"""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from elmglade.control.document import DeltaMismatchError
+from elmglade.control.messages import (
+    Change,
+    ChangeResult,
+    ForwardedChange,
+    ForwardedResult,
+    LogEntry,
+    OperatorMessage,
+    Outcome,
+)
+from elmglade.control.raft import Role
+from elmglade.control.replica import Replica
+from elmglade.control.store import ChangeFormatError, ConfigurationStore, decode_change, encode_change
+
+RETRY_INTERVAL_S = 0.3
+ANSWER_TIMEOUT_S = 3.0
+FORWARDED_LIMIT = 256  # requests of other nodes that are remembered; they ask again
+WAITING_LIMIT = 256  # requests of this node's operators at once
+FAULTS_LIMIT = 100  # that one answer names
+FAULT_LENGTH_LIMIT = 400  # characters
+
+Validate = Callable[[Mapping[str, bytes]], tuple[str, ...]]
+Answer = Callable[[ChangeResult], None]
+
+
+@dataclass(slots=True)
+class WaitingRequest:
+    """A request of an operator at this node. `result`: known, and not yet shown by the own document."""
+
+    change: Change
+    answers: list[Answer]
+    deadline: float
+    retry_at: float
+    result: ChangeResult | None = None
+
+
+@dataclass(slots=True)
+class ForwardedRequest:
+    """A request of other nodes that this one proposed."""
+
+    change: Change
+    askers: set[str] = field(default_factory=set)
+
+
+class ChangeRequests:
+    """The changes that are under way through one node."""
+
+    def __init__(self, replica: Replica, store: ConfigurationStore, validate: Validate) -> None:
+        self.replica, self.store, self.validate = replica, store, validate
+        self._waiting: dict[str, WaitingRequest] = {}
+        self._forwarded: dict[str, ForwardedRequest] = {}
+        self._proposed: dict[str, int] = {}  # by request id: the term
+        self._out: list[tuple[str, OperatorMessage]] = []
+
+    def take_messages(self) -> list[tuple[str, OperatorMessage]]:
+        """What is to be sent, each with the node that it is for."""
+        out, self._out = self._out, []
+        return out
+
+    # Requests of this node's operators.
+
+    def submit(self, change: Change, answer: Answer, now: float) -> None:
+        """Calls `answer` once: when the outcome is known, or after ANSWER_TIMEOUT_S."""
+        if fault := _format_fault(change):
+            answer(self._result(change, Outcome.INVALID, (fault,)))
+            return
+        waiting = self._waiting.get(change.request_id)
+        if waiting is not None:
+            waiting.answers.append(answer)
+            return
+        if len(self._waiting) >= WAITING_LIMIT:
+            answer(self._result(change, Outcome.UNAVAILABLE, ("too many requests at once",)))
+            return
+        waiting = WaitingRequest(change, [answer], now + ANSWER_TIMEOUT_S, now)
+        self._waiting[change.request_id] = waiting
+        self._try(waiting, now)
+
+    def tick(self, now: float) -> None:
+        """Tries again what is due, and gives up what is too late."""
+        for waiting in tuple(self._waiting.values()):
+            if now >= waiting.deadline:
+                late = waiting.result or self._result(waiting.change, Outcome.UNAVAILABLE)
+                self._finish(waiting, late)
+            elif now >= waiting.retry_at:
+                self._try(waiting, now)
+
+    def _try(self, waiting: WaitingRequest, now: float) -> None:
+        waiting.retry_at = now + RETRY_INTERVAL_S
+        if waiting.result is not None:
+            return
+        if self.replica.role is Role.LEADER:
+            result = self._consider(waiting.change, now)
+            if result is not None:
+                self._take_result(waiting, result)
+        elif self.replica.leader:
+            self._out.append((self.replica.leader, ForwardedChange(waiting.change)))
+
+    def _take_result(self, waiting: WaitingRequest, result: ChangeResult) -> None:
+        waiting.result = result
+        if result.outcome is not Outcome.APPLIED or self.store.document.version >= result.version:
+            self._finish(waiting, result)
+
+    def _finish(self, waiting: WaitingRequest, result: ChangeResult) -> None:
+        del self._waiting[waiting.change.request_id]
+        for answer in waiting.answers:
+            answer(result)
+
+    # Messages of other nodes.
+
+    def receive(self, sender: str, message: ForwardedChange | ForwardedResult, now: float) -> None:
+        """Takes a change that another node forwards, or the answer to one that this node did."""
+        if isinstance(message, ForwardedResult):
+            waiting = self._waiting.get(message.result.request_id)
+            if waiting is not None and waiting.result is None:
+                self._take_result(waiting, message.result)
+            return
+        change = message.change
+        if self.replica.role is not Role.LEADER or _format_fault(change):
+            return
+        result = self._consider(change, now)
+        if result is not None:
+            self._out.append((sender, ForwardedResult(result)))
+            return
+        if len(self._forwarded) >= FORWARDED_LIMIT:
+            del self._forwarded[next(iter(self._forwarded))]
+        self._forwarded.setdefault(change.request_id, ForwardedRequest(change)).askers.add(sender)
+
+    # The leader's part.
+
+    def _consider(self, change: Change, now: float) -> ChangeResult | None:
+        """The answer where it is known now; otherwise the change is proposed, once a term."""
+        known = self.store.known_result(change.request_id)
+        if known is not None:
+            return known
+        if not self._is_caught_up():
+            return None
+        version = self.store.document.version
+        if change.base_version != version:
+            is_under_way = self._proposed.get(change.request_id) == self.replica.term
+            return None if is_under_way else self._result(change, Outcome.CONFLICT)
+        if self._proposed.get(change.request_id) == self.replica.term:
+            return None
+        faults = self._faults(change)
+        if faults:
+            return self._result(change, Outcome.INVALID, faults)
+        self.replica.propose(encode_change(change), now)
+        self._proposed[change.request_id] = self.replica.term
+        return None
+
+    def _is_caught_up(self) -> bool:
+        """Whether all that was confirmed before this leader's term is in its document."""
+        applied = self.store.applied_index
+        return applied > 0 and self.replica.entry(applied).term == self.replica.term
+
+    def _faults(self, change: Change) -> tuple[str, ...]:
+        document = self.store.document
+        try:
+            document.digest_after(change.put, change.delete)
+        except DeltaMismatchError as error:
+            return (str(error),)
+        resources = dict(document.resources)
+        for name in change.delete:
+            del resources[name]
+        resources.update((each.name, each.value) for each in change.put)
+        faults = [fault[:FAULT_LENGTH_LIMIT] for fault in self.validate(resources)]
+        if len(faults) > FAULTS_LIMIT:
+            faults[FAULTS_LIMIT:] = [f"and {len(faults) - FAULTS_LIMIT} more"]
+        return tuple(faults)
+
+    def _result(self, change: Change, outcome: Outcome, faults: tuple[str, ...] = ()) -> ChangeResult:
+        return ChangeResult(change.request_id, outcome, self.store.document.version, faults)
+
+    # Applied entries.
+
+    def applied(self, entry: LogEntry, result: ChangeResult | None) -> None:
+        """An entry was applied here; `result` is what the store made of it."""
+        if result is not None and entry.data:
+            self._proposed.pop(result.request_id, None)
+            forwarded = self._forwarded.pop(result.request_id, None)
+            if forwarded is not None:
+                self._out += [(asker, ForwardedResult(result)) for asker in sorted(forwarded.askers)]
+            waiting = self._waiting.get(result.request_id)
+            if waiting is not None:
+                waiting.result = result
+        for waiting in tuple(self._waiting.values()):
+            if waiting.result is not None:
+                self._take_result(waiting, waiting.result)
+
+    def term_changed(self) -> None:
+        """What was proposed or forwarded in another term may be lost; it is asked for again."""
+        self._proposed.clear()
+        self._forwarded.clear()
+
+
+def _format_fault(change: Change) -> str:
+    """Why a change cannot be an entry of the log; empty if it can."""
+    try:
+        decode_change(encode_change(change))
+    except ChangeFormatError as error:
+        return str(error)
+    return ""
--- a/elmglade/directory/control.py
+++ b/elmglade/directory/control.py
@@ -12,7 +12,7 @@
 import os
 import socket
 import struct
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from pathlib import Path
 from typing import Any
 
@@ -23,6 +23,7 @@
 
 log = logging.getLogger(__name__)
 
+#: Gives the answer's value, or an awaitable of it; a client that waits holds its connection meanwhile.
 Command = Callable[[Mapping[str, Any]], Any]
 
 
@@ -90,24 +91,39 @@
                 if not line:
                     return
                 told = self.answer(line)
+                if isinstance(told.get("value"), Awaitable):
+                    told = await self.answer_later(told["value"])
             writer.write(json.dumps(told).encode() + b"\n")
             await writer.drain()
 
     def answer(self, line: bytes) -> dict[str, Any]:
-        """Never raises for what is asked, and nothing that is asked ends the sender."""
+        """Never raises for what is asked, and nothing that is asked ends the sender. The value may be an
+        awaitable."""
         try:
             asked = json.loads(line)
             if not isinstance(asked, dict) or asked.get("do") not in self.commands:
                 known = ", ".join(sorted(self.commands))
                 return {"ok": False, "faults": [f"do must be one of {known}"]}
             return {"ok": True, "value": self.commands[asked["do"]](asked)}
-        except (ValueError, RecursionError) as error:
-            return {"ok": False, "faults": getattr(error, "faults", [str(error)])}
-        except KeyError as error:
-            return {"ok": False, "faults": [f"{error.args[0]} is missing or unknown"]}
         except Exception as error:
-            log.exception("a control request failed")
-            return {"ok": False, "faults": [f"{type(error).__name__}: {error}"]}
+            return refusal(error)
+
+    async def answer_later(self, value: Awaitable[Any]) -> dict[str, Any]:
+        """The same for a value that is awaited."""
+        try:
+            return {"ok": True, "value": await value}
+        except Exception as error:
+            return refusal(error)
+
+
+def refusal(error: Exception) -> dict[str, Any]:
+    """The answer to a request that raised `error`."""
+    if isinstance(error, ValueError | RecursionError):
+        return {"ok": False, "faults": getattr(error, "faults", [str(error)])}
+    if isinstance(error, KeyError):
+        return {"ok": False, "faults": [f"{error.args[0]} is missing or unknown"]}
+    log.error("a control request failed", exc_info=error)
+    return {"ok": False, "faults": [f"{type(error).__name__}: {error}"]}
 
 
 def may_ask(sock: socket.socket) -> bool:
