--- a/elmglade/control/node.py
+++ b/elmglade/control/node.py
@@ -10,8 +10,9 @@
 - Only the caller's monotonic clock is used, and only differences of it.
 """
 
+import logging
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from elmglade.control.channel import BodyTooLargeError, Channel
@@ -38,12 +39,15 @@
 DISK_RETRY_S = 1.0
 STATUS_TIMEOUT_S = 1.0
 STATUS_REPEAT_S = 0.25
-WATCHERS_IN_STATUS_LIMIT = 1_000
+WATCHERS_BYTES_LIMIT = 48 * 1024  # of the watchers in one status, as they are encoded
+WATCHER_OVERHEAD = 32  # bytes of a watcher's numbers, at the most
 REASON_IN_STATUS_LIMIT = 120  # characters
 FAULT_IN_STATUS_LIMIT = 400  # characters
 MS_PER_SECOND = 1_000
 BEHIND_REASON = "its disk is older than what other nodes have heard of it"
 
+log = logging.getLogger(__name__)
+
 StatusAnswer = Callable[[dict[str, NodeStatus]], None]
 
 
@@ -190,14 +194,13 @@
     def _send(self, to: str, body: Body) -> None:
         try:
             self.channel.send(to, body, self._now)
-        except BodyTooLargeError:
-            if isinstance(body, NodeStatus):
-                self.channel.send(to, _without_watchers(body), self._now)
+        except BodyTooLargeError as error:
+            log.error("control: not said to %s: %s", to, error)
 
     # Status.
 
     def status(self, now: float, number: int = 0) -> NodeStatus:
-        """This node's own view; of its watchers those with the oldest version first."""
+        """This node's own view. Of its watchers those with the oldest version come first, so many as fit."""
         watchers = sorted(self.fanout.watchers(now), key=lambda each: each.version)
         return NodeStatus(
             number=number,
@@ -208,7 +211,7 @@
             version=self.store.document.version,
             commit_index=self.replica.commit_index,
             age_ms=self._authority_age_ms(),
-            watchers=tuple(_shortened(each) for each in watchers[:WATCHERS_IN_STATUS_LIMIT]),
+            watchers=_as_many_as_fit(watchers),
             fault=self.fault()[:FAULT_IN_STATUS_LIMIT],
         )
 
@@ -261,8 +264,11 @@
     return WatcherStatus(watcher.name, watcher.version, watcher.refused_version, reason, watcher.silent_ms)
 
 
-def _without_watchers(status: NodeStatus) -> NodeStatus:
-    return NodeStatus(
-        status.number, status.name, status.role, status.leader, status.term, status.version,
-        status.commit_index, status.age_ms, (), status.fault,
-    )  # fmt: skip
+def _as_many_as_fit(watchers: Iterable[WatcherStatus]) -> tuple[WatcherStatus, ...]:
+    found, size = [], 0
+    for watcher in map(_shortened, watchers):
+        size += len(watcher.name.encode()) + len(watcher.reason.encode()) + WATCHER_OVERHEAD
+        if size > WATCHERS_BYTES_LIMIT:
+            break
+        found.append(watcher)
+    return tuple(found)
--- a/elmglade/control/operators.py
+++ b/elmglade/control/operators.py
@@ -62,7 +62,7 @@
     def get(self, asked: Mapping[str, Any]) -> dict[str, Any]:
         """The document that is in force here, and how old this node's knowledge is."""
         document = self.node.store.document
-        status = self.node.status(self.driver.loop.time())
+        status = self.node.status(self.driver.clock())
         return {
             "version": document.version,
             "digest": document.digest,
--- a/elmglade/control/process.py
+++ b/elmglade/control/process.py
@@ -79,7 +79,9 @@
         raise ConfigError([Fault("key_file", str(error))]) from None
 
 
-def load_log(folder: StateFolder, log_file: LogFile, config: NodeConfiguration) -> tuple[Replica, str]:
+def load_log(
+    folder: StateFolder, log_file: LogFile, config: NodeConfiguration, chance: random.Random, now: float
+) -> tuple[Replica, str]:
     """The replica as the disk has it, and why it is a learner. A learner is marked as one before a damaged
     log is replaced. Raises OSError."""
     identity = folder.identity()
@@ -98,25 +100,28 @@
         log_file.replace_damaged(loaded)
     elif loaded.torn_bytes:
         log.info("control: %d bytes of a write that was never whole are dropped", loaded.torn_bytes)
-    chance = random.Random(secrets.randbits(SEED_BITS))
-    now = asyncio.get_running_loop().time()
     replica = Replica(
         config.name, config.votes, loaded.hard_state, loaded.entries, chance, now, is_voter=not reason
     )  # fmt: skip
     return replica, reason
 
 
-def build_node(config: NodeConfiguration, seal: Seal, folder: StateFolder, log_file: LogFile) -> ControlNode:
+def build_node(
+    config: NodeConfiguration,
+    seal: Seal,
+    folder: StateFolder,
+    log_file: LogFile,
+    chance: random.Random,
+    now: float,
+) -> ControlNode:
     """A node as it starts: its epoch is raised, durably. Raises OSError."""
-    replica, reason = load_log(folder, log_file, config)
+    replica, reason = load_log(folder, log_file, config, chance, now)
     if reason:
         log.warning("control: starts as a learner, which counts for no majority: %s", reason)
     epoch = folder.read_epoch() + 1
     folder.write_epoch(epoch)
     session = secrets.randbits(SESSION_BITS) + 1
     channel = Channel(config.name, epoch, session, seal, config.addresses(), folder.read_starts())
-    chance = random.Random(secrets.randbits(SEED_BITS))
-    now = asyncio.get_running_loop().time()
     return ControlNode(channel, replica, ConfigurationStore(), validate, chance, now, reason)
 
 
@@ -130,7 +135,8 @@
         self.stopped: asyncio.Future[int] = self.loop.create_future()
         folder = StateFolder(config.state)
         self.log_file = LogFile(config.state, disk)
-        node = build_node(config, seal, folder, self.log_file)
+        chance = random.Random(secrets.randbits(SEED_BITS))
+        node = build_node(config, seal, folder, self.log_file, chance, self.loop.time())
         self.socket = UdpSocket()
         self.driver = NodeDriver(
             node, self.log_file, FolderNotes(folder, node), self.socket.send, self.failed
--- a/elmglade/control/udp.py
+++ b/elmglade/control/udp.py
@@ -82,9 +82,12 @@
         notes: FolderNotes,
         send: Callable[[Address, bytes], None],
         failed: Callable[[Exception], None],
+        clock: Callable[[], float] | None = None,
     ) -> None:
-        """`failed` is called with a defect; the node does nothing more then."""
+        """`failed` is called with a defect; the node does nothing more then. `clock`: monotonic seconds; the
+        loop's, if not given."""
         self.loop = asyncio.get_running_loop()
+        self.clock = clock or self.loop.time
         self.node, self.log_file, self.notes = node, log_file, notes
         self.send, self.failed = send, failed
         self.is_over = False
@@ -104,18 +107,18 @@
 
     def received(self, datagram: bytes, source: Address) -> None:
         """A datagram came from the network."""
-        self._step(partial(self.node.receive, datagram, source, self.loop.time()))
+        self._step(partial(self.node.receive, datagram, source, self.clock()))
 
     def do(self, action: Callable[[float], None]) -> None:
         """Has the node do something, and carries on with what follows from it."""
-        self._step(partial(action, self.loop.time()))
+        self._step(partial(action, self.clock()))
 
     def _step(self, action: Callable[[], None]) -> None:
         if self.is_over:
             return
         try:
             action()
-            self.notes.save(self.loop.time())
+            self.notes.save(self.clock())
             batch = self.node.take_batch()
             if batch is not None:
                 self._spawn(self._store(batch))
@@ -167,7 +170,7 @@
                 log.error("control: the disk takes no writes, nothing is confirmed: %s", fault)
             else:
                 log.info("control: the disk takes writes again")
-        self._record_refused_datagrams(self.loop.time())
+        self._record_refused_datagrams(self.clock())
 
     def _record_refused_datagrams(self, now: float) -> None:
         refused = self.node.channel.refused
