Four control nodes as processes: kills, pauses, loss, a cut, keys and ends

What holds on virtual time must hold between real processes, sockets and disks as well. lab/control_cluster.py starts control nodes behind the relay and watchers beside them; the relay sends a datagram from where its sender is called, so that watchers not listed anywhere can be answered.

--- a/elmglade/lab/cluster.py
+++ b/elmglade/lab/cluster.py
@@ -104,13 +104,15 @@
             later = self.chance.uniform(0, self.delay)
             if later:
                 loop = asyncio.get_running_loop()
-                self.timers.add(loop.call_later(later, self.forward, to, data))
+                self.timers.add(loop.call_later(later, self.forward, to, data, by))
             else:
-                self.forward(to, data)
+                self.forward(to, data, by)
 
-    def forward(self, to: str, data: bytes) -> None:
-        if not self.public[to].is_closing():
-            self.public[to].sendto(data, (HOST, self.ports[to]))
+    def forward(self, to: str, data: bytes, by: str) -> None:
+        """It comes from where its sender is called, so that it can be answered there."""
+        source = self.public.get(by, self.public[to])
+        if not source.is_closing():
+            source.sendto(data, (HOST, self.ports[to]))
 
     def split(self, *sides: str) -> None:
         """Each side: its members' names, with blanks between."""
--- /dev/null
+++ b/elmglade/lab/control_cluster.py
@@ -0,0 +1,303 @@
+"""Control nodes as processes on loopback, watchers in this process, and the relay of lab/cluster.py between.
+
+A node's process is `python -m elmglade.control.process`. Its end by a signal is all that a kill does: its
+disk keeps what it wrote.
+"""
+
+import asyncio
+import base64
+import random
+import re
+import signal
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, Self
+
+from elmglade.control import process as control_process
+from elmglade.control.channel import Channel
+from elmglade.control.configuration import load
+from elmglade.control.document import Document
+from elmglade.control.messages import Address, Delta, WatchMessage
+from elmglade.control.watch import ControlNodeAddress, Watch
+from elmglade.directory.control import ask
+from elmglade.lab.cluster import HOST, PATIENCE, Relay
+
+WATCH_TICK_S = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlan:
+    """A control node as it is listed."""
+
+    name: str
+    region: str
+    votes: int = 1
+
+
+FOUR_NODES = (
+    NodePlan("c1", "north", 2),
+    NodePlan("c2", "north"),
+    NodePlan("c3", "south"),
+    NodePlan("c4", "south"),
+)
+
+
+@dataclass
+class ControlMember:
+    """A control node's folder and its process."""
+
+    plan: NodePlan
+    folder: Path
+    own: int = 0  # the port that it binds, and the one at which it is called
+    public: int = 0
+    process: asyncio.subprocess.Process | None = None
+    reader: asyncio.Task[None] | None = None
+    log: list[str] = field(default_factory=list)
+
+    @property
+    def config(self) -> Path:
+        return self.folder / "control.toml"
+
+    @property
+    def state(self) -> Path:
+        return self.folder / "state"
+
+
+class RecordingApplier:
+    """Takes every version, and notes them."""
+
+    def __init__(self) -> None:
+        self.versions: list[int] = []
+
+    def apply(self, document: Document, delta: Delta) -> None:
+        self.versions.append(delta.to_version)
+
+
+class LabWatcher(asyncio.DatagramProtocol):
+    """A sender's watch on a socket of its own."""
+
+    def __init__(self, name: str, region: str, nodes: Sequence[ControlNodeAddress], config: Path) -> None:
+        """`config`: of any control node, whose key it has."""
+        chance = random.Random(name)
+        self.loop = asyncio.get_running_loop()
+        self.name, self.region, self.applier = name, region, RecordingApplier()
+        addresses = {each.name: each.address for each in nodes}
+        seal = control_process.read_seal(load(config))
+        self.channel = Channel(name, 1, chance.getrandbits(60) + 1, seal, addresses)
+        self.watch = Watch(name, nodes, region, Document(), self.applier, chance, self.loop.time())
+        self.changed = asyncio.Condition()
+        self.transport: asyncio.DatagramTransport | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self, port: int) -> None:
+        self.transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=(HOST, port))
+        self.spawn(self.run())
+
+    def spawn(self, work: Any) -> None:  # noqa: ANN401
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        now, before = self.loop.time(), self.watch.document.version
+        for sender, body in self.channel.receive(data, (str(addr[0]), addr[1]), now):
+            if isinstance(body, WatchMessage):
+                self.watch.receive(sender, body, now)
+        if self.watch.document.version != before:
+            self.spawn(self.tell_changed())
+        self.flush(now)
+
+    async def tell_changed(self) -> None:
+        async with self.changed:
+            self.changed.notify_all()
+
+    async def until_version(self, version: int) -> None:
+        """Waits until `version` or a later one is in force here."""
+        async with self.changed:
+            await self.changed.wait_for(lambda: self.watch.document.version >= version)
+
+    def flush(self, now: float) -> None:
+        for to, message in self.watch.take_messages():
+            self.channel.send(to, message, now)
+        for address, datagram in self.channel.take_datagrams():
+            if self.transport and not self.transport.is_closing():
+                self.transport.sendto(datagram, address)
+
+    async def run(self) -> None:
+        while True:
+            now = self.loop.time()
+            self.watch.tick(now)
+            self.flush(now)
+            await asyncio.sleep(WATCH_TICK_S)
+
+    def close(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        if self.transport:
+            self.transport.close()
+
+
+class ControlCluster:
+    """Control nodes and watchers, with what is done to them."""
+
+    def __init__(self, folder: Path, plans: Sequence[NodePlan] = FOUR_NODES, seed: int = 0) -> None:
+        self.relay = Relay(seed)
+        self.key = random.Random(f"control key {seed}").randbytes(32)
+        self.members = {plan.name: ControlMember(plan, folder / plan.name) for plan in plans}
+        self.watchers: list[LabWatcher] = []
+
+    async def __aenter__(self) -> Self:
+        for name, member in self.members.items():
+            member.folder.mkdir()
+            member.own, member.public = await self.relay.add(name)
+        for member in self.members.values():
+            self.configure(member)
+            control_process.initialise(member.config)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for watcher in self.watchers:
+            watcher.close()
+        await self.kill(*self.members)
+        self.relay.close()
+
+    def configure(self, member: ControlMember) -> None:
+        """Writes its configuration and key."""
+        key = member.folder / "control.key"
+        key.write_text(base64.b64encode(self.key).decode() + "\n")
+        key.chmod(0o600)
+        lines = [
+            f'name = "{member.plan.name}"',
+            'cluster = "lab"',
+            f'listen = "{HOST}:{member.own}"',
+            'state = "state"',
+            'key_file = "control.key"',
+        ]
+        for each in self.members.values():
+            lines += [
+                "[[nodes]]",
+                f'name = "{each.plan.name}"',
+                f'address = "{HOST}:{each.public}"',
+                f'region = "{each.plan.region}"',
+                f"votes = {each.plan.votes}",
+            ]
+        member.config.write_text("\n".join(lines) + "\n")
+
+    def addresses(self) -> tuple[ControlNodeAddress, ...]:
+        return tuple(
+            ControlNodeAddress(name, (HOST, each.public), each.plan.region)
+            for name, each in self.members.items()
+        )
+
+    async def watch(self, name: str, region: str) -> LabWatcher:
+        """Starts a watcher."""
+        own, _ = await self.relay.add(name)
+        config = next(iter(self.members.values())).config
+        watcher = LabWatcher(name, region, self.addresses(), config)
+        self.watchers.append(watcher)
+        await watcher.start(own)
+        return watcher
+
+    # Processes.
+
+    async def start(self, *names: str) -> None:
+        """Starts these nodes, or all, and waits until they serve."""
+        await asyncio.gather(*(self.start_one(self.members[name]) for name in names or self.members))
+
+    async def start_one(self, member: ControlMember) -> None:
+        words = [sys.executable, "-m", "elmglade.control.process", str(member.config)]
+        pipe, nothing = asyncio.subprocess.PIPE, asyncio.subprocess.DEVNULL
+        member.process = await asyncio.create_subprocess_exec(
+            *words, stdin=nothing, stdout=nothing, stderr=pipe
+        )
+        ready: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        member.reader = asyncio.create_task(self.read(member, member.process, ready))
+        async with asyncio.timeout(PATIENCE):
+            await ready
+
+    async def read(
+        self, member: ControlMember, process: asyncio.subprocess.Process, ready: asyncio.Future[None]
+    ) -> None:
+        assert process.stderr
+        while line := (await process.stderr.readline()).decode(errors="replace"):
+            member.log.append(line.rstrip())
+            if re.search(r"ready on \S+:\d+", line) and not ready.done():
+                ready.set_result(None)
+        if not ready.done():
+            ready.set_exception(RuntimeError(f"{member.plan.name} did not start: {member.log[-5:]}"))
+
+    def signal(self, name: str, number: int) -> None:
+        process = self.members[name].process
+        if process is not None and process.returncode is None:
+            process.send_signal(number)
+
+    async def kill(self, *names: str) -> None:
+        for name in names:
+            self.signal(name, signal.SIGKILL)
+        for name in names:
+            await self.ended(name)
+
+    async def ended(self, name: str) -> int | None:
+        """Waits for the end of a node's process; its exit code."""
+        member = self.members[name]
+        process, member.process = member.process, None
+        if process is None:
+            return None
+        code = await process.wait()
+        if member.reader:
+            await member.reader
+        return code
+
+    def running(self) -> list[str]:
+        return [name for name, each in self.members.items() if each.process is not None]
+
+    # Operators.
+
+    async def ask(self, name: str, request: Mapping[str, Any]) -> Any:  # noqa: ANN401
+        """The value of a node's answer. Raises OSError where it does not answer."""
+        told = await asyncio.to_thread(ask, self.members[name].state, request)
+        if not told["ok"]:
+            raise ValueError(told["faults"])
+        return told["value"]
+
+    async def set(
+        self, name: str, request_id: str, base: int, put: Mapping[str, Any], within: float = PATIENCE
+    ) -> dict[str, Any]:
+        """Asks for a change until its outcome is known."""
+        request = {"do": "set", "request_id": request_id, "base_version": base, "put": put, "delete": []}
+        async with asyncio.timeout(within):
+            while True:
+                told: dict[str, Any] = await self.ask(name, request)
+                if told["outcome"] != "unavailable":
+                    return told
+
+    async def until_version(
+        self, version: int, names: Sequence[str], watchers: Sequence[LabWatcher], within: float = PATIENCE
+    ) -> float:
+        """Waits until these have `version` in force; the seconds that it took."""
+        began = time.monotonic()
+        async with asyncio.timeout(within):
+            await asyncio.gather(*(each.until_version(version) for each in watchers))
+            await asyncio.gather(*(self.until_node_version(name, version) for name in names))
+        return time.monotonic() - began
+
+    async def until_node_version(self, name: str, version: int) -> None:
+        while (await self.ask(name, {"do": "get"}))["version"] < version:
+            pass
+
+    async def leader(self) -> str:
+        """Waits until a node that runs leads."""
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                for name in self.running():
+                    told = await self.ask(name, {"do": "get"})
+                    if told["role"] == "leader" and told["age_ms"] < 1_000:
+                        return name
+
+
+def address_of(member: ControlMember) -> Address:
+    """Where the process itself listens, past the relay."""
+    return HOST, member.own
--- /dev/null
+++ b/tests/test_control_processes.py
@@ -0,0 +1,239 @@
+"""Control nodes as processes: kills, cuts, loss and pauses between them, seen by watchers and operators."""
+
+import asyncio
+import base64
+import signal
+import socket
+import time
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from elmglade.control import process
+from elmglade.control.configuration import load
+from elmglade.lab.control_cluster import HOST, ControlCluster, address_of
+from elmglade.tables import ConfigError
+
+IN_FORCE_WITHIN_S = 4.0  # the operators' allowance
+HEALED_WITHIN_S = 10.0  # after a fault, for the node that it befell
+NORTH, SOUTH = ("c1", "c2"), ("c3", "c4")
+
+
+def endpoint(number: int) -> dict[str, Any]:
+    return {"destination": number, "dial": f"127.0.0.1:{9_000 + number}", "rate": 60.0, "zone": "a"}
+
+
+class Operator:
+    """Makes changes and remembers what was confirmed."""
+
+    def __init__(self, cluster: ControlCluster) -> None:
+        self.cluster = cluster
+        self.version = 0
+        self.names: list[str] = []
+        self.asked_at = self.confirmed_at = 0.0
+
+    async def change(self, at: str) -> int:
+        """One more endpoint, confirmed."""
+        number = self.version + 1
+        name = f"endpoints/hub-{number}"
+        self.asked_at = time.monotonic()
+        told = await self.cluster.set(at, f"request {number}", self.version, {name: endpoint(number)})
+        assert told == {"outcome": "applied", "version": number, "faults": []}
+        self.confirmed_at = time.monotonic()
+        self.version = number
+        self.names.append(name)
+        return number
+
+    async def everywhere(self, what: str, names: tuple[str, ...] = (), regions: str = "north south") -> None:
+        """All that are reachable have what was confirmed last, in time."""
+        watchers = [each for each in self.cluster.watchers if each.region in regions]
+        nodes = names or tuple(self.cluster.running())
+        took = await self.cluster.until_version(self.version, nodes, watchers)
+        confirmed = self.confirmed_at - self.asked_at
+        print(f"{what}: confirmed after {confirmed:.2f} s, in force everywhere {took:.2f} s later")
+        assert took <= IN_FORCE_WITHIN_S
+
+    async def check(self) -> None:
+        """All that was confirmed is at every node, and versions only rose."""
+        for name in self.cluster.running():
+            told = await self.cluster.ask(name, {"do": "get"})
+            assert told["version"] == self.version
+            assert sorted(told["resources"]) == sorted(self.names)
+        for each in self.cluster.watchers:
+            versions = each.applier.versions
+            assert versions == sorted(set(versions))
+
+
+def play(folder: Path, story: Callable[[ControlCluster, Operator], Awaitable[None]], seed: int = 0) -> None:
+    async def told() -> None:
+        async with ControlCluster(folder, seed=seed) as cluster:
+            await cluster.start()
+            for number in range(4):
+                await cluster.watch(f"w{number}", ("north", "south")[number % 2])
+            await story(cluster, Operator(cluster))
+
+    asyncio.run(told())
+
+
+def test_kills_and_pauses_lose_nothing(tmp_path: Path) -> None:
+    async def story(cluster: ControlCluster, operator: Operator) -> None:
+        leader = await cluster.leader()
+        for name in cluster.members:
+            await operator.change(name)
+            await operator.everywhere(f"calm, made at {name}")
+        await cluster.kill(leader)
+        other = next(name for name in cluster.members if name != leader)
+        await operator.change(other)
+        await operator.everywhere("the leader was killed")
+        await cluster.start(leader)
+        await operator.everywhere("it came back")
+        paused = await cluster.leader()
+        cluster.signal(paused, signal.SIGSTOP)
+        awake = tuple(name for name in cluster.members if name != paused)
+        await operator.change(awake[0])
+        watchers = [each for each in cluster.watchers if each.watch.node != paused]
+        await cluster.until_version(operator.version, awake, watchers, IN_FORCE_WITHIN_S)
+        cluster.signal(paused, signal.SIGCONT)
+        await operator.everywhere("the paused leader went on")
+        await cluster.kill(*cluster.members)
+        await cluster.start()
+        await operator.change("c4")
+        await operator.everywhere("all were killed")
+        await operator.check()
+        status = await cluster.ask("c3", {"do": "status"})
+        assert [each["role"] for each in status["nodes"]].count("leader") == 1
+        assert {each["fault"] for each in status["nodes"]} == {""}
+
+    play(tmp_path, story)
+
+
+def test_loss_and_a_cut_between_regions(tmp_path: Path) -> None:
+    async def story(cluster: ControlCluster, operator: Operator) -> None:
+        relay = cluster.relay
+        relay.loss, relay.delay, relay.double = 0.1, 0.03, 0.1
+        await cluster.leader()
+        for name in cluster.members:
+            await operator.change(name)
+            await operator.everywhere(f"a tenth is lost, made at {name}")
+        relay.heal()
+        sides = [[*names, *(each.name for each in cluster.watchers if each.region == region)]
+                 for names, region in ((NORTH, "north"), (SOUTH, "south"))]  # fmt: skip
+        relay.split(*(" ".join(side) for side in sides))
+        base = operator.version
+        request = {"do": "set", "request_id": "south", "base_version": base, "delete": []}
+        refused = cluster.ask("c3", {**request, "put": {"endpoints/south": endpoint(99)}})
+        told, _ = await asyncio.gather(refused, operator.change("c2"))
+        assert told["outcome"] == "unavailable"
+        await operator.everywhere("cut, the heavy side", NORTH, "north")
+        status = await cluster.ask("c4", {"do": "status"})
+        by_name = {each["name"]: each for each in status["nodes"]}
+        assert by_name["c1"] == {"name": "c1", "is_reachable": False}
+        assert by_name["c3"]["version"] == by_name["c4"]["version"] == base
+        south = [each for each in cluster.watchers if each.region == "south"]
+        assert {each.watch.document.version for each in south} == {base}
+        relay.heal()
+        await operator.everywhere("the cut healed")
+        told = await cluster.ask("c3", {**request, "put": {"endpoints/south": endpoint(99)}})
+        assert told["outcome"] == "conflict" and told["version"] == operator.version
+        await operator.check()
+
+    play(tmp_path, story)
+
+
+def test_bad_requests_forged_datagrams_keys_and_ends(tmp_path: Path) -> None:
+    async def story(cluster: ControlCluster, operator: Operator) -> None:
+        await cluster.leader()
+        await operator.change("c1")
+        await operator.everywhere("calm")
+        bad = {"endpoints/a": {"destination": "x", "dial": "here"}, "nonsense/b": 1}
+        told = await cluster.set("c2", "bad", 1, bad)
+        assert told["outcome"] == "invalid" and told["version"] == 1
+        assert len(told["faults"]) >= 3, told
+        with pytest.raises(ValueError, match="base_version"):
+            await cluster.ask("c2", {"do": "set", "request_id": "x"})
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as forger:
+            for _ in range(5):
+                forger.sendto(b"EL1" + bytes(90), address_of(cluster.members["c2"]))
+        refused: dict[str, int] = {}
+        async with asyncio.timeout(5.0):
+            while sum(refused.values()) < 5:
+                status = await cluster.ask("c2", {"do": "status"})
+                own = next(each for each in status["nodes"] if each["name"] == "c2")
+                refused = {
+                    reason: count for reason, count in own["refused_datagrams"].items() if "key" in reason
+                }
+        # A key is changed in three rounds: the new one last, then first, then alone.
+        old, new = (base64.b64encode(key).decode() for key in (cluster.key, bytes(range(32))))
+        for keys in ((old, new), (new, old)):
+            for name, member in cluster.members.items():
+                (member.folder / "control.key").write_text("\n".join(keys) + "\n")
+                cluster.signal(name, signal.SIGHUP)
+                await operator.change(name)
+        with pytest.raises(RuntimeError, match="another process uses"):
+            member = cluster.members["c1"]
+            running, reader = member.process, member.reader
+            try:
+                await cluster.start_one(member)
+            finally:
+                member.process, member.reader = running, reader
+        cluster.signal("c1", signal.SIGTERM)
+        assert await cluster.ended("c1") == 0
+        assert not (cluster.members["c1"].state / "control").exists()
+        await operator.change("c2")
+        await cluster.start("c1")
+        assert await cluster.leader()
+        await cluster.until_version(operator.version, tuple(cluster.members), [], HEALED_WITHIN_S)
+
+    play(tmp_path, story)
+
+
+def test_a_folder_is_initialised_once_and_for_one_node(tmp_path: Path) -> None:
+    cluster = ControlCluster(tmp_path)
+    member = cluster.members["c1"]
+    member.folder.mkdir()
+    for number, each in enumerate(cluster.members.values(), 1):
+        each.public = number
+    cluster.configure(member)
+    process.initialise(member.config)
+    with pytest.raises(OSError, match="it holds identity"):
+        process.initialise(member.config)
+    text = member.config.read_text().replace(f"{HOST}:0", f"{HOST}:5")
+    member.config.write_text(text.replace('name = "c1"', 'name = "c2"', 1))
+    with pytest.raises(OSError, match="belongs to c1"):
+        process.run(member.config)
+
+
+def test_every_fault_of_a_configuration_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "control.toml"
+    path.write_text(
+        'name = "c9"\ncluster = ""\nlisten = "here"\nstate = 4\nport = 3\n'
+        '[[nodes]]\nname = "c1"\naddress = "a:1"\nvotes = 0\n'
+        '[[nodes]]\nname = "c1"\naddress = "a:1"\nregions = "x"\n'
+    )
+    with pytest.raises(ConfigError) as caught:
+        load(path)
+    paths = [fault.path for fault in caught.value.faults]
+    assert {"cluster", "listen", "state", "port", "key_file", "nodes[0].votes", "nodes[1].regions"} <= {
+        *paths
+    }
+    path.write_text(
+        'name = "c9"\ncluster = "a"\nlisten = "a:1"\nstate = "s"\nkey_file = "k"\n'
+        '[[nodes]]\nname = "c1"\naddress = "a:1"\n[[nodes]]\nname = "c1"\naddress = "a:1"\n'
+    )
+    with pytest.raises(ConfigError) as caught:
+        load(path)
+    assert [fault.path for fault in caught.value.faults] == ["nodes[1].name", "nodes[1].address", "name"]
+    path.write_text(
+        'name = "c1"\ncluster = "a"\nlisten = "a:1"\nstate = "s"\nkey_file = "k"\n'
+        '[[nodes]]\nname = "c1"\naddress = "a:1"\n'
+    )
+    with pytest.raises(ConfigError, match="key_file"):
+        process.run(path)
+
+
+def test_the_example_is_in_order() -> None:
+    config = load(Path(__file__).parent.parent / "deploy" / "control.toml")
+    assert config.votes == {"c1": 2, "c2": 1, "c3": 1, "c4": 1}
+    assert len({each.region for each in config.nodes}) == 2
