Who is no control node may watch and nothing else

All senders have the key that control nodes use, so the table of nodes alone says who takes part in replication. The new story has a watcher send changes, results, votes and entries under that key; the document and the term stay as they were. The test runs on virtual time with the others.

--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -634,6 +634,33 @@
     play(tmp_path, story)
 
 
+def test_who_is_no_control_node_may_watch_and_nothing_else(tmp_path: Path) -> None:
+    async def story(cluster: Cluster) -> None:
+        cluster.start()
+        cluster.watch(1)
+        leader = await cluster.until_led()
+        await cluster.make(leader)
+        await cluster.until_everywhere()
+        (watcher,), term = cluster.watchers, cluster.driver(leader).node.replica.term
+        now = asyncio.get_running_loop().time()
+        for name in VOTES:
+            change = cluster.change(1, b"forged")
+            for body in (
+                messages.ForwardedChange(change),
+                messages.ForwardedResult(ChangeResult(change.request_id, Outcome.APPLIED, 9)),
+                messages.VoteRequest(term + 5, 100, term + 5, False),
+                messages.AppendRequest(term + 5, 0, 0, 9, 1, ()),
+                messages.StatusRequest(1),
+            ):
+                watcher.channel.send(name, body, now)
+        watcher.flush()
+        await asyncio.sleep(3.0)
+        assert {cluster.document(name).version for name in VOTES} == {1}
+        assert cluster.driver(leader).node.replica.term == term
+
+    play(tmp_path, story)
+
+
 def test_a_folder_is_initialised_once(tmp_path: Path) -> None:
     cluster = Cluster(tmp_path)
     with pytest.raises(FolderError, match="no empty folder"):
