--- a/elmglade/cli/__init__.py
+++ b/elmglade/cli/__init__.py
@@ -12,6 +12,7 @@
 #: Where each command stands, and the extra that it needs besides the command line's own.
 COMMANDS = {
     "check": ("elmglade.cli.basic", ""),
+    "control": ("elmglade.cli.control", "fleet"),
     "demo": ("elmglade.cli.basic", "demo"),
     "destinations": ("elmglade.cli.basic", ""),
     "emulate": ("elmglade.cli.emulate", "emulator"),
--- a/elmglade/directory/control.py
+++ b/elmglade/directory/control.py
@@ -116,11 +116,11 @@
     return user in (0, os.geteuid())
 
 
-def ask(folder: Path, request: Mapping[str, Any]) -> dict[str, Any]:
-    """One request from outside, and its answer. Raises OSError where no sender listens there, and ValueError
-    for an answer that is none."""
+def ask(folder: Path, request: Mapping[str, Any], patience: float = 2 * PATIENCE) -> dict[str, Any]:
+    """One request from outside, and its answer. Raises OSError where no sender listens there, or none answers
+    for `patience` seconds, and ValueError for an answer that is none."""
     with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
-        sock.settimeout(2 * PATIENCE)
+        sock.settimeout(patience)
         sock.connect(str(folder / FILE))
         sock.sendall(json.dumps(request).encode() + b"\n")
         data = b""
--- a/elmglade/http/fleet.py
+++ b/elmglade/http/fleet.py
@@ -86,7 +86,9 @@
         state: Path,
         ready: Callable[[bool], None],
         budgets: tuple[Shared, ...] = (),
+        may_come: bool = False,
     ) -> None:
+        """`may_come`: the first budget may come while the sender runs."""
         self.engine, self.ready = engine, ready
         me = Me(engine.config.name, config.advertise, config.seeds, config.size)
         self.link = Link(me, config.listen, config.key_file, state)
@@ -94,7 +96,7 @@
         self.coordinator = Coordinator(self.link.node, self.view, engine.settings, self.link.loop.time)
         self.link.step = self.step
         self.budgets: Budgets | None = None
-        if budgets:
+        if budgets or may_come:
             from elmglade.http import budgets as shared
 
             self.budgets = shared.Budgets(engine, self.link, budgets, config.size)
@@ -149,6 +151,11 @@
         if self.budgets:
             self.budgets.configure(budgets, size)
 
+    def waits_for_start(self, budgets: tuple[Shared, ...]) -> list[str]:
+        """What could not be put in force at once, a text for each budget."""
+        assert self.budgets
+        return self.budgets.waits_for_start(budgets)
+
     def told_budgets(self) -> dict[str, object]:
         return told.status(self.budgets.desk) if self.budgets else {}
 
@@ -197,10 +204,11 @@
     state: Path,
     ready: Callable[[bool], None],
     budgets: tuple[Shared, ...] = (),
+    may_come: bool = False,
 ) -> Membership | None:
     """None where the link cannot be made: the record says why."""
     try:
-        return Membership(engine, config, state, ready, budgets)
+        return Membership(engine, config, state, ready, budgets, may_come)
     except (KeyFileError, OSError) as error:
         log.error("fleet: this sender serves alone: %s", error)
         return None
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -30,6 +30,7 @@
 from elmglade.journal.file import FILE, Journal
 
 if TYPE_CHECKING:
+    from elmglade.http.control import SenderControl
     from elmglade.http.fleet import Membership
     from elmglade.http.learned import Learned
     from elmglade.recovery.begin import Beginning
@@ -90,6 +91,17 @@
     return Beginning(config.settings, config.durability.gather, machine.clock.now, machine.disk, machine.boot)
 
 
+def control_plane(config: General, state: Path, disk: Disk | None) -> "SenderControl | None":
+    """Imported only where it is asked for: it needs the extra `fleet`."""
+    if config.control is None:
+        return None
+    try:
+        from elmglade.http.control import SenderControl
+    except ImportError as error:
+        raise OSError(f"{error}; pip install 'elmglade[fleet]'") from None
+    return SenderControl(config, state, disk)
+
+
 DRAINS = 60.0  # s for which an endpoint that another one's list drains is left alone after a power loss
 MOST_AWAY = 6 * 86_400.0  # s
 
@@ -113,6 +125,9 @@
         if config.durability.sync != "none" or is_checked(state):
             self.beginning = beginning(config, machine)
             clock, open_journal = self.beginning.now, self.beginning.open  # type: ignore[assignment]
+        self.control_plane = control_plane(config, state, machine.disk)
+        if self.control_plane:
+            config = self.control_plane.configuration.in_force()
         self.directory = directory_of(config, state, clock)
         more = (config.lists.slow_start, config.lists.eject) if config.lists else (0, None)
         self.overrides = over = OverriddenDirectory(
@@ -144,7 +159,8 @@
         if config.fleet:
             from elmglade.http.fleet import join
 
-            self.membership = join(engine, config.fleet, state, self.set_ready, config.budgets)
+            may_come = self.control_plane is not None
+            self.membership = join(engine, config.fleet, state, self.set_ready, config.budgets, may_come)
         if self.membership:
             self.membership.view.away, self.membership.view.keep_away = self.away, self.keep_away
 
@@ -185,6 +201,8 @@
         if self.membership:
             self.set_ready(self.membership.is_open())
         self.overrides.turn()
+        if self.control_plane:
+            await self.control_plane.start(self.directory, self.membership, self.engine.task_ended)
         try:
             await self.control.start()
         except OSError as error:  # such as a path that is too long for a socket
@@ -194,6 +212,8 @@
         try:
             return await super().run()
         finally:
+            if self.control_plane:
+                self.control_plane.close()
             if self.membership:
                 self.membership.close()
             self.control.close()
@@ -215,6 +235,7 @@
             "endpoints": lambda asked: {"endpoints": self.endpoints(), "lists": self.lists()},
             "fleet": lambda asked: self.membership.coordinator.status() if self.membership else {},
             "budgets": lambda asked: self.membership.told_budgets() if self.membership else {},
+            "control": lambda asked: self.control_plane.status() if self.control_plane else {},
             "confirm": lambda asked: isinstance(self.directory, FileDirectory) and self.directory.confirm(),
             "explain": lambda asked: explain.explain(
                 self.engine.dispatcher, asked["destination"], asked.get("key", ""), self.engine.now()
@@ -257,6 +278,8 @@
         sender.membership.link.reread_keys()
     try:
         config = load(path)
+        if sender.control_plane:
+            config = sender.control_plane.reread(config)
         sender.directory.configure(config.places)
         if sender.membership and config.fleet:
             sender.membership.configure(config.budgets, config.fleet.size)
--- /dev/null
+++ b/tests/test_control_sender.py
@@ -0,0 +1,217 @@
+"""A sender with `[control]`: what it opens, what SIGHUP does, and what it is told by its budgets."""
+
+import asyncio
+import base64
+import io
+import json
+import subprocess
+import sys
+from dataclasses import replace
+from pathlib import Path
+from types import SimpleNamespace
+from typing import Any
+
+import pytest
+from peers import play
+
+from elmglade import interface as face
+from elmglade.config import Shared, load
+from elmglade.control import schema
+from elmglade.control.document import Document
+from elmglade.control.document_file import DocumentFile
+from elmglade.control.messages import Delta, Resource
+from elmglade.directory.control import ask
+from elmglade.emulator.joined import Links
+from elmglade.http.configuration import IN_FORCE_FILE
+from elmglade.http.serve import LineTeller, PlainSender, reread
+from elmglade.journal.disk import Files
+from elmglade.lab.running import running
+
+ROOT = Path(__file__).parent.parent
+US = 1_000_000
+OWN = """
+name = "n1"
+listen = "127.0.0.1:0"
+[classes.c]
+effect = "safe"
+aim_ms = 4000
+deadline_ms = 8000
+[[endpoints]]
+id = "own"
+destination = 1
+dial = "127.0.0.1:1"
+"""
+CONTROL = """
+[control]
+nodes = [{ name = "c1", address = "127.0.0.1:9" }]
+key_file = "control.key"
+listen = "127.0.0.1:0"
+"""
+FLEET = """
+[fleet]
+listen = "127.0.0.1:0"
+advertise = "127.0.0.1:1"
+key_file = "control.key"
+size = 1
+"""
+HELD = schema.read_values({"endpoints/held": {"destination": 1, "dial": "127.0.0.1:2"}})
+
+
+def folder(state: Path, text: str = OWN + CONTROL) -> Path:
+    """A configuration beside its key."""
+    key = state / "control.key"
+    key.write_text(base64.b64encode(bytes(32)).decode())
+    key.chmod(0o600)
+    file = state / "sender.toml"
+    file.write_text(text)
+    return file
+
+
+def made(file: Path, state: Path) -> PlainSender:
+    return PlainSender(load(file), state, LineTeller(io.StringIO()))
+
+
+SERVED = """
+import asyncio, io, sys
+from pathlib import Path
+from elmglade.config import load
+from elmglade.http.serve import LineTeller, PlainSender, reread
+from elmglade.lab.running import running
+
+async def main(file, state):
+    sender = PlainSender(load(file), state, LineTeller(io.StringIO()))
+    async with running(sender):
+        reread(sender, file)
+        assert sender.commands()["control"]({}) == {}
+
+asyncio.run(main(Path(sys.argv[1]), Path(sys.argv[2])))
+print(sorted(name for name in sys.modules if "control" in name and name.startswith("elmglade")))
+"""
+
+
+def test_without_control_nothing_of_it_is_imported_opened_or_written(tmp_path: Path) -> None:
+    file = folder(tmp_path, OWN)
+    state = tmp_path / "state"
+    state.mkdir()
+    words = [sys.executable, "-c", SERVED, str(file), str(state)]
+    out = subprocess.run(words, cwd=ROOT, capture_output=True, check=True, text=True)
+    assert out.stdout.strip() == "['elmglade.directory.control']"
+    assert not [each.name for each in state.iterdir() if each.name.startswith("control.")]
+
+
+@pytest.mark.parametrize("module", ["__main__", "start", "http.daemon", "adapter"])
+def test_the_platform_imports_nothing_of_it(module: str) -> None:
+    code = (
+        f"import sys, elmglade.{module}; print([x for x in sys.modules if x.startswith('elmglade.control')])"
+    )
+    out = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True, text=True
+    )  # fmt: skip
+    assert out.stdout.strip() == "[]"
+
+
+@play
+async def test_a_start_and_sighup_keep_what_the_control_plane_holds(state: Path) -> None:
+    file = folder(state)
+    DocumentFile(state / IN_FORCE_FILE, Files()).store(Document(7, HELD))
+    sender = made(file, state)
+    async with running(sender):
+        assert sender.dials() == {"held": ("127.0.0.1", 2)}
+        file.write_text((OWN + CONTROL).replace('"own"', '"new"'))
+        reread(sender, file)
+        assert sender.dials() == {"held": ("127.0.0.1", 2)}
+        assert set(sender.engine.dispatcher.endpoints) == {"held"}
+        told = (await asyncio.to_thread(ask, state, {"do": "control"}))["value"]
+        assert (told["version"], told["endpoints_from"], told["budgets_from"]) == (
+            7,
+            "control plane",
+            "own file",
+        )
+        assert (told["refused_version"], told["node"], told["fault"]) == (0, "c1", "")
+    assert json.loads((state / "control.epoch").read_text()) == 1
+
+
+@play
+async def test_sighup_reads_the_file_while_nothing_stands_over_it(state: Path) -> None:
+    file = folder(state)
+    sender = made(file, state)
+    async with running(sender):
+        assert set(sender.dials()) == {"own"}
+        file.write_text((OWN + CONTROL).replace('"own"', '"new"'))
+        reread(sender, file)
+        assert set(sender.dials()) == {"new"}
+
+
+@play
+async def test_without_a_key_the_last_version_stays_and_the_status_says_why(state: Path) -> None:
+    file = folder(state)
+    (state / "control.key").unlink()
+    DocumentFile(state / IN_FORCE_FILE, Files()).store(Document(7, HELD))
+    sender = made(file, state)
+    async with running(sender):
+        assert set(sender.dials()) == {"held"}
+        told = sender.commands()["control"]({})
+        assert told["version"] == 7 and "control.key" in told["fault"]
+        reread(sender, file)
+        assert set(sender.dials()) == {"held"}
+
+
+@play
+async def test_each_start_has_a_higher_epoch(state: Path) -> None:
+    file = folder(state)
+    for number in (1, 2):
+        sender = made(file, state)
+        async with running(sender):
+            assert sender.control_plane and sender.control_plane.link
+            assert sender.control_plane.link.channel.epoch == number
+
+
+@play
+async def test_the_first_budget_may_come_while_the_sender_runs(state: Path) -> None:
+    fleet = (
+        '\n[fleet]\nlisten = "127.0.0.1:0"\nadvertise = "127.0.0.1:1"\nkey_file = "control.key"\nsize = 1\n'
+    )
+    sender = made(folder(state, OWN + CONTROL + fleet), state)
+    async with running(sender):
+        assert sender.control_plane and sender.membership and sender.membership.budgets
+        configuration = sender.control_plane.configuration
+        resources = schema.read_values({"budgets/out": {"of": "in_flight", "destination": 1, "whole": 8}})
+        document = configuration.document
+        put = tuple(Resource(*each) for each in resources.items())
+        configuration.apply(document, Delta(0, 1, put, (), document.digest_after(put, ())))
+        assert sender.membership.budgets.desk.books["out"].budget.whole == 8
+        assert [*sender.membership.budgets.of(sender.directory.endpoints()[0]).plain] == ["out"]
+
+
+def test_what_waits_for_a_start_is_what_configure_would_leave(caplog: pytest.LogCaptureFixture) -> None:
+    listed = face.Endpoint("e", 3, face.EndpointState.READY, "plain", "", 8.0)
+    at = SimpleNamespace(held={}, endpoints=[SimpleNamespace(listed=listed)], breakers=())
+    roster = SimpleNamespace(kinds={"plain": face.Kind()}, leave_grew=lambda number: None)
+    there = SimpleNamespace(endpoints={"e": at.endpoints[0]}, destinations={3: at}, roster=roster)
+    engine: Any = SimpleNamespace(dispatcher=there, post=lambda event: None, courier=None)
+    links = Links(lambda: 0.0, lambda *told: None, 1, US, 0.0, 1)
+    links.join("n0", engine, 1)
+    _, budgets = links.ends["n0"]
+    was = tuple(budgets.told.values())
+    calls = Shared("calls", "calls", "destination", 3, 10, None, US, 0, US, 0, 0)
+    budgets.configure((*was, calls), 1)
+
+    def reasons(*told: Shared) -> list[str]:
+        """The texts, which are there exactly where `configure` says that something is left as it is."""
+        found = budgets.waits_for_start((*was, *told))
+        caplog.clear()
+        budgets.configure((*was, *told), 1)
+        is_left = "that waits for a start" in caplog.text or "until the next start" in caplog.text
+        assert bool(found) == is_left
+        return found
+
+    assert reasons(calls) == [] and reasons(replace(calls, whole=4)) == []
+    assert reasons(replace(calls, floor=1, lease=2 * US, span=2 * US)) == [
+        "budgets/calls: per_ms, floor, lease_ms cannot change before the next start"
+    ]
+    assert reasons(replace(calls, by="zone", value="z")) == [
+        "budgets/calls: what it is bound to, which one it is bound to cannot change before the next start"
+    ]
+    assert reasons() == ["budgets/calls: it cannot be taken away before the next start"]
+    new = replace(calls, name="new", of="in_flight", span=None)
+    assert reasons(calls, new) == [] and len(reasons()) == 2
