A sender's link to the control plane, tested against a real channel and fan-out

The sender's socket, watch and applier have to work with a node's side and not with stand-ins for it.

--- /dev/null
+++ b/tests/test_control_link.py
@@ -0,0 +1,245 @@
+"""A real sender and a control node's channel, store and fan-out, over loopback sockets."""
+
+import asyncio
+import base64
+import io
+import random
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import cast
+
+from peers import play
+from watching import ChangedStore
+
+from elmglade.config import load
+from elmglade.control import schema
+from elmglade.control.channel import Channel
+from elmglade.control.fanout import Fanout
+from elmglade.control.messages import Poll, SnapshotRequest, WatcherStatus
+from elmglade.core.ports import End, State
+from elmglade.fleet.seal import Seal
+from elmglade.http.configuration import IN_FORCE_FILE
+from elmglade.http.serve import LineTeller, PlainSender
+from elmglade.lab.history import History
+from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.running import running
+from elmglade.lab.script import Script
+
+PATIENCE_S = 10.0  # only a failing test waits so long
+KEY = bytes(32)
+TEXT = """
+name = "n1"
+listen = "127.0.0.1:0"
+[classes.c]
+effect = "safe"
+aim_ms = 4000
+deadline_ms = 8000
+[[endpoints]]
+id = "own"
+destination = 1
+dial = "127.0.0.1:1"
+[control]
+nodes = [{{ name = "c1", address = "127.0.0.1:{port}" }}]
+key_file = "control.key"
+listen = "127.0.0.1:0"
+"""
+
+FLEET = """
+[fleet]
+listen = "127.0.0.1:0"
+advertise = "127.0.0.1:1"
+key_file = "control.key"
+size = 1
+"""
+
+
+class Node(asyncio.DatagramProtocol):
+    """One control node without a log: it confirms by itself what it is told."""
+
+    def __init__(self, key: bytes = KEY, history_limit: int = 2000) -> None:
+        self.loop = asyncio.get_running_loop()
+        self.store = ChangedStore(history_limit=history_limit)
+        self.channel = Channel("c1", 1, 77, Seal([key]), {})
+        self.fanout = Fanout(self.store, random.Random(1), self.loop.time(), lambda: 0)
+        self.heard = asyncio.Event()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        self.transport = cast(asyncio.DatagramTransport, transport)
+
+    @property
+    def port(self) -> int:
+        return int(self.transport.get_extra_info("sockname")[1])
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        now = self.loop.time()
+        for name, body in self.channel.receive(data, addr, now):
+            if isinstance(body, Poll | SnapshotRequest):
+                self.fanout.receive(name, body, now)
+        self.flush()
+        self.heard.set()
+
+    def flush(self) -> None:
+        for name, message in self.fanout.take_messages():
+            self.channel.send(name, message, self.loop.time())
+        for address, datagram in self.channel.take_datagrams():
+            self.transport.sendto(datagram, address)
+
+    def change(self, put: dict[str, object], delete: tuple[str, ...] = ()) -> int:
+        """The version that it makes, pushed at once."""
+        version = self.store.change(schema.read_values(put), delete).version
+        self.fanout.version_changed(self.loop.time())
+        self.flush()
+        return version
+
+    def watcher(self) -> WatcherStatus | None:
+        watchers = self.fanout.watchers(self.loop.time())
+        return watchers[0] if watchers else None
+
+    async def until(self, is_so: Callable[[], bool]) -> None:
+        """Looked at after each datagram that comes."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not is_so():
+                self.heard.clear()
+                await self.heard.wait()
+
+    async def acknowledged(self, version: int) -> None:
+        await self.until(lambda: (each := self.watcher()) is not None and each.version == version)
+
+    async def refused(self, version: int) -> str:
+        await self.until(lambda: (each := self.watcher()) is not None and each.refused_version == version)
+        watcher = self.watcher()
+        assert watcher
+        return watcher.reason
+
+
+@asynccontextmanager
+async def serving(node: Node, port: int = 0) -> AsyncIterator[Node]:
+    await node.loop.create_datagram_endpoint(lambda: node, local_addr=("127.0.0.1", port))
+    try:
+        yield node
+    finally:
+        node.transport.close()
+
+
+class Answers(LineTeller):
+    """Final answers, which a test waits for."""
+
+    def __init__(self) -> None:
+        super().__init__(io.StringIO(), self.note)
+        self.states: dict[str, State] = {}
+        self.came = asyncio.Event()
+
+    def note(self, message: str, end: End) -> None:
+        self.states[message] = end.state
+        self.came.set()
+
+
+def sender_at(state: Path, port: int, more: str = "", answers: LineTeller | None = None) -> PlainSender:
+    key = state / "control.key"
+    key.write_text(base64.b64encode(KEY).decode())
+    key.chmod(0o600)
+    file = state / "sender.toml"
+    file.write_text(TEXT.format(port=port) + more)
+    return PlainSender(load(file), state, answers or LineTeller(io.StringIO()))
+
+
+def hub(port: int) -> dict[str, object]:
+    return {"endpoints/hub": {"destination": 5, "dial": f"127.0.0.1:{port}"}}
+
+
+@play
+async def test_a_new_endpoint_is_in_force_and_a_message_delivered_to_it(state: Path) -> None:
+    answers, history = Answers(), History()
+    async with serving(Node()) as node, HttpEndpoint("hub", Script(), history) as receiver:
+        sender = sender_at(state, node.port, answers=answers)
+        async with running(sender):
+            await node.acknowledged(0)
+            await node.acknowledged(node.change(hub(receiver.port)))
+            assert set(sender.dials()) == set(sender.engine.dispatcher.endpoints) == {"hub"}
+            client = HttpClient(sender.server.address()[:2])
+            fields = {"X-Correlation-Id": "m1", "X-Service-Class": "c", "X-Time-Left": "8"}
+            status, _ = await client.post("/c", fields | {"X-Route-To": "dest=5"}, b"x")
+            assert status == 202
+            await asyncio.wait_for(answers.came.wait(), PATIENCE_S)
+            client.close()
+    assert answers.states == {"m1": State.DELIVERED} and receiver.served == 1
+
+
+@play
+async def test_a_refused_version_is_told_with_its_reason_and_mended_by_the_next(state: Path) -> None:
+    async with serving(Node()) as node:
+        sender = sender_at(state, node.port)
+        async with running(sender):
+            await node.acknowledged(node.change(hub(1)))
+            budget: dict[str, object] = {"of": "in_flight", "destination": 1, "whole": 8}
+            reason = await node.refused(node.change(hub(2) | {"budgets/out": budget}))
+            assert reason == "budgets/out: needs a [fleet] to be shared in, and this sender has none"
+            assert sender.dials() == {"hub": ("127.0.0.1", 1)}
+            told = sender.commands()["control"]({})
+            assert (told["version"], told["refused_version"], told["reason"]) == (1, 2, reason)
+            await node.acknowledged(node.change({}, ("budgets/out",)))
+            assert sender.dials() == {"hub": ("127.0.0.1", 2)}
+
+
+@play
+async def test_what_waits_for_a_start_is_in_force_after_it(state: Path) -> None:
+    budget: dict[str, object] = {"of": "in_flight", "destination": 1, "whole": 8}
+    async with serving(Node()) as node:
+        async with running(sender_at(state, node.port, FLEET)):
+            await node.acknowledged(node.change({"budgets/out": budget}))
+            reason = await node.refused(node.change({"budgets/out": budget | {"floor": 2}}))
+            assert reason == "budgets/out: floor cannot change before the next start"
+        sender = sender_at(state, node.port, FLEET)
+        async with running(sender):
+            await node.acknowledged(2)
+            assert sender.membership and sender.membership.budgets
+            assert sender.membership.budgets.told["out"].floor == 2
+
+
+@play
+async def test_without_nodes_the_last_version_stays_over_a_start_and_the_newest_comes_after(
+    state: Path,
+) -> None:
+    async with serving(Node()) as node:
+        port = node.port
+        async with running(sender_at(state, port)):
+            await node.acknowledged(node.change(hub(1)))
+    sender = sender_at(state, port)
+    async with running(sender):
+        assert sender.dials() == {"hub": ("127.0.0.1", 1)}
+        newest = node.store.change(schema.read_values(hub(2))).version
+        async with serving(node, port):
+            await node.acknowledged(newest)
+            assert sender.dials() == {"hub": ("127.0.0.1", 2)}
+
+
+@play
+async def test_a_damaged_document_is_fetched_whole(state: Path) -> None:
+    async with serving(Node(history_limit=1)) as node:
+        async with running(sender_at(state, node.port)):
+            await node.acknowledged(node.change(hub(1)))
+            await node.acknowledged(node.change({"endpoints/b": {"destination": 1, "dial": "h:1"}}))
+        (state / IN_FORCE_FILE).write_bytes(b"nothing")
+        sender = sender_at(state, node.port)
+        async with running(sender):
+            assert set(sender.dials()) == {"own"}
+            await node.acknowledged(0)
+            await node.acknowledged(2)
+            assert set(sender.dials()) == {"hub", "b"}
+            assert sender.control_plane and sender.control_plane.link
+            assert sender.control_plane.link.watch.counts.snapshots == 1
+
+
+@play
+async def test_what_another_key_seals_is_counted_and_nothing_else(state: Path) -> None:
+    async with serving(Node(key=bytes(31) + b"x")) as node:
+        sender = sender_at(state, node.port)
+        async with running(sender):
+            assert sender.control_plane and sender.control_plane.link
+            link = sender.control_plane.link
+            await node.until(lambda: sum(node.channel.refused.values()) >= 2)
+            link.datagram_received(node.channel.seal.seal(b"forged"), ("127.0.0.1", node.port))
+            told = sender.commands()["control"]({})
+            assert told["version"] == 0 and sum(told["refused_datagrams"].values()) == 1
+    assert node.watcher() is None
