Control nodes and a sender as processes, driven by `elmglade control`

The parts have to work together between real processes by what an operator types. The test initialises three control nodes, starts them and a sender, puts a new endpoint in force and has a message delivered to it, sees a refused version with its reason in `status`, kills the node that the sender watches and makes the next change at another one. `status` also shows what a control node says is wrong with it.

--- a/elmglade/cli/control_status.py
+++ b/elmglade/cli/control_status.py
@@ -29,6 +29,7 @@
     version: int = 0
     age_s: float = 0.0  # since it knew a leader with a majority
     watchers: int = 0
+    fault: str = ""  # what an operator is to look after
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,9 +105,10 @@
     """One control node, for a person."""
     if not node.is_reachable:
         return f"  control node {node.name:<12} does not answer"
+    fault = f"; {node.fault}" if node.fault else ""
     return (
         f"  control node {node.name:<12} {node.role:<9} version {node.version}, term {node.term}, "
-        f"{node.watchers} senders, a majority {node.age_s:.1f} s ago"
+        f"{node.watchers} senders, a majority {node.age_s:.1f} s ago{fault}"
     )
 
 
@@ -121,7 +123,7 @@
         nodes.append(
             ControlNodeView(
                 each["name"], True, each["role"], each["leader"], each["term"], each["version"],
-                each["age_ms"] / 1000, len(watchers),
+                each["age_ms"] / 1000, len(watchers), each.get("fault", ""),
             )
         )  # fmt: skip
         for watcher in watchers:
--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -118,8 +118,9 @@
 
 
 @pytest.mark.parametrize("module", ["__main__", "start", "http.daemon", "adapter"])
-def test_the_daemon_imports_no_extra(module: str) -> None:
-    code = f"import sys, elmglade.{module}; print(sorted({EXTRAS} & set(sys.modules)))"
+def test_the_daemon_imports_no_extra_and_nothing_of_the_control_plane(module: str) -> None:
+    found = f"{EXTRAS} & set(sys.modules) | {{name for name in sys.modules if 'elmglade.control' in name}}"
+    code = f"import sys, elmglade.{module}; print(sorted({found}))"
     words = [sys.executable, "-c", code]
     out = subprocess.run(words, cwd=ROOT.parent, capture_output=True, check=True, text=True)
     assert out.stdout.strip() == "[]"
--- a/tests/test_control_cli.py
+++ b/tests/test_control_cli.py
@@ -233,6 +233,9 @@
     for words in (("get",), ("status",), ("set", file(tmp_path, "")), ("status", "--wait", "1")):
         code, out = run(*words)
         assert code == 1 and "no control node answers" in out
+    missing = str(tmp_path / "none.toml")
+    assert main(["control", "serve", "--config", missing]) == 1
+    assert main(["control", "init", "--config", missing]) == 1
 
 
 def test_what_a_node_refuses_is_told(stub: Stub, run: Run, tmp_path: Path) -> None:
@@ -259,13 +262,16 @@
         node("c1", 7, watcher("n1", 7), watcher("n2", 6, refused_version=7, reason="budgets/rate: floor")),
         node("c2", 7, watcher("n3", 6, silent_ms=41_000), watcher("n4", 6), watcher("n5", 7, silent_ms=9000)),
         {"name": "c3", "is_reachable": False},
+        node("c4", 5) | {"fault": "a learner: its folder was not initialised"},
     ]
     code, out = run("status")
     assert code == 0 and out.splitlines() == [
-        "version 7: in force at 2 of 5 senders; 2 of 3 control nodes answer",
+        "version 7: in force at 2 of 5 senders; 3 of 4 control nodes answer",
         "  control node c1           follower  version 7, term 3, 2 senders, a majority 0.1 s ago",
         "  control node c2           follower  version 7, term 3, 3 senders, a majority 0.1 s ago",
         "  control node c3           does not answer",
+        "  control node c4           follower  version 5, term 3, 0 senders, a majority 0.1 s ago"
+        "; a learner: its folder was not initialised",
         "  sender n2: version 6, refused 7: budgets/rate: floor",
         "  sender n3: version 6, silent for 41.0 s",
         "  sender n4: version 6, on its way",
--- /dev/null
+++ b/tests/test_control_live.py
@@ -0,0 +1,205 @@
+"""Real control nodes and a real sender, by their command line."""
+
+import asyncio
+import base64
+import contextlib
+import io
+import json
+import re
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+
+from peers import play
+
+from elmglade.cli import main
+from elmglade.directory.control import ask
+from elmglade.lab.history import History
+from elmglade.lab.http import HttpClient, HttpEndpoint
+from elmglade.lab.script import Act, Script
+
+PATIENCE_S = 20.0  # only a failing test waits so long
+HOST = "127.0.0.1"
+NODES = ("c1", "c2", "c3")
+SENDER = """
+name = "n1"
+listen = "127.0.0.1:0"
+[classes.c]
+effect = "safe"
+aim_ms = 4000
+deadline_ms = 8000
+[[endpoints]]
+id = "own"
+destination = 1
+dial = "127.0.0.1:1"
+[control]
+key_file = "control.key"
+listen = "127.0.0.1:0"
+"""
+
+
+class Process:
+    """One process of the program, its log read as it is written."""
+
+    def __init__(self, process: asyncio.subprocess.Process) -> None:
+        self.process = process
+        self.lines: list[str] = []
+
+    @classmethod
+    async def start(cls, *words: str) -> "Process":
+        pipe = asyncio.subprocess.PIPE
+        words = (sys.executable, "-m", "elmglade", *words)
+        return cls(await asyncio.create_subprocess_exec(*words, stderr=pipe, stdout=pipe))
+
+    async def logged(self, form: str) -> re.Match[str]:
+        """The next line of the log with this in it."""
+        assert self.process.stderr
+        async with asyncio.timeout(PATIENCE_S):
+            while line := (await self.process.stderr.readline()).decode():
+                self.lines.append(line)
+                if found := re.search(form, line):
+                    return found
+        raise AssertionError(f"ended without {form!r}: {''.join(self.lines)}")
+
+    async def end(self, number: int = signal.SIGTERM) -> int:
+        if self.process.returncode is None:
+            self.process.send_signal(number)
+        await asyncio.wait_for(self.process.communicate(), PATIENCE_S)
+        assert self.process.returncode is not None
+        return self.process.returncode
+
+
+def free_ports(count: int) -> list[int]:
+    """UDP ports that the system gave out a moment ago."""
+    with contextlib.ExitStack() as stack:
+        sockets = [stack.enter_context(socket.socket(type=socket.SOCK_DGRAM)) for _ in range(count)]
+        for each in sockets:
+            each.bind((HOST, 0))
+        return [int(each.getsockname()[1]) for each in sockets]
+
+
+class Plane:
+    """Three control nodes, and a sender that watches them."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        key = folder / "control.key"
+        key.write_text(base64.b64encode(bytes(32)).decode())
+        key.chmod(0o600)
+        self.ports = dict(zip(NODES, free_ports(len(NODES)), strict=True))
+        self.nodes: dict[str, Process] = {}
+
+    def write(self, name: str, text: str) -> str:
+        path = self.folder / name
+        path.write_text(text)
+        return str(path)
+
+    def state(self, name: str) -> str:
+        return str(self.folder / f"state-{name}")
+
+    def listed(self) -> str:
+        rows = [f'{{ name = "{name}", address = "{HOST}:{port}" }}' for name, port in self.ports.items()]
+        return f"nodes = [{', '.join(rows)}]\n"
+
+    def node_file(self, name: str) -> str:
+        text = f'name = "{name}"\ncluster = "test"\nlisten = "{HOST}:{self.ports[name]}"\n'
+        text += f'state = "state-{name}"\nkey_file = "control.key"\n' + self.listed()
+        return self.write(f"{name}.toml", text)
+
+    def sender_file(self) -> str:
+        return self.write("sender.toml", SENDER + self.listed())
+
+    async def run(self, *words: str) -> tuple[int, str]:
+        """`elmglade control ...`: the exit code and what it wrote."""
+
+        def run() -> tuple[int, str]:
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out), contextlib.redirect_stderr(out):
+                code = main(["control", *words])
+            return code, out.getvalue()
+
+        return await asyncio.to_thread(run)
+
+
+@asynccontextmanager
+async def plane_at(folder: Path) -> AsyncIterator[tuple[Plane, Process]]:
+    plane = Plane(folder)
+    processes: list[Process] = []
+    try:
+        for name in NODES:
+            code, out = await plane.run("init", "--config", plane.node_file(name))
+            assert code == 0, out
+            node = await Process.start("control", "serve", "--config", plane.node_file(name))
+            processes.append(node)
+            plane.nodes[name] = node
+        words = ("serve", "--config", plane.sender_file(), "--state", plane.state("n1"))
+        sender = await Process.start(*words)
+        processes.append(sender)
+        await asyncio.gather(*(node.logged("ready on") for node in plane.nodes.values()))
+        yield plane, sender
+    finally:
+        for each in processes:
+            if each.process.returncode is None:
+                each.process.kill()
+            await each.process.communicate()
+
+
+def hub_text(port: int) -> str:
+    return f'[[endpoints]]\nid = "hub"\ndestination = 5\ndial = "{HOST}:{port}"\n'
+
+
+BUDGET = '[[budgets]]\nname = "out"\nof = "in_flight"\ndestination = 5\nwhole = 8\n'
+
+
+@play
+async def test_a_change_is_in_force_delivered_to_refused_and_survives_a_node(folder: Path) -> None:
+    called = asyncio.Event()
+
+    def rule(message: str) -> Act | None:
+        called.set()
+        return None
+
+    async with plane_at(folder) as (plane, sender), HttpEndpoint("hub", Script(rule=rule), History()) as hub:
+        port = int((await sender.logged(r"ready on 127\.0\.0\.1:(\d+)"))[1])
+        state = plane.state("c1")
+        code, out = await plane.run("set", state, plane.write("hub.toml", hub_text(hub.port)))
+        assert code == 0 and out.startswith("version 1"), out
+        await sender.logged("version 1 is in force")
+        code, out = await plane.run("status", plane.state("c2"), "--wait", "1", "--timeout", "10")
+        assert code == 0 and "in force everywhere, at 1 senders" in out, out
+        await deliver(port, called)
+
+        code, out = await plane.run("set", state, plane.write("more.toml", BUDGET), "--patch")
+        assert code == 0 and out.startswith("version 2"), out
+        await sender.logged("version 2 is refused")
+        code, out = await plane.run("status", plane.state("c3"), "--wait", "2", "--timeout", "1")
+        reason = "budgets/out: needs a [fleet] to be shared in, and this sender has none"
+        assert code == 1 and f"sender n1: version 1, refused 2: {reason}" in out, out
+        told = (await asyncio.to_thread(ask, Path(plane.state("n1")), {"do": "control"}))["value"]
+        assert (told["version"], told["refused_version"], told["reason"]) == (1, 2, reason)
+
+        watched = plane.nodes[told["node"]]
+        await watched.end(signal.SIGKILL)
+        left = next(name for name in NODES if name != told["node"])
+        code, out = await plane.run("set", plane.state(left), "--patch", "--delete", "budgets/out")
+        assert code == 0 and out.startswith("version 3"), out
+        await sender.logged("version 3 is in force")
+        code, out = await plane.run("get", plane.state(left), "--json")
+        assert code == 0 and list(json.loads(out)["resources"]) == ["endpoints/hub"]
+        words = ("status", plane.state(left), "--wait", "3", "--timeout", "10", "--reachable")
+        code, out = await plane.run(*words)
+        assert code == 0 and "at 1 senders" in out, out
+        assert await sender.end() == 0
+
+
+async def deliver(port: int, called: asyncio.Event) -> None:
+    """A message is taken on, and its call comes."""
+    client = HttpClient((HOST, port))
+    fields = {"X-Correlation-Id": "m1", "X-Service-Class": "c", "X-Time-Left": "8", "X-Route-To": "dest=5"}
+    status, _ = await client.post("/c", fields, b"x")
+    client.close()
+    assert status == 202
+    await asyncio.wait_for(called.wait(), PATIENCE_S)
--- a/tests/test_control_sender.py
+++ b/tests/test_control_sender.py
@@ -99,17 +99,6 @@
     assert not [each.name for each in state.iterdir() if each.name.startswith("control.")]
 
 
-@pytest.mark.parametrize("module", ["__main__", "start", "http.daemon", "adapter"])
-def test_the_platform_imports_nothing_of_it(module: str) -> None:
-    code = (
-        f"import sys, elmglade.{module}; print([x for x in sys.modules if x.startswith('elmglade.control')])"
-    )
-    out = subprocess.run(
-        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, check=True, text=True
-    )  # fmt: skip
-    assert out.stdout.strip() == "[]"
-
-
 @play
 async def test_a_start_and_sighup_keep_what_the_control_plane_holds(state: Path) -> None:
     file = folder(state)
