--- a/tests/test_arrows.py
+++ b/tests/test_arrows.py
@@ -32,22 +32,27 @@
     "manage": {*BASE, "core"},
     "core": {*BASE, "policy.breaker", "policy.inherit", "policy.schedule", "policy.dispatcher", "journal"},
     "tables": set(),
-    "config": {*BASE, "directory", "tables"},
+    "resource_tables": {"directory", "interface", "tables"},
+    "control": {"directory", "files", "fleet", "interface", "journal", "resource_tables", "tables"},
+    "config": {*BASE, "directory", "resource_tables", "tables"},
     "http": {
         *BASE,
         "admission",
+        "control",
         "core",
         "config",
         "directory",
         "handover",
         "policy.inherit",
         "manage",
+        "resource_tables",
+        "tables",
         *FLEET,
     },
     "grpc": {*BASE, "core", "config", "directory", "journal"},
     "recovery": {*BASE, "fleet", "journal"},
     "fleet": {"files"},
-    "lab": {*BASE, "core", "config", "directory", "http", "grpc", "journal"},
+    "lab": {*BASE, "control", "core", "config", "directory", "http", "grpc", "journal"},
     "adapter": {"interface", "policy.dispatcher", "settings"},
     "budget": {"fleet"},
     "emulator": {
@@ -63,7 +68,7 @@
         *FLEET,
     },
     "pcap": {"http"},  # a codec's patterns
-    "cli": {"config", "tables", "core", "directory", "emulator", "http", "journal", "lab", "pcap"},
+    "cli": {"config", "control", "tables", "core", "directory", "emulator", "http", "journal", "lab", "pcap"},
     "start": {"core", "handover", "http", "manage", "settings"},
     "__main__": {"cli", "start"},
     "__init__": {"policy.dispatcher"},
@@ -132,8 +137,9 @@
 
 
 @pytest.mark.parametrize("module", ["__main__", "start", "http.daemon", "adapter"])
-def test_the_daemon_imports_no_extra(module: str) -> None:
-    code = f"import sys, elmglade.{module}; print(sorted({EXTRAS} & set(sys.modules)))"
+def test_the_daemon_imports_no_extra_and_nothing_of_the_control_plane(module: str) -> None:
+    found = f"{EXTRAS} & set(sys.modules) | {{name for name in sys.modules if 'elmglade.control' in name}}"
+    code = f"import sys, elmglade.{module}; print(sorted({found}))"
     words = [sys.executable, "-c", code]
     out = subprocess.run(words, cwd=ROOT.parent, capture_output=True, check=True, text=True)
     assert out.stdout.strip() == "[]"
