--- a/tests/test_control_sender.py
+++ b/tests/test_control_sender.py
@@ -175,8 +175,8 @@
 def test_what_waits_for_a_start_is_what_configure_would_leave(caplog: pytest.LogCaptureFixture) -> None:
     listed = face.Endpoint("e", 3, face.EndpointState.READY, "plain", "", 8.0)
     at = SimpleNamespace(held={}, endpoints=[SimpleNamespace(listed=listed)], breakers=())
-    roster = SimpleNamespace(kinds={"plain": face.Kind()}, leave_grew=lambda number: None)
-    there = SimpleNamespace(endpoints={"e": at.endpoints[0]}, destinations={3: at}, roster=roster)
+    registry = SimpleNamespace(kinds={"plain": face.Kind()}, leave_grew=lambda number: None)
+    there = SimpleNamespace(endpoints={"e": at.endpoints[0]}, destinations={3: at}, registry=registry)
     engine: Any = SimpleNamespace(dispatcher=there, post=lambda event: None, courier=None)
     links = Links(lambda: 0.0, lambda *told: None, 1, US, 0.0, 1)
     links.join("n0", engine, 1)
