Raft explored to the end in nine small worlds, simulated, with planted defects found

A replicated log is worth only what its checks show, so the replica needs a model, simulations and defects that these find.

--- /dev/null
+++ b/tests/raft_model.py
@@ -0,0 +1,557 @@
+"""Every state that a few replicas can come to within bounds, breadth first, over the real `Replica`.
+
+The network is a set of messages: each may be delivered at any time, any number of times and in any order, or
+never. A message leaves the set once its receiver could only repeat itself or name a newer term, for good
+(`is_dead`). Time-outs are events that may happen at any moment, so pre-vote and heartbeats, which only
+decide when elections happen, are left out. A crash loses what was not durable: `is_sync_separate` has an
+event and its sync as two steps, with other events of that node between them only if the world says so; a
+crash there may leave the hard state alone, the entries alone, or neither.
+
+A replica's step depends on nothing but its own state and the event, so each such step is run once and
+remembered; a state of the whole is a few numbers.
+"""
+
+import copy
+from collections.abc import Iterator, Sequence
+from dataclasses import dataclass, field
+from random import Random
+from typing import NamedTuple
+
+from elmglade.control.log import ReplicatedLog
+from elmglade.control.messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    RaftMessage,
+    VoteReply,
+    VoteRequest,
+)
+from elmglade.control.progress import Progress
+from elmglade.control.replica import HardState, Ready, Replica, ReplicaInvariantError, Role
+
+NOW = 0.0  # time stands still
+NO_HARD_STATE = HardState()
+
+
+class ViolationError(Exception):
+    """An invariant does not hold."""
+
+
+@dataclass(frozen=True)
+class Disk:
+    """What a node keeps over a crash."""
+
+    hard_state: HardState = NO_HARD_STATE
+    entries: tuple[LogEntry, ...] = ()
+
+    def written(self, ready: Ready, has_hard_state: bool = True, has_entries: bool = True) -> "Disk":
+        """With all of a Ready, or with a part of it."""
+        hard_state, entries = self.hard_state, self.entries
+        if has_hard_state and ready.hard_state is not None:
+            hard_state = ready.hard_state
+        if has_entries:
+            if ready.truncate_from is not None:
+                entries = entries[: ready.truncate_from - 1]
+            entries += ready.entries
+        return Disk(hard_state, entries)
+
+
+@dataclass(frozen=True)
+class World:
+    """The bounds of an exploration."""
+
+    votes: tuple[tuple[str, int], ...] = (("a", 1), ("b", 1), ("c", 1))
+    candidates: tuple[str, ...] = ("ab", "ab")  # for each term who may stand for election
+    learners: frozenset[str] = frozenset()
+    disks: tuple[Disk, ...] = (Disk(), Disk(), Disk())
+    proposals: int = 1
+    crashes: int = 0
+    is_sync_separate: bool = False
+    has_events_before_sync: bool = False  # a node takes further events before the sync of the last one
+    is_sent_before_sync: bool = False  # a planted defect: messages leave with the event
+    replica_class: type[Replica] = Replica
+    states_limit: int = 2_000_000
+
+
+class Local(NamedTuple):
+    """A node's state: the replica, its disk, and whether it has something to make durable or to send."""
+
+    replica: Replica
+    disk: Disk
+    is_dirty: bool
+
+
+class Global(NamedTuple):
+    """All by number: the nodes' local states, the messages sent (a bit each), the confirmed log.
+
+    Of history it keeps each node's last vote, which a sound node's own state holds too, and the leaders.
+    """
+
+    nodes: tuple[int, ...]
+    messages: int
+    votes: tuple[tuple[int, int], ...]  # for each node the term and the candidate
+    leaders: tuple[int, ...]  # by term
+    confirmed: int
+    proposals: int
+    crashes: int
+
+
+class Step(NamedTuple):
+    """What an event makes of a node: its local state and the messages that it sent, by their numbers."""
+
+    node: int
+    sent: tuple[int, ...] = ()
+    mask: int = 0  # the same, a bit each
+    receivers: tuple[int, ...] = ()
+
+
+Confirmed = tuple[tuple[LogEntry, int], ...]  # each entry with the term in which it was first confirmed
+Event = tuple[str, int, int]  # its kind, the node, a message's number or a variant
+
+
+@dataclass
+class Result:
+    states: int = 0
+    is_complete: bool = False
+    violation: str = ""
+    trace: list[str] = field(default_factory=list)
+    confirmed: int = 0  # entries confirmed in the state that has most
+    leaders: int = 0  # the highest term with a leader
+
+
+def clone(replica: Replica) -> Replica:
+    """A copy that shares nothing mutable but the source of chance."""
+    other = copy.copy(replica)
+    other._messages = list(replica._messages)
+    other._log = copy.copy(replica._log)
+    other._log._entries = list(replica._log._entries)
+    if replica._leadership is not None:
+        other._leadership = leadership = copy.copy(replica._leadership)
+        leadership._log = other._log
+        leadership._progress = {name: copy.copy(each) for name, each in replica._leadership._progress.items()}
+    return other
+
+
+def settle(replica: Replica) -> None:
+    """Forgets what depends on time alone, or on what was already handed to the caller."""
+    replica._handed_index = replica.commit_index
+    replica.leader = ""
+    if replica._leadership is not None:
+        for progress in replica._leadership._progress.values():
+            progress.in_flight = 0
+            progress.answered_round = 0
+
+
+def key(replica: Replica) -> tuple[object, ...]:
+    leadership = replica._leadership
+    return (
+        replica.role,
+        replica._hard_state,
+        tuple(replica._log._entries),
+        replica.commit_index,
+        replica._durable_index,
+        replica._disk_last_index,
+        replica._granted,
+        tuple(replica._messages),
+        tuple(tuple(_fields(each)) for each in leadership._progress.values()) if leadership else (),
+    )
+
+
+def _fields(progress: object) -> Iterator[object]:
+    for name in type(progress).__slots__:  # type: ignore[attr-defined]
+        yield getattr(progress, name)
+
+
+def is_dead(replica: Replica, sender: str, message: RaftMessage, is_sync_separate: bool) -> bool:
+    """Whether a message can bring its receiver nothing new from now on, besides an answer that was sent."""
+    if message.term != replica.term:
+        return message.term < replica.term
+    match message:
+        case VoteRequest():
+            voted_for = replica._hard_state.voted_for
+            if replica.role is Role.LEARNER or voted_for not in ("", sender):
+                return True
+            return (voted_for == sender and not is_sync_separate) or not replica._is_log_new_enough(message)
+        case VoteReply():
+            return replica.role is not Role.CANDIDATE or not message.is_granted
+        case AppendRequest():
+            return not is_sync_separate and is_merged(replica, message)
+        case AppendReply():
+            return replica._leadership is None or is_known(replica._leadership._progress[sender], message)
+
+
+def is_merged(replica: Replica, request: AppendRequest) -> bool:
+    last = request.previous_index + len(request.entries)
+    return (
+        replica.role in (Role.FOLLOWER, Role.LEARNER)
+        and replica._log.has(request.previous_index, request.previous_term)
+        and replica._log.between(request.previous_index + 1, last) == request.entries
+        and replica.commit_index >= min(request.commit_index, last)
+    )
+
+
+def is_known(progress: Progress, reply: AppendReply) -> bool:
+    if reply.is_voter != progress.is_voter:
+        return False
+    if reply.is_match:
+        return reply.match_index <= progress.match_index and not progress.is_probing
+    return progress.is_voter and max(reply.match_index, progress.match_index) + 1 >= progress.next_index
+
+
+class Explorer:
+    """One exploration; `run` gives its result."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        self.names = [name for name, _ in world.votes]
+        self.votes = dict(world.votes)
+        self.total = sum(self.votes.values())
+        self.locals: list[Local] = []
+        self.local_numbers: dict[object, int] = {}
+        self.messages: list[tuple[int, int, RaftMessage]] = []  # sender, receiver, message
+        self.message_numbers: dict[tuple[int, int, RaftMessage], int] = {}
+        self.dead: dict[int, tuple[int, int]] = {}  # for a local state: messages looked at, and dead ones
+        self.inbox = [0] * len(self.names)  # for each node the messages to it, a bit each
+        self.steps: dict[Event, Step | str] = {}
+        self.confirmed: list[Confirmed] = [()]
+        self.confirmed_numbers: dict[Confirmed, int] = {(): 0}
+        self.confirmations: dict[tuple[int, int], int | str] = {}
+        self.holdings: dict[tuple[int, int], bool] = {}
+        self.matchings: dict[tuple[int, int], bool] = {}
+
+    # Numbers in place of objects.
+
+    def local_number(self, local: Local, node: int) -> int:
+        settle(local.replica)
+        where = (node, key(local.replica), local.disk, local.is_dirty)
+        number = self.local_numbers.get(where)
+        if number is None:
+            number = self.local_numbers[where] = len(self.locals)
+            self.locals.append(local)
+        return number
+
+    def message_number(self, sender: int, receiver: int, message: RaftMessage) -> int:
+        where = (sender, receiver, message)
+        number = self.message_numbers.get(where)
+        if number is not None:
+            return number
+        number = self.message_numbers[where] = len(self.messages)
+        self.messages.append(where)
+        self.inbox[receiver] |= 1 << number
+        return number
+
+    def live(self, messages: int, node: int, number: int) -> int:
+        """The messages without those to a node that bring it nothing any more."""
+        mine = messages & self.inbox[node]
+        looked_at, dead = self.dead.get(number, (0, 0))
+        if mine & ~looked_at:
+            replica = self.locals[number].replica
+            for each in bits(mine & ~looked_at):
+                sender, _, message = self.messages[each]
+                if not is_dead(replica, self.names[sender], message, self.world.is_sync_separate):
+                    continue
+                if message.term < replica.term or self.is_without_effect(node, number, each):
+                    dead |= 1 << each
+            self.dead[number] = looked_at | mine, dead
+        return messages & ~(dead & mine)
+
+    def is_without_effect(self, node: int, number: int, message: int) -> bool:
+        """Whether a message leaves its receiver as it is: `is_dead` is not taken at its word."""
+        if self.world.is_sync_separate:
+            return True
+        step = self.step(("deliver", node, message), number)
+        return isinstance(step, Step) and step.node == number
+
+    # Steps of one node.
+
+    def started(self, node: int, disk: Disk) -> Local:
+        name = self.names[node]
+        is_voter = name not in self.world.learners
+        replica = self.world.replica_class(
+            name, self.votes, disk.hard_state, disk.entries, Random(1), NOW, is_voter
+        )
+        return Local(replica, disk, False)
+
+    def flushed(self, replica: Replica, disk: Disk) -> tuple[Disk, list[tuple[str, RaftMessage]]]:
+        """Makes all durable and gives the messages that leave then."""
+        sent: list[tuple[str, RaftMessage]] = []
+        while (ready := replica.take_ready()) is not None:
+            disk = disk.written(ready)
+            sent += ready.messages
+            replica.persisted(ready)
+        return disk, sent
+
+    def step(self, event: Event, number: int) -> Step | str:
+        """Runs an event on a copy of a node's local state; a text: the invariant that broke."""
+        kind, node, argument = event
+        local = self.locals[number]
+        if kind == "crash":
+            return Step(self.local_number(self.started(node, self.torn(local, argument)), node))
+        replica, disk = clone(local.replica), local.disk
+        commit_index = replica.commit_index
+        try:
+            self.apply(kind, replica, argument)
+            sent: list[tuple[str, RaftMessage]] = []
+            if self.world.is_sent_before_sync:
+                sent += replica._messages
+            if kind == "sync" or not self.world.is_sync_separate:
+                disk, more = self.flushed(replica, disk)
+                sent += more
+        except ReplicaInvariantError as error:
+            return str(error)
+        if replica.commit_index < commit_index:
+            return "the commit index went back"
+        is_dirty = self.world.is_sync_separate and kind != "sync" and self.is_dirty(replica)
+        sends = tuple(self.message_number(node, self.names.index(to), message) for to, message in sent)
+        after = self.local_number(Local(replica, disk, is_dirty), node)
+        receivers = tuple({self.messages[each][1] for each in sends})
+        return Step(after, sends, sum(1 << each for each in set(sends)), receivers)
+
+    def is_dirty(self, replica: Replica) -> bool:
+        return clone(replica).take_ready() is not None
+
+    def torn(self, local: Local, variant: int) -> Disk:
+        """The disk after a crash: 0 without what was not durable, 1 with its hard state, 2 its entries."""
+        if variant == 0:
+            return local.disk
+        ready = clone(local.replica).take_ready()
+        assert ready is not None
+        return local.disk.written(ready, has_hard_state=variant == 1, has_entries=variant == 2)
+
+    def apply(self, kind: str, replica: Replica, argument: int) -> None:
+        if kind == "deliver":
+            sender, _, message = self.messages[argument]
+            replica.receive(self.names[sender], message, NOW)
+        elif kind == "elect":
+            if replica.role is Role.LEADER:
+                replica._become_follower(replica.term, "", NOW)
+            replica._start_election(NOW)
+        elif kind == "propose":
+            replica.propose(b"%d" % argument, NOW)
+
+    # Events and states of the whole.
+
+    def events(self, state: Global) -> Iterator[Event]:
+        for node, number in enumerate(state.nodes):
+            replica, _, is_dirty = self.locals[number]
+            if state.crashes < self.world.crashes:
+                yield "crash", node, 0
+                if is_dirty:
+                    yield "crash", node, 1
+                    yield "crash", node, 2
+            if is_dirty:
+                yield "sync", node, 0
+                if not self.world.has_events_before_sync:
+                    continue
+            if replica.role is Role.LEADER and state.proposals < self.world.proposals:
+                yield "propose", node, state.proposals + 1
+            if replica.role is not Role.LEARNER and self.may_stand(node, replica.term + 1):
+                yield "elect", node, 0
+            for message in bits(state.messages & self.inbox[node]):
+                yield "deliver", node, message
+
+    def may_stand(self, node: int, term: int) -> bool:
+        candidates = self.world.candidates
+        return term <= len(candidates) and self.names[node] in candidates[term - 1]
+
+    def next_state(self, state: Global, event: Event) -> Global:
+        """The state after an event; ViolationError if an invariant does not hold in it."""
+        kind, node, argument = event
+        number = state.nodes[node]
+        memo = (kind, number, argument)
+        step = self.steps.get(memo)
+        if step is None:
+            step = self.steps[memo] = self.step(event, number)
+        if isinstance(step, str):
+            raise ViolationError(step)
+        is_same = step.node == number and kind != "crash"
+        if is_same and not step.sent:
+            return state
+        nodes = (*state.nodes[:node], step.node, *state.nodes[node + 1 :])
+        messages = self.live(state.messages | step.mask, node, step.node)
+        for other in step.receivers:
+            messages = self.live(messages, other, nodes[other])
+        if is_same and messages == state.messages:
+            return state
+        return Global(
+            nodes,
+            messages,
+            self.votes_after(state.votes, step.sent),
+            self.leaders_after(state.leaders, node, step.node),
+            self.checked(nodes, node, state.confirmed),
+            state.proposals + (kind == "propose"),
+            state.crashes + (kind == "crash"),
+        )
+
+    # Invariants.
+
+    def votes_after(
+        self, votes: tuple[tuple[int, int], ...], sent: Sequence[int]
+    ) -> tuple[tuple[int, int], ...]:
+        """Takes in the votes told; a node votes once a term, and in no term behind its last vote."""
+        for each in sent:
+            voter, receiver, message = self.messages[each]
+            if isinstance(message, VoteRequest):
+                vote = message.term, voter
+            elif isinstance(message, VoteReply) and message.is_granted:
+                vote = message.term, receiver
+            else:
+                continue
+            if vote == votes[voter]:
+                continue
+            if vote[0] <= votes[voter][0]:
+                raise ViolationError(f"{self.names[voter]} voted twice in term {vote[0]}")
+            votes = (*votes[:voter], vote, *votes[voter + 1 :])
+        return votes
+
+    def leaders_after(self, leaders: tuple[int, ...], node: int, number: int) -> tuple[int, ...]:
+        replica = self.locals[number].replica
+        if replica.role is not Role.LEADER or leaders[replica.term] == node:
+            return leaders
+        if leaders[replica.term] >= 0:
+            raise ViolationError(f"term {replica.term} has two leaders")
+        return (*leaders[: replica.term], node, *leaders[replica.term + 1 :])
+
+    def checked(self, nodes: Sequence[int], changed: int, confirmed: int) -> int:
+        """Checks the logs after a node has changed; gives the confirmed log after it."""
+        number = nodes[changed]
+        for other in nodes:
+            if other != number and not self.is_matching(number, other):
+                raise ViolationError("two logs differ before an entry that both have")
+        after = self.confirmation(confirmed, number)
+        if isinstance(after, str):
+            raise ViolationError(after)
+        if after:
+            others = nodes if after != confirmed else (number,)
+            for each in others:
+                self.check_leader(after, each)
+            held = sum(
+                self.votes[name]
+                for name, each in zip(self.names, nodes, strict=True)
+                if name not in self.world.learners and self.is_held(after, each)
+            )
+            if 2 * held <= self.total:
+                raise ViolationError("a confirmed entry is durable on no majority")
+        return after
+
+    def is_matching(self, one: int, other: int) -> bool:
+        where = (one, other) if one < other else (other, one)
+        known = self.matchings.get(where)
+        if known is None:
+            first = self.locals[one].replica._log._entries
+            second = self.locals[other].replica._log._entries
+            known = self.matchings[where] = is_log_matching(first, second)
+        return known
+
+    def confirmation(self, confirmed: int, number: int) -> int | str:
+        where = (confirmed, number)
+        known = self.confirmations.get(where)
+        if known is None:
+            known = self.confirmations[where] = self._confirmation(confirmed, number)
+        return known
+
+    def _confirmation(self, confirmed: int, number: int) -> int | str:
+        replica = self.locals[number].replica
+        before = self.confirmed[confirmed]
+        entries = replica._log._entries[: replica.commit_index]
+        if any(mine != theirs for mine, (theirs, _) in zip(entries, before, strict=False)):
+            return "a confirmed entry was replaced"
+        after = before + tuple((each, replica.term) for each in entries[len(before) :])
+        if after not in self.confirmed_numbers:
+            self.confirmed_numbers[after] = len(self.confirmed)
+            self.confirmed.append(after)
+        return self.confirmed_numbers[after]
+
+    def check_leader(self, confirmed: int, number: int) -> None:
+        replica = self.locals[number].replica
+        if replica.role is not Role.LEADER:
+            return
+        entries = replica._log._entries
+        for entry, term in self.confirmed[confirmed]:
+            if term <= replica.term and (len(entries) < entry.index or entries[entry.index - 1] != entry):
+                raise ViolationError(f"the leader of term {replica.term} lacks a confirmed entry")
+
+    def is_held(self, confirmed: int, number: int) -> bool:
+        """Whether a node's disk has the whole confirmed log."""
+        where = (confirmed, number)
+        known = self.holdings.get(where)
+        if known is None:
+            wanted = tuple(entry for entry, _ in self.confirmed[confirmed])
+            known = self.holdings[where] = self.locals[number].disk.entries[: len(wanted)] == wanted
+        return known
+
+    # The search.
+
+    def run(self) -> Result:
+        nodes = tuple(
+            self.local_number(self.started(node, disk), node) for node, disk in enumerate(self.world.disks)
+        )
+        votes = ((0, -1),) * len(nodes)
+        first = Global(nodes, 0, votes, (-1,) * (len(self.world.candidates) + 1), 0, 0, 0)
+        origins: dict[Global, tuple[Global, Event] | None] = {first: None}
+        frontier = [first]
+        result = Result()
+        while frontier:
+            following = []
+            for state in frontier:
+                for event in self.events(state):
+                    try:
+                        after = self.next_state(state, event)
+                    except ViolationError as error:
+                        result.violation = str(error)
+                        result.trace = [*self.trace(origins, state), self.told(event)]
+                        result.states = len(origins)
+                        return result
+                    if after not in origins:
+                        origins[after] = (state, event)
+                        following.append(after)
+            if len(origins) > self.world.states_limit:
+                result.states = len(origins)
+                return result
+            frontier = following
+        result.states = len(origins)
+        result.is_complete = True
+        result.confirmed = max(len(each) for each in self.confirmed)
+        result.leaders = max(
+            (each.replica.term for each in self.locals if each.replica.role is Role.LEADER), default=0
+        )
+        return result
+
+    def trace(self, origins: dict[Global, tuple[Global, Event] | None], state: Global) -> list[str]:
+        events = []
+        while (origin := origins[state]) is not None:
+            state, event = origin
+            events.append(self.told(event))
+        return events[::-1]
+
+    def told(self, event: Event) -> str:
+        kind, node, argument = event
+        if kind == "deliver":
+            sender, _, message = self.messages[argument]
+            return f"{self.names[sender]} to {self.names[node]}: {message}"
+        return f"{kind} {self.names[node]} {argument}"
+
+
+def is_log_matching(one: Sequence[LogEntry], other: Sequence[LogEntry]) -> bool:
+    """Where two logs have an entry of the same index and term, they are equal up to there."""
+    shared = min(len(one), len(other))
+    while shared and one[shared - 1].term != other[shared - 1].term:
+        shared -= 1
+    return one[:shared] == other[:shared]
+
+
+def bits(mask: int) -> Iterator[int]:
+    """The numbers of the bits that are set."""
+    while mask:
+        lowest = mask & -mask
+        yield lowest.bit_length() - 1
+        mask ^= lowest
+
+
+def explore(world: World) -> Result:
+    return Explorer(world).run()
+
+
+def one_entry_a_batch(log: ReplicatedLog, first: int, bytes_limit: int) -> tuple[LogEntry, ...]:
+    """In place of `ReplicatedLog.batch`: the shortest batches."""
+    return log.between(first, first)
--- /dev/null
+++ b/tests/test_control_replica.py
@@ -0,0 +1,234 @@
+"""Raft of the control plane: rules one by one, a model explored to the end, simulations, planted defects."""
+
+import multiprocessing
+from collections.abc import Callable, Mapping, Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, replace
+from typing import Any
+
+import pytest
+from raft_model import Disk, Result, ViolationError, World, explore, one_entry_a_batch
+from raft_simulation import HEALED_LIMIT_S, simulate
+
+from elmglade.control.leadership import Leadership
+from elmglade.control.log import ReplicatedLog
+from elmglade.control.messages import LogEntry, VoteRequest
+from elmglade.control.progress import Progress
+from elmglade.control.quorum import Quorum
+from elmglade.control.replica import HardState, Replica
+
+A, B = LogEntry(1, 1, b"a"), LogEntry(1, 2, b"b")
+#: Figure 8 of the paper: term 1's leader wrote an entry, then term 2's another one; each stands alone.
+FIGURE_8 = (Disk(HardState(2, "a"), (A,)), Disk(HardState(2, "b"), (B,)), Disk(HardState(2, "b")))
+LEARNER = World(learners=frozenset("c"), candidates=("a", "b"), proposals=0)
+HEAVY = World(votes=(("a", 3), ("b", 1), ("c", 1)), candidates=("a",), is_sync_separate=True, proposals=0)
+
+#: Worlds that are explored to the end.
+WORLDS = {
+    "one leader and a proposal": World(candidates=("a",)),
+    "two candidates of one term": World(candidates=("ab",), proposals=0),
+    "two terms": World(candidates=("a", "b"), proposals=0),
+    "three terms": World(candidates=("a", "b", "a"), proposals=0),
+    "two terms and a crash": World(candidates=("a", "b"), proposals=0, crashes=1),
+    "a crash between an event and its sync": World(
+        candidates=("ab",), proposals=0, crashes=1, is_sync_separate=True
+    ),
+    "unequal votes and a crash": replace(HEAVY, crashes=1),
+    "a learner": LEARNER,
+    "figure 8": World(disks=FIGURE_8, candidates=("", "", "a", "b"), proposals=0),
+}
+
+
+#: How many states each has: another number is another protocol or another bound, to be looked at.
+STATES = {
+    "one leader and a proposal": 26_213,
+    "two candidates of one term": 532,
+    "two terms": 2_685,
+    "three terms": 19_950,
+    "two terms and a crash": 9_131,
+    "a crash between an event and its sync": 13_046,
+    "unequal votes and a crash": 28_079,
+    "a learner": 403,
+    "figure 8": 7_941,
+}
+
+
+def explored(name: str) -> Result:
+    with pytest.MonkeyPatch.context() as patch:
+        if name == "figure 8":
+            patch.setattr(ReplicatedLog, "batch", one_entry_a_batch)
+        return explore(WORLDS[name])
+
+
+@pytest.fixture(scope="module")
+def results() -> dict[str, Result]:
+    with ProcessPoolExecutor(3, multiprocessing.get_context("spawn")) as pool:
+        return dict(zip(WORLDS, pool.map(explored, WORLDS), strict=True))
+
+
+@pytest.mark.parametrize("name", WORLDS)
+def test_no_state_of_a_small_world_breaks_an_invariant(name: str, results: dict[str, Result]) -> None:
+    result = results[name]
+    assert not result.violation, "\n".join([result.violation, *result.trace])
+    assert result.is_complete
+    assert result.states == STATES[name]
+    assert result.confirmed and result.leaders == len(WORLDS[name].candidates)
+
+
+# Planted defects, each found by the explorer.
+
+true_majority_value = Quorum.majority_value
+true_committed_index = Leadership.committed_index
+
+
+def majority_of_one(self: Quorum, values: Mapping[str, int]) -> int:
+    return max(values.values())
+
+
+def majority_of_those_that_answered(self: Quorum, values: Mapping[str, int]) -> int:
+    answered = {name: value for name, value in values.items() if value}
+    return true_majority_value(Quorum({name: self._votes[name] for name in answered}), answered)
+
+
+def majority_of_nodes(self: Quorum, values: Mapping[str, int]) -> int:
+    return true_majority_value(Quorum(dict.fromkeys(self._votes, 1)), values)
+
+
+def committed_by_counting(self: Leadership, durable_index: int) -> int:
+    durable = {peer: progress.match_index for peer, progress in self._voting_peers()}
+    return self._quorum.majority_value(durable | {self._name: durable_index})
+
+
+def committed_before_its_own_disk(self: Leadership, durable_index: int) -> int:
+    return true_committed_index(self, self._log.last_index)
+
+
+def all_peers(self: Leadership) -> list[tuple[str, Progress]]:
+    return list(self._progress.items())
+
+
+def merge_without_truncating(self: Replica, entries: Sequence[LogEntry]) -> None:
+    for entry in entries:
+        if entry.index > self._log.last_index:
+            self._log.append(entry)
+
+
+def merge_after_truncating_always(self: Replica, entries: Sequence[LogEntry]) -> None:
+    if entries and entries[0].index <= self._log.last_index:
+        self._log.truncate_from(entries[0].index)
+        self._durable_index = min(self._durable_index, entries[0].index - 1)
+    for entry in entries:
+        self._log.append(entry)
+
+
+class ForgetfulReplica(Replica):
+    """Its vote does not outlive a restart."""
+
+    def __init__(self, name: str, votes: Mapping[str, int], hard_state: HardState, *rest: Any) -> None:  # noqa: ANN401
+        super().__init__(name, votes, HardState(hard_state.term, ""), *rest)
+
+
+def any_log_is_new_enough(self: Replica, request: VoteRequest) -> bool:
+    return True
+
+
+@dataclass(frozen=True)
+class Defect:
+    """What is planted: an attribute that is replaced, or a world that is itself at fault."""
+
+    world: World
+    owner: type | None = None
+    name: str = ""
+    value: Callable[..., object] | None = None
+    has_short_batches: bool = False
+
+
+CRASHING = WORLDS["two candidates of one term"]
+DEFECTS = {
+    "confirmed before a majority has it": Defect(
+        WORLDS["two terms"], Quorum, "majority_value", majority_of_one
+    ),
+    "a side that is cut off confirms by a majority of those that answer": Defect(
+        WORLDS["two terms"], Quorum, "majority_value", majority_of_those_that_answered
+    ),
+    "nodes are counted in place of their votes": Defect(
+        replace(HEAVY, candidates=("b",), is_sync_separate=False), Quorum, "majority_value", majority_of_nodes
+    ),
+    "a vote is forgotten over a restart": Defect(
+        replace(CRASHING, crashes=1, replica_class=ForgetfulReplica)
+    ),
+    "a vote is sent before it is durable": Defect(
+        replace(WORLDS["a crash between an event and its sync"], is_sent_before_sync=True)
+    ),
+    "a vote for a candidate whose log is older": Defect(
+        WORLDS["two terms"], Replica, "_is_log_new_enough", any_log_is_new_enough
+    ),
+    "an entry of an older term committed by counting": Defect(
+        WORLDS["figure 8"], Leadership, "committed_index", committed_by_counting, has_short_batches=True
+    ),
+    "a leader counts itself before its entry is durable": Defect(
+        replace(HEAVY, proposals=1, has_events_before_sync=True),
+        Leadership,
+        "committed_index",
+        committed_before_its_own_disk,
+    ),
+    "a learner is counted for a majority": Defect(LEARNER, Leadership, "_voting_peers", all_peers),
+    "a log is not truncated where it conflicts": Defect(
+        WORLDS["two terms"], Replica, "_merge", merge_without_truncating
+    ),
+    "a late request truncates what came after it": Defect(
+        WORLDS["one leader and a proposal"], Replica, "_merge", merge_after_truncating_always
+    ),
+}
+
+
+@pytest.mark.parametrize("name", DEFECTS)
+def test_the_explorer_finds_a_planted_defect(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    defect = DEFECTS[name]
+    if defect.owner is not None:
+        monkeypatch.setattr(defect.owner, defect.name, defect.value)
+    if defect.has_short_batches:
+        monkeypatch.setattr(ReplicatedLog, "batch", one_entry_a_batch)
+    result = explore(defect.world)
+    print(f"{result.states} states, {len(result.trace)} events: {result.violation}")
+    assert result.violation
+
+
+# Simulations.
+
+SEEDS = 30
+SEEDS_FOR_A_DEFECT = 40
+
+
+def test_simulated_faults_break_no_invariant_and_a_change_is_made_after_healing() -> None:
+    outcomes = [simulate(seed) for seed in range(SEEDS)]
+    assert min(each.confirmed for each in outcomes) > 0
+    for what in ("crashes", "cuts", "lost", "elections"):
+        assert sum(getattr(each, what) for each in outcomes) >= SEEDS
+    assert max(each.healed_s for each in outcomes) <= HEALED_LIMIT_S
+
+
+SIMULATED_DEFECTS = {
+    "confirmed before a majority has it": (Quorum, "majority_value", majority_of_one),
+    "a side that is cut off confirms": (Quorum, "majority_value", majority_of_those_that_answered),
+    "a log is not truncated where it conflicts": (Replica, "_merge", merge_without_truncating),
+    "a vote for a candidate whose log is older": (Replica, "_is_log_new_enough", any_log_is_new_enough),
+}
+
+
+@pytest.mark.parametrize("name", SIMULATED_DEFECTS)
+def test_simulations_find_a_planted_defect(name: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    owner, attribute, value = SIMULATED_DEFECTS[name]
+    monkeypatch.setattr(owner, attribute, value)
+    assert found_by_simulation()
+
+
+def found_by_simulation() -> bool:
+    """Whether one of the seeds breaks an invariant."""
+    for seed in range(SEEDS_FOR_A_DEFECT):
+        try:
+            simulate(seed)
+        except ViolationError as error:
+            print(f"seed {seed}: {error}")
+            return True
+    return False
