--- a/tests/test_control_watch.py
+++ b/tests/test_control_watch.py
@@ -7,7 +7,7 @@
 import pytest
 from watching import BAD, ChangedStore, RecordingApplier, copy_of
 
-from elmglade.control.document import Document, encode_snapshot
+from elmglade.control.document import Document, SnapshotError, encode_snapshot
 from elmglade.control.fetch import SNAPSHOT_BYTES_LIMIT, SNAPSHOT_WINDOW, SnapshotFetch
 from elmglade.control.messages import (
     CHUNK_BYTES,
@@ -148,6 +148,24 @@
     assert 65 < bench.now - began <= 65 + 60.1, "the first probes were not answered"
 
 
+def test_it_does_not_go_back_to_a_node_that_is_behind_or_busy() -> None:
+    old, new = documents(2)[1:]
+    bench = Bench(new)
+    first = bench.watch.node
+    bench.run(1.3)
+    second = bench.watch.node
+    for answer in (notice_of(old), notice_of(new, age_ms=60_000), notice_of(new, retry_after_ms=500)):
+        probes = 0
+        while not probes:
+            bench.now = round(bench.now + 0.05, 6)
+            bench.watch.tick(bench.now)
+            for node, message in bench.collect():
+                is_probe = node == first and isinstance(message, Poll)
+                probes += is_probe
+                bench.watch.receive(node, answer if is_probe else notice_of(new), bench.now)
+        assert bench.watch.node == second
+
+
 def test_a_node_that_is_behind_is_told_the_version_and_left_after_a_while() -> None:
     old, new = documents(2)[1:]
     bench = Bench(new)
@@ -215,6 +233,8 @@
     zero, one, two, _ = documents(3)
     bench = Bench()
     bench.run(3, notice_of(zero))
+    while not polls(bench.run(0.05, notice_of(zero))):
+        pass  # the next one is due in 0.8 s at the earliest
     bench.receive(delta_between(one, two))
     assert bench.watch.document.version == 0 and bench.watch.counts.unfit == 1
     assert polls(bench.run(0.4))
@@ -417,6 +437,14 @@
     assert len(requests) <= 12
 
 
+def test_a_snapshot_of_another_version_than_its_chunks_say_is_damaged() -> None:
+    data = encode_snapshot(Document(1, {"a": b"1"}))
+    fetch = SnapshotFetch(2)
+    assert fetch.add(SnapshotChunk(2, 0, len(data), data)) and fetch.is_complete
+    with pytest.raises(SnapshotError):
+        fetch.document()
+
+
 def test_the_memory_of_a_fetch_is_bounded_by_what_came_in_order_and_a_window() -> None:
     fetch = SnapshotFetch(1)
     total = SNAPSHOT_BYTES_LIMIT
