--- a/elmglade/control/operators.py
+++ b/elmglade/control/operators.py
@@ -84,6 +84,10 @@
         own = next(each for each in nodes if each["name"] == self.node.name)
         refused = self.node.channel.refused
         own["refused_datagrams"] = {reason.value: number for reason, number in refused.items()}
+        own["traffic"] = {
+            name: getattr(self.node.channel, name)
+            for name in ("sent", "sent_bytes", "received", "received_bytes")
+        }
         return {"nodes": nodes}
 
     async def _wait_for(self, begin: Callable[[Callable[[Any], None], float], None]) -> Any:  # noqa: ANN401
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -34,6 +34,7 @@
     ControlNodeAddress(name, (name, 7000), region) for name, region in REGIONS.items()
 )  # fmt: skip
 YEAR_S = 365 * 86_400.0
+STORY_LIMIT_S = 600.0  # of virtual time; one that goes on for longer has failed
 
 
 def no_faults(resources: Mapping[str, bytes]) -> tuple[str, ...]:
@@ -282,7 +283,8 @@
 
     async def told() -> Any:  # noqa: ANN401
         try:
-            result = await story(cluster)
+            async with asyncio.timeout(STORY_LIMIT_S):
+                result = await story(cluster)
             cluster.check()
             return result
         finally:
