A start that finds a failure on record warms the destination up, in a crowd

The warm-up begins with 3 / (fleet size / 4) failures, 2.4 of them at five senders, so cold_gap is 0, and so is the gap: 16 calls (half of the slots) go at once from each of two processes, and one of them 30 more in the next 1.4 s. The cause that the list named (no usual rate) is not it: what has no usual rate paces by its part of the told one, once it is paced at all.

Change: Dispatcher.restore begins the warm-up in a crowd with one failure on record that is no answer (refused connect, reset, time-out); errors and refusals count as before, and so do fleets of up to four.

--- a/elmglade/policy/dispatcher.py
+++ b/elmglade/policy/dispatcher.py
@@ -14,7 +14,7 @@
 
 from elmglade import interface as face
 from elmglade.interface import Outcome
-from elmglade.policy.breaker import NEVER, Breaker, Call, Endpoint, Message
+from elmglade.policy.breaker import ANSWERED, NEVER, Breaker, Call, Endpoint, Message
 from elmglade.policy.endpoints import EndpointRegistry
 from elmglade.policy.inflight import InFlightCalls
 from elmglade.policy.inherit import believe
@@ -97,10 +97,13 @@
             self.pending.end(message)
         for name, outcome in kept.outcomes:
             breaker = endpoint.breaker if (endpoint := self.endpoints.get(name)) else None
-            # Guards a destination that came back meanwhile, cold. What is called off was far overdue.
+            # Guards a destination that came back meanwhile, cold. What is called off was far overdue. In a
+            # crowd one failure that is no answer is enough: no call that was served speaks against it here.
             if breaker and (outcome in face.FAILURES or outcome is Outcome.CANCELLED):
                 breaker.failed(int(self.loop.now), outcome)
                 breaker.trial_at = self.loop.now
+                if self.loop.pace.crowd > 1 and outcome not in ANSWERED:
+                    breaker.cold_since = int(self.loop.now)
             elif breaker and outcome is Outcome.FULL:
                 breaker.doubt(int(self.loop.now), REFUSALS_KEPT)
 
@@ -198,11 +201,10 @@
             elif message.risky_zone or message.pinned or self.spares_others(message, at, aside):
                 at.leave(message)
                 aside.append(message)
-            elif len(self.out) < self.settings.slots:
-                self.registry.shut(at)
-                continue
             else:
-                continue  # only a slot is missing: it stays open
+                if len(self.out) < self.settings.slots:  # else only a slot is missing: it stays open
+                    self.registry.shut(at)
+                continue
             if len(self.out) >= self.settings.slots and not self.batches:
                 break
             self.push_best(heap, at)
--- a/elmglade/policy/schedule.py
+++ b/elmglade/policy/schedule.py
@@ -97,8 +97,7 @@
         """Whether to ask now; asked once for each time."""
         if self.at > now:
             return False
-        self.begun = now
-        self.at = NEVER
+        self.begun, self.at = now, NEVER
         return True
 
 
@@ -189,8 +188,7 @@
         self.silent_since: float | None = None  # the last call before it fell asleep
 
     def hold(self, message: Message) -> None:
-        if self.held is None:
-            self.held = {}
+        self.held = self.held or {}
         self.held[message.id] = message
 
     def release(self, message: Message) -> None:
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -23,7 +23,6 @@
 
 
 def test_the_sum_of_five_senders_of_which_three_restart_keeps_to_the_bound() -> None:
-    """In KNOWN-RED.txt: a process that was started again knows no usual rate."""
     found, _ = peaks(returning(5, "restarts"), seed=5)
     assert found[-1] <= 1
 
@@ -46,6 +45,27 @@
         assert (breaker.cold_gap(world.now) > 0) == (cold and fleet == CROWD)
 
 
+@pytest.mark.parametrize("fleet", [4, 5, CROWD])
+@pytest.mark.parametrize(
+    ("outcome", "cold"),
+    [(Outcome.CONNECT_FAILED, True), (Outcome.RESET, True), (Outcome.TIMEOUT, True), (Outcome.ERROR, False)],
+)
+def test_one_failure_that_a_start_found_on_record_starts_it_in_a_crowd(
+    outcome: Outcome, cold: bool, fleet: int
+) -> None:
+    """All that is held for the destination then goes one by one, not as many at once as there are slots."""
+    world = World(fleet_size=fleet, rates_told=True)
+    kept = [face.MessageTaken(f"k{each}", "safe", 1, 20 * SECOND) for each in range(9)]
+    found = [face.MessageRestored(each, 0, None, "") for each in kept]
+    found[0] = face.MessageRestored(kept[0], 1, None, "", (("a", outcome),))
+    world.step(*found)
+    (breaker,) = world.dispatcher.registry.all_breakers()
+    assert (breaker.cold_gap(world.now) > 0) == (cold and fleet > 4)
+    actions, first = world.step(face.WakeUp(), after=SECOND), breaker.last_sent
+    if cold and fleet > 4:
+        assert len(sent(actions)) <= 1 and breaker.ready_at(world.now) > first
+
+
 def test_a_call_that_is_overdue_starts_it_too() -> None:
     world = World(fleet_size=CROWD)
     world.take("once")
