--- a/elmglade/control/watch.py
+++ b/elmglade/control/watch.py
@@ -149,6 +149,7 @@
         self._out: list[tuple[str, WatchMessage]] = []
         self._ticked_at = now
         self._polled_at = now - REPEAT
+        self._polled_version = document.version  # that the last poll told
         self._poll_due = now + chance.uniform(0, FIRST_POLL_MOST)
         self._unanswered = 0
         self._refusal: Refusal | None = None
@@ -210,6 +211,7 @@
         self._out.append((self.node, self._poll_message()))
         self._unanswered += 1
         self._polled_at = now
+        self._polled_version = self.document.version
         self._poll_due = now + REPEAT
 
     def _poll_message(self) -> Poll:
@@ -278,7 +280,8 @@
         is_newer = notice.version > self.document.version
         differs = notice.version == self.document.version and notice.digest != self.document.digest
         self.counts.mismatches += differs
-        if differs or (is_newer and notice.needs_snapshot):
+        is_of_this_version = self._polled_version == self.document.version  # else a poll is due soon
+        if differs or (is_newer and notice.needs_snapshot and is_of_this_version):
             self._start_fetch(notice.version, notice.digest, now)
 
     def _heed(self, retry_after_ms: int, now: float) -> None:
--- a/tests/test_control_watch.py
+++ b/tests/test_control_watch.py
@@ -437,6 +437,18 @@
     assert len(requests) <= 12
 
 
+def test_an_answer_to_a_poll_from_before_a_snapshot_does_not_begin_another_one() -> None:
+    old, new = large(1).document, large(2).document
+    bench = Bench()
+    bench.run(1, notice_of(old, needs_snapshot=True))
+    bench.fetch_from(old)
+    assert bench.watch.document.version == 1
+    late = notice_of(new, needs_snapshot=True)
+    assert bench.receive(late) == []
+    bench.run(0.5)
+    assert bench.receive(late) == [(bench.watch.node, SnapshotRequest(2, 0))]
+
+
 def test_a_snapshot_of_another_version_than_its_chunks_say_is_damaged() -> None:
     data = encode_snapshot(Document(1, {"a": b"1"}))
     fetch = SnapshotFetch(2)
