--- a/elmglade/http/control.py
+++ b/elmglade/http/control.py
@@ -214,6 +214,8 @@
             "reason": status.reason,
             "node": status.node,
             "is_behind": link.channel.is_behind,
+            "sent_bytes": link.channel.sent_bytes,
+            "received_bytes": link.channel.received_bytes,
             "refused_datagrams": {str(reason): n for reason, n in link.channel.refused.items()},
         }
 
