Scale tests of the link, the destination list and held messages, with fitted lines

This adds benchmarks/scale: the planned sizes, least-squares lines with their residual and range, typed results as JSON, the limits in order and the rendering of marked tables, and three dimensions. Hollow senders run the real link code on virtual time; one size is also run with real processes over loopback UDP.

--- /dev/null
+++ b/benchmarks/scale/members.py
@@ -0,0 +1,201 @@
+"""Dimension `members`: what the link costs one member at rest, by the number of members.
+
+Counts come from hollow senders on virtual time; one size is measured with real processes too, so that it is
+known how far the hollow ones differ.
+"""
+
+import time
+from dataclasses import dataclass
+
+from benchmarks.scale import plan
+from benchmarks.scale.hollow import HollowFleet
+from benchmarks.scale.memory import traced_memory
+from benchmarks.scale.quantity import quantity_of
+from benchmarks.scale.real import RealRest, measure_real_rest
+from benchmarks.scale.results import Allowance, Effort, Figure, Measured, Point, Quantity, Source
+
+ANNOUNCEMENT_BYTES = 200
+LINEAR_UP_TO = 80  # members: beyond, the rate of announcements no longer grows (fleet/node.py, RATE)
+SETTLING_S = 0.5  # virtual, before anything is counted
+LONG_WINDOW_S, SHORT_WINDOW_S = 10.0, 3.0  # virtual, counted in small and in large fleets
+HEARD_S = 5.0  # virtual, in which small fleets hear each announcement
+LOSS = 0.01  # of the datagrams, where the spread of a change is measured
+CHANGES = 5  # announcements changed at once, by different members
+SPREAD_DRAWS = 200  # members over all draws of one size
+LONGEST_SPREAD_S = 60.0  # virtual
+SEED = 1
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """What a run measures."""
+
+    at_rest: tuple[int, ...]
+    spread: tuple[int, ...]
+    memory: tuple[int, ...]
+    real: int  # members as real processes; 0: none
+
+
+SIZES = {
+    Effort.SMALL: Sizes((5, 10, 20), (5, 10, 20), (5, 10, 20), 0),
+    Effort.FULL: Sizes((5, 10, 20, 40, 80, 160, 630), (20, 80, 160, 240), (10, 20, 40, 60), 8),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Rest:
+    """What one member costs at rest, a second."""
+
+    datagrams: float
+    sent_bytes: float
+    cpu_share: float
+
+
+def measure_rest(size: int, announcement_bytes: int = ANNOUNCEMENT_BYTES) -> Rest:
+    """Averages over all members; the larger the fleet, the shorter the time."""
+    fleet = HollowFleet(size, announcement_bytes, SEED)
+    fleet.acquaint()
+    fleet.run(SETTLING_S)
+    fleet.forget_traffic()
+    window = LONG_WINDOW_S if size <= LINEAR_UP_TO else SHORT_WINDOW_S
+    began = time.process_time()
+    fleet.run(window)
+    spent = time.process_time() - began
+    shares = size * window
+    return Rest(fleet.traffic.sent / shares, fleet.traffic.sent_bytes / shares, spent / shares)
+
+
+def measure_spread(size: int) -> float:
+    """Virtual seconds until changes of several members are known to all, with datagrams lost: the longest of
+    several draws, so that small fleets lose some datagrams too."""
+    draws = max(SPREAD_DRAWS // size, 1)
+    return max(spread_once(size, SEED + draw) for draw in range(draws))
+
+
+def spread_once(size: int, seed: int) -> float:
+    fleet = HollowFleet(size, ANNOUNCEMENT_BYTES, seed, LOSS)
+    changed = [f"n{number}" for number in range(min(CHANGES, size))]
+    fleet.acquaint(len(changed))
+    fleet.run(SETTLING_S)
+    began = fleet.now
+    for name in changed:
+        fleet.nodes[name].publish(b"y" * ANNOUNCEMENT_BYTES, fleet.now)
+        fleet.flush(name)
+    while fleet.now < began + LONGEST_SPREAD_S:
+        fleet.run(0.05)
+        if all(fleet.know(2, name) == size - 1 for name in changed):
+            break
+    return fleet.now - began
+
+
+def measure_memory(size: int) -> float:
+    """Traced bytes of one member's node once it has heard all others' announcements."""
+    with traced_memory() as traced:
+        fleet = HollowFleet(size, ANNOUNCEMENT_BYTES, SEED)
+        fleet.acquaint()
+        fleet.run(HEARD_S)
+        fleet.events.clear()
+    return traced.allocated / size
+
+
+def run(effort: Effort) -> Measured:
+    """Measures the dimension."""
+    sizes = SIZES[effort]
+    rests = {size: measure_rest(size) for size in sizes.at_rest}
+    quantities = (
+        bytes_at_rest(rests),
+        datagrams_at_rest(rests),
+        processor_at_rest(rests),
+        spread_time(sizes.spread),
+        memory_of_members(sizes.memory),
+    )
+    if not sizes.real:
+        return Measured(quantities)
+    real = measure_real_rest(sizes.real)
+    hollow = measure_rest(sizes.real, real.announcement_bytes)
+    return Measured(quantities, compare(sizes.real, real, hollow))
+
+
+def bytes_at_rest(rests: dict[int, Rest]) -> Quantity:
+    return quantity_of(
+        "bytes_at_rest",
+        f"bytes of UDP payload that a member sends at rest, and receives; announcements of "
+        f"{ANNOUNCEMENT_BYTES} B (line up to {LINEAR_UP_TO} members, flat beyond)",
+        "B/s",
+        "members",
+        Source.COUNT,
+        [Point(size, round(rest.sent_bytes, 1)) for size, rest in rests.items()],
+        plan.SENDERS,
+        Allowance("link's bytes at rest", plan.CONTROL_BYTES_PER_S, "letter: 2 KB/s a sender for control"),
+        LINEAR_UP_TO,
+    )
+
+
+def datagrams_at_rest(rests: dict[int, Rest]) -> Quantity:
+    return quantity_of(
+        "datagrams_at_rest",
+        f"datagrams that a member sends at rest, and receives (line up to {LINEAR_UP_TO} members)",
+        "1/s",
+        "members",
+        Source.COUNT,
+        [Point(size, round(rest.datagrams, 2)) for size, rest in rests.items()],
+        plan.SENDERS,
+        fit_up_to=LINEAR_UP_TO,
+    )
+
+
+def processor_at_rest(rests: dict[int, Rest]) -> Quantity:
+    return quantity_of(
+        "cpu_at_rest",
+        f"share of a core that a hollow member's link takes at rest (line up to {LINEAR_UP_TO} members)",
+        "core",
+        "members",
+        Source.CPU_TIME,
+        [Point(size, round(rest.cpu_share, 6)) for size, rest in rests.items()],
+        plan.SENDERS,
+        Allowance("link's CPU at rest", plan.CONTROL_CORE_SHARE, "letter: 3.2% of a core a sender"),
+        LINEAR_UP_TO,
+    )
+
+
+def spread_time(sizes: tuple[int, ...]) -> Quantity:
+    return quantity_of(
+        "spread",
+        f"time until {CHANGES} changed announcements are known to all, {LOSS:.0%} of datagrams lost",
+        "s",
+        "members",
+        Source.VIRTUAL_TIME,
+        [Point(size, round(measure_spread(size), 3)) for size in sizes],
+        plan.SENDERS,
+        Allowance("announcement known to all", plan.IN_FORCE_WITHIN_S, "letter: in force within 4 s"),
+    )
+
+
+def memory_of_members(sizes: tuple[int, ...]) -> Quantity:
+    return quantity_of(
+        "memory",
+        "bytes that a member's link keeps of all members",
+        "B",
+        "members",
+        Source.TRACED_MEMORY,
+        [Point(size, round(measure_memory(size))) for size in sizes],
+        plan.SENDERS,
+        Allowance("link's memory", plan.CONTROL_MEMORY_BYTES, "letter: 32 MB a sender for control"),
+    )
+
+
+def compare(size: int, real: RealRest, hollow: Rest) -> tuple[Figure, ...]:
+    """What the same fleet costs hollow and as real processes, a member and second."""
+    pairs = (
+        ("datagrams", "datagrams", "1/s", Source.COUNT, real.datagrams, hollow.datagrams),
+        ("bytes", "bytes", "B/s", Source.COUNT, real.sent_bytes, hollow.sent_bytes),
+        ("cpu", "share of a core", "core", Source.CPU_TIME, real.cpu_share, hollow.cpu_share),
+    )
+    found = []
+    for name, title, unit, source, real_value, hollow_value in pairs:
+        where = f"{title} a member at rest, {size} members"
+        found.append(Figure(f"real_{name}", f"{where}, real processes", unit, source, real_value))
+        found.append(Figure(f"hollow_{name}", f"{where}, hollow", unit, source, hollow_value))
+        ratio = hollow_value / real_value
+        found.append(Figure(f"ratio_{name}", f"{where}, hollow over real", "", source, ratio))
+    return tuple(found)
--- /dev/null
+++ b/benchmarks/scale/page.py
@@ -0,0 +1,137 @@
+"""The tables of docs/CAPACITY.md, rendered from the results between marker comments.
+
+<!-- table: NAME -->
+...
+<!-- end -->
+"""
+
+import difflib
+import math
+import re
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from pathlib import Path
+
+from benchmarks.scale import results as files
+from benchmarks.scale.limits import Limit, limits_in_order
+from benchmarks.scale.results import ROOT, Quantity, Result
+
+PAGE = ROOT / "docs" / "CAPACITY.md"
+MARKED = re.compile(r"(<!-- table: (\S+) -->\n).*?(<!-- end -->)", re.DOTALL)
+EXTRAPOLATED = " (extrapolated)"
+
+
+class UnknownTableError(ValueError):
+    """The page names a table that there is none of."""
+
+
+def number(value: float) -> str:
+    """Three significant digits, with separators and without an exponent where that is readable."""
+    if value == 0 or not math.isfinite(value):
+        return "0" if value == 0 else str(value)
+    digits = max(2 - math.floor(math.log10(abs(value))), 0)
+    if digits > 6:
+        return f"{value:.2e}"
+    text = f"{round(value, 2 - math.floor(math.log10(abs(value)))):,.{digits}f}"
+    return text.rstrip("0").rstrip(".") if "." in text else text
+
+
+def table(head: Sequence[str], rows: Iterable[Sequence[str]]) -> str:
+    lines = ["| " + " | ".join(cells) + " |" for cells in (head, ["---"] * len(head), *rows)]
+    return "\n".join(lines) + "\n"
+
+
+def planned_text(quantity: Quantity) -> str:
+    """The value at the planned size and how it was come by."""
+    how = EXTRAPOLATED if quantity.is_extrapolated else ""
+    how = " (measured)" if quantity.is_measured_at_plan else how
+    return f"{number(quantity.planned_value)} {quantity.unit}{how}"
+
+
+def slopes_table(results: Mapping[str, Result]) -> str:
+    """Every fitted line."""
+    head = ("dimension", "quantity", "slope", "at none", "residual", "range", "planned size", "there", "by")
+    rows = []
+    for result in results.values():
+        for quantity in result.measured.quantities:
+            rows.append((result.dimension, *slope_cells(quantity)))
+    return table(head, rows)
+
+
+def slope_cells(quantity: Quantity) -> tuple[str, ...]:
+    line = quantity.line
+    return (
+        quantity.title,
+        f"{number(line.slope)} {quantity.unit}",
+        number(line.intercept),
+        f"{line.relative_residual:.1%}",
+        f"{number(line.smallest)} to {number(line.largest)} {quantity.size_of}",
+        number(quantity.planned_size),
+        planned_text(quantity),
+        quantity.source.value,
+    )
+
+
+def figures_table(results: Mapping[str, Result]) -> str:
+    """Every value that no line is fitted to."""
+    rows = [
+        (result.dimension, figure.title, f"{number(figure.value)} {figure.unit}".strip(), figure.source.value)
+        for result in results.values()
+        for figure in result.measured.figures
+    ]
+    return table(("dimension", "figure", "value", "by"), rows)
+
+
+def runs_table(results: Mapping[str, Result]) -> str:
+    """Where and when the results come from."""
+    rows = []
+    for result in results.values():
+        where = result.environment
+        cells = (result.dimension, f"`{result.command}`", where.date, where.python, str(where.cores))
+        rows.append((*cells, where.processor, f"{where.duration_s:.0f} s"))
+    return table(("dimension", "command", "date (UTC)", "Python", "cores", "processor", "took"), rows)
+
+
+def fraction_text(limit: Limit) -> str:
+    if math.isinf(limit.fraction):
+        return "not reached"
+    return number(limit.fraction) + (EXTRAPOLATED if limit.is_extrapolated else "")
+
+
+def limits_table(results: Mapping[str, Result]) -> str:
+    """Limits in order."""
+    rows = []
+    for limit in limits_in_order(results):
+        at = "-" if math.isinf(limit.at_size) else f"{number(limit.at_size)} {limit.size_of}"
+        rows.append((limit.mechanism, fraction_text(limit), at, limit.reason, limit.source))
+    return table(("mechanism", "of the plan", "passed at", "allowance", "source"), rows)
+
+
+TABLES: dict[str, Callable[[Mapping[str, Result]], str]] = {
+    "runs": runs_table,
+    "slopes": slopes_table,
+    "figures": figures_table,
+    "limits": limits_table,
+}
+
+
+def render(text: str, results: Mapping[str, Result]) -> str:
+    """The page with each marked table made anew. Raises UnknownTableError."""
+
+    def replacement(found: re.Match[str]) -> str:
+        if found[2] not in TABLES:
+            raise UnknownTableError(f"the page names the table {found[2]}; there are {', '.join(TABLES)}")
+        return found[1] + TABLES[found[2]](results) + found[3]
+
+    return MARKED.sub(replacement, text)
+
+
+def update(write: bool, path: Path = PAGE, folder: Path = files.FOLDER) -> int:
+    """Writes the tables, or only tells where page and results differ; 1 where they do."""
+    before = path.read_text()
+    after = render(before, files.read_all(folder))
+    if write:
+        path.write_text(after)
+        return 0
+    changes = list(difflib.unified_diff(before.splitlines(), after.splitlines(), "page", "results"))
+    print("\n".join(changes) or "page and results agree")
+    return 1 if changes else 0
--- /dev/null
+++ b/benchmarks/scale/real.py
@@ -0,0 +1,96 @@
+"""The link of real processes over loopback UDP, at rest: beside it, hollow senders are judged."""
+
+import asyncio
+import base64
+import os
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+from elmglade.fleet import wire
+from elmglade.fleet.seal import Seal
+from elmglade.lab.cluster import Cluster, Relay
+
+WINDOW_S = 10.0
+ANNOUNCED_WITHIN_S = 20.0  # after the start: every member has announced itself
+CLASSES = """
+[classes.charge]
+aim_ms = 4000
+deadline_ms = 60000
+effect = "safe"
+[[endpoints]]
+id = "e1"
+zone = "a"
+destination = 1
+dial = "127.0.0.1:9"
+"""
+
+
+@dataclass(frozen=True, slots=True)
+class RealRest:
+    """What one real member costs at rest, a second."""
+
+    datagrams: float
+    sent_bytes: float
+    cpu_share: float  # of the whole process, engine and all
+    announcement_bytes: int
+
+
+class CountingRelay(Relay):
+    """A relay that counts what members send and keeps a sample of it."""
+
+    datagrams = total_bytes = 0
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.sample: list[bytes] = []
+
+    def received(self, to: str, data: bytes, source: int) -> None:
+        self.datagrams += 1
+        self.total_bytes += len(data)
+        self.sample.append(data)
+        super().received(to, data, source)
+
+
+def process_cpu_s(process: int) -> float:
+    """User and system time so far, by proc(5)."""
+    fields = Path(f"/proc/{process}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def announcement_sizes(key: str, sample: list[bytes]) -> list[int]:
+    """Bytes of the announcements among these datagrams."""
+    seal = Seal([base64.b64decode(key)])
+    bodies = [wire.decode(seal.open(data)).body for data in sample]
+    return [len(body.text) for body in bodies if isinstance(body, wire.Bulletin)]
+
+
+async def rest_of(size: int, folder: Path) -> RealRest:
+    cluster = Cluster(folder, size, 1, more=CLASSES)
+    relay = CountingRelay()
+    cluster.relay = relay
+    async with cluster:
+        await cluster.start()
+        await asyncio.sleep(ANNOUNCED_WITHIN_S / 2)
+        relay.sample.clear()
+        processes = [member.pid for member in cluster.members.values() if member.pid]
+        datagrams, total_bytes = relay.datagrams, relay.total_bytes
+        cpu_s = sum(process_cpu_s(each) for each in processes)
+        began = time.monotonic()
+        await asyncio.sleep(WINDOW_S)
+        shares = size * (time.monotonic() - began)
+        cpu_s = sum(process_cpu_s(each) for each in processes) - cpu_s
+        sizes = announcement_sizes(cluster.key, relay.sample)
+        return RealRest(
+            (relay.datagrams - datagrams) / shares,
+            (relay.total_bytes - total_bytes) / shares,
+            cpu_s / shares,
+            round(sum(sizes) / len(sizes)),
+        )
+
+
+def measure_real_rest(size: int) -> RealRest:
+    """Starts so many senders of a fleet, lets them come to rest and counts for ten seconds."""
+    with tempfile.TemporaryDirectory() as folder:
+        return asyncio.run(rest_of(size, Path(folder)))
--- /dev/null
+++ b/benchmarks/scale/registry.py
@@ -0,0 +1,22 @@
+"""The dimensions by name. A new one registers itself here: a module with `run(effort)`, and a title."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from benchmarks.scale import destinations, held, members
+from benchmarks.scale.results import Effort, Measured
+
+
+@dataclass(frozen=True, slots=True)
+class Dimension:
+    """What is measured, and the function that does it."""
+
+    title: str
+    run: Callable[[Effort], Measured]
+
+
+DIMENSIONS = {
+    "members": Dimension("the link at rest, by the number of members", members.run),
+    "destinations": Dimension("the destination list, by its length", destinations.run),
+    "held": Dimension("a backlog, by the number of held messages", held.run),
+}
--- /dev/null
+++ b/tests/test_scale.py
@@ -0,0 +1,181 @@
+"""The scale tests at small sizes, by counts and on virtual time, and what their figures go through."""
+
+import random
+from pathlib import Path
+
+import pytest
+
+from benchmarks.scale import destinations, fit, held, hollow, limits, members, page, results
+from benchmarks.scale.quantity import quantity_of
+from benchmarks.scale.results import Allowance, Effort, Measured, Point, Quantity, Source
+
+
+def named(measured: Measured) -> dict[str, Quantity]:
+    return {quantity.name: quantity for quantity in measured.quantities}
+
+
+def made(points: list[Point], planned_size: float, most: float | None = None) -> Quantity:
+    allowance = None if most is None else Allowance("a mechanism", most, "a reason")
+    return quantity_of("q", "a quantity", "B", "items", Source.COUNT, points, planned_size, allowance)
+
+
+# The line, and what is said of the planned size.
+
+
+def test_an_exact_line_is_found_without_residual() -> None:
+    line = fit.fit_line([Point(size, 3.0 * size + 7.0) for size in (1, 5, 10, 40)])
+    assert line.slope == pytest.approx(3.0) and line.intercept == pytest.approx(7.0)
+    assert line.relative_residual == pytest.approx(0.0, abs=1e-12)
+    assert (line.smallest, line.largest) == (1, 40)
+    assert fit.value_at(line, 100) == pytest.approx(307.0)
+
+
+def test_noise_is_told_as_residual() -> None:
+    chance = random.Random(3)
+    points = [Point(size, 100.0 + chance.choice((-10.0, 10.0))) for size in range(1, 201)]
+    line = fit.fit_line(points)
+    assert line.relative_residual == pytest.approx(0.1, rel=0.05)
+    assert abs(line.slope) < 0.05
+
+
+def test_a_line_needs_two_sizes() -> None:
+    with pytest.raises(ValueError, match="two different sizes"):
+        fit.fit_line([Point(5, 1.0), Point(5, 2.0)])
+
+
+def test_beyond_ten_times_the_range_is_marked_and_a_measured_size_never_is() -> None:
+    points = [Point(10, 10.0), Point(20, 20.0)]
+    assert not made(points, 200).is_extrapolated
+    assert made(points, 201).is_extrapolated
+    at_plan = made([*points, Point(500, 499.0)], 500)
+    assert at_plan.is_measured_at_plan and not at_plan.is_extrapolated and at_plan.planned_value == 499.0
+
+
+def test_points_beyond_the_linear_range_are_kept_and_not_fitted() -> None:
+    points = [Point(10, 10.0), Point(20, 20.0), Point(100, 30.0)]
+    found = quantity_of("q", "t", "B", "items", Source.COUNT, points, 40, fit_up_to=20)
+    assert found.planned_value == pytest.approx(40.0) and len(found.points) == 3
+
+
+# Limits.
+
+
+def test_an_allowance_is_passed_between_points_on_the_line_or_never() -> None:
+    points = [Point(10, 10.0), Point(20, 30.0)]
+    assert limits.size_at_allowance(made(points, 100, most=20.0)) == pytest.approx(15.0)
+    assert limits.size_at_allowance(made(points, 100, most=5.0)) == pytest.approx(5.0)
+    assert limits.size_at_allowance(made(points, 100, most=70.0)) == pytest.approx(40.0)
+    falling = made([Point(10, 10.0), Point(20, 5.0)], 100, most=70.0)
+    assert limits.size_at_allowance(falling) == float("inf")
+
+
+def test_limits_come_in_order_and_what_is_missing_is_first() -> None:
+    points = [Point(10, 10.0), Point(20, 20.0)]
+    measured = Measured((made(points, 100, most=50.0), made(points, 100, most=15.0)))
+    result = results.Result("d", "t", "c", results.environment_since(0.0), measured)
+    fractions = [limit.fraction for limit in limits.limits_in_order({"d": result})]
+    assert fractions == [0.0, pytest.approx(0.15), pytest.approx(0.5)]
+    changes = results.Result("changes", "t", "c", results.environment_since(0.0), Measured(()))
+    assert limits.limits_in_order({"changes": changes}) == []
+
+
+# Files and page.
+
+
+def test_a_result_is_read_as_it_was_written(tmp_path: Path) -> None:
+    measured = Measured((made([Point(10, 10.0), Point(20, 20.0)], 100, most=50.0),))
+    result = results.Result("d", "t", "c", results.environment_since(0.0), measured)
+    results.write(result, tmp_path)
+    assert results.read_all(tmp_path) == {"d": result}
+
+
+def test_a_page_that_differs_from_the_results_is_found_and_mended(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    measured = Measured((made([Point(10, 10.0), Point(20, 20.0)], 500, most=50.0),))
+    results.write(results.Result("d", "t", "c", results.environment_since(0.0), measured), tmp_path)
+    path = tmp_path / "page.md"
+    path.write_text("Before\n<!-- table: slopes -->\nold\n<!-- end -->\nafter\n")
+    assert page.update(write=False, path=path, folder=tmp_path) == 1
+    assert page.update(write=True, path=path, folder=tmp_path) == 0
+    assert page.update(write=False, path=path, folder=tmp_path) == 0
+    text = path.read_text()
+    assert text.startswith("Before\n") and text.endswith("after\n") and "old" not in text
+    assert "500 B (extrapolated)" in text
+    path.write_text(text.replace("500 B", "501 B"))
+    assert page.update(write=False, path=path, folder=tmp_path) == 1
+    path.write_text("<!-- table: none -->\n<!-- end -->\n")
+    with pytest.raises(page.UnknownTableError):
+        page.update(write=False, path=path, folder=tmp_path)
+
+
+def test_numbers_are_rounded_to_three_digits() -> None:
+    values = (0, 1234567, 12345, 123.4, 12.34, 1.234, 0.01234, 1e-9)
+    texts = [page.number(value) for value in values]
+    assert texts == ["0", "1,230,000", "12,300", "123", "12.3", "1.23", "0.0123", "1.00e-09"]
+
+
+# Members.
+
+
+def test_the_link_at_rest_costs_more_with_each_member_and_the_same_in_each_run() -> None:
+    first, again = (members.measure_rest(10) for _ in range(2))
+    assert (first.datagrams, first.sent_bytes) == (again.datagrams, again.sent_bytes)
+    more = members.measure_rest(20)
+    assert first.sent_bytes < more.sent_bytes < 2 * first.sent_bytes
+    # One ping and one acknowledgement go out in each half second; the rest are announcements.
+    assert 4.0 < first.datagrams < 4.0 + 9
+
+
+def test_every_member_hears_every_announcement_and_none_is_suspected() -> None:
+    fleet = hollow.HollowFleet(8, 200)
+    fleet.acquaint()
+    fleet.run(3.0)
+    assert all(fleet.know(1, name) == 7 for name in fleet.nodes)
+    assert not any(node.members.changed for node in fleet.nodes.values())
+    assert not any(node.counted.refused for node in fleet.nodes.values())
+
+
+def test_a_change_reaches_all_though_datagrams_are_lost() -> None:
+    fleet = hollow.HollowFleet(10, 200, loss=0.3)
+    fleet.acquaint()
+    fleet.nodes["n0"].publish(b"new", fleet.now)
+    fleet.flush("n0")
+    fleet.run(0.01)
+    assert 0 < fleet.know(2, "n0") < 9
+    fleet.run(30.0, lambda: fleet.know(2, "n0") == 9)
+    assert fleet.know(2, "n0") == 9 and fleet.now < 30.0
+
+
+def test_the_dimension_members_reports_each_quantity() -> None:
+    found = named(members.run(Effort.SMALL))
+    assert set(found) == {"bytes_at_rest", "datagrams_at_rest", "cpu_at_rest", "spread", "memory"}
+    assert found["bytes_at_rest"].line.slope > 0 and found["memory"].line.slope > 0
+    assert found["bytes_at_rest"].is_extrapolated  # 630 members from 20
+
+
+# Destinations.
+
+
+def test_a_used_destination_takes_more_than_a_listed_one() -> None:
+    found = named(destinations.run(Effort.SMALL))
+    listed, used = found["listed_bytes"].line, found["used_bytes"].line
+    assert 200 < listed.slope < used.slope < 10_000
+    assert listed.relative_residual < 0.05 and used.relative_residual < 0.05
+
+
+# Held messages.
+
+
+def test_held_messages_take_room_in_proportion() -> None:
+    found = named(held.run(Effort.SMALL))
+    assert set(found) == {"journal_bytes", "policy_bytes", "held_bytes", "disk_bytes", "ready_s"}
+    for name in ("journal_bytes", "policy_bytes", "disk_bytes"):
+        assert 300 < found[name].line.slope < 3_000 and found[name].line.relative_residual < 0.1
+    both = found["journal_bytes"].line.slope + found["policy_bytes"].line.slope
+    assert found["held_bytes"].line.slope == pytest.approx(both)
+
+
+def test_what_comes_and_goes_is_written_several_times() -> None:
+    written = held.in_folder(held.written_per_message, 200)
+    assert written > 2 * held.BODY_BYTES
