Scale tests of the data path and of restarts at once

A whole sender now serves loads at several rates on loopback, with the stand-ins of the storm benchmark, and hollow fleets restart members on virtual time.

--- a/benchmarks/scale/held.py
+++ b/benchmarks/scale/held.py
@@ -30,7 +30,8 @@
 JOURNAL_LIMIT_BYTES = 2_000_000_000
 GATHER_S = 0.005  # between the beginnings of two syncs
 UNTIL_US = 10**16  # far away
-CHURN_PER_S = 500  # messages that come and go while the journal is written anew
+CHURN_PER_S = 500  # messages that come and go in a second of CPU time while the journal is compacted
+LONGEST_COMPACTION_S = 60.0
 CHURN_FACTOR = 4  # messages that come and go for each held one, where written bytes are counted
 ENDPOINT, ZONE = "e1", "z1"
 HALF_OF_MEMORY_BYTES = 12_000_000_000  # of a machine of 24 GB
@@ -161,8 +162,8 @@
 
 
 async def longest_pause_ms(count: int, folder: Path) -> float:
-    """The longest iteration of the event loop, wall, while the journal is compacted beside messages that come
-    and go."""
+    """The longest iteration of the event loop, in CPU time, while the journal is compacted beside messages
+    that come and go."""
     journal = open_journal(folder)
     fill(journal, count)
     journal.ended(f"m{count - 1}", "delivered")  # something to be dropped
@@ -170,12 +171,13 @@
     while journal.task or journal.timer:
         await asyncio.sleep(0.01)
     gc.collect()
-    began = work_due = last = loop.time()
+    began = loop.time()
+    last = work_due = time.thread_time()
     journal.compact()
     longest = 0.0
-    while journal.anew and loop.time() < began + 60:
-        longest = max(longest, loop.time() - last)
-        last = loop.time()
+    while journal.anew and loop.time() < began + LONGEST_COMPACTION_S:
+        now = time.thread_time()
+        longest, last = max(longest, now - last), now
         while work_due < last:
             come_and_go(journal, next(numbers))
             work_due += 1 / CHURN_PER_S
@@ -295,7 +297,7 @@
         "longest iteration of the event loop while the journal is compacted",
         "ms",
         "held messages",
-        Source.WALL_TIME,
+        Source.CPU_TIME,
         points,
         plan.BACKLOG_PER_SENDER,
         Allowance("pause while compacting", plan.LOOP_PAUSE_S * 1e3, "own aim: 50 ms"),
--- a/benchmarks/scale/policy.py
+++ b/benchmarks/scale/policy.py
@@ -6,12 +6,13 @@
 from elmglade import interface as face
 
 MICROSECONDS = 1_000_000
+SEED = 1
 DEADLINE_US = 3_600 * MICROSECONDS
 ENDPOINTS_OF_ZONE = "z1"
 MESSAGE_CLASS = face.MessageClass("safe", 2 * MICROSECONDS, DEADLINE_US, 1.0, 0.3, face.Effect.SAFE)
 
 
-def settings(slots: int, max_open: int) -> face.Settings:
+def settings(slots: int, max_open: int, must_ask: bool = False) -> face.Settings:
     """One class, one kind of destination with one endpoint each."""
     return face.Settings(
         classes=(MESSAGE_CLASS,),
@@ -21,11 +22,13 @@
         max_attempts=6,
         zone=ENDPOINTS_OF_ZONE,
         tick=5_000,
+        must_ask=must_ask,
     )
 
 
-def make_dispatcher(slots: int, max_open: int, seed: int = 1) -> Dispatcher:
-    return Dispatcher(settings(slots, max_open), seed)
+def make_dispatcher(slots: int, max_open: int, must_ask: bool = False) -> Dispatcher:
+    """`must_ask`: the list of endpoints comes only when it is asked for."""
+    return Dispatcher(settings(slots, max_open, must_ask), SEED)
 
 
 def endpoint(number: int, state: face.EndpointState = face.EndpointState.READY) -> face.Endpoint:
--- a/benchmarks/scale/registry.py
+++ b/benchmarks/scale/registry.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from benchmarks.scale import destinations, held, members
+from benchmarks.scale import destinations, held, members, messages, restarts
 from benchmarks.scale.results import Effort, Measured
 
 
@@ -19,4 +19,6 @@
     "members": Dimension("the link at rest, by the number of members", members.run),
     "destinations": Dimension("the destination list, by its length", destinations.run),
     "held": Dimension("a backlog, by the number of held messages", held.run),
+    "messages": Dimension("the data path of one sender, by messages a second", messages.run),
+    "restarts": Dimension("restarts at once, by the number of restarted members", restarts.run),
 }
--- a/benchmarks/scale/results.py
+++ b/benchmarks/scale/results.py
@@ -19,9 +19,7 @@
     COUNT = "count"  # of datagrams, bytes or items: the same in each run
     VIRTUAL_TIME = "virtual time"  # the same in each run
     CPU_TIME = "CPU time"  # user and system time of a process
-    WALL_TIME = "wall time"
     TRACED_MEMORY = "tracemalloc"  # bytes allocated by Python objects
-    RESIDENT_MEMORY = "RSS"  # resident pages of a process
 
 
 class Effort(Enum):
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,12 +1,27 @@
 """The scale tests at small sizes, by counts and on virtual time, and what their figures go through."""
 
+import asyncio
 import random
 from pathlib import Path
 
 import pytest
 
-from benchmarks.scale import destinations, fit, held, hollow, limits, members, page, results
+from benchmarks.scale import (
+    destinations,
+    fit,
+    held,
+    hollow,
+    limits,
+    load,
+    members,
+    messages,
+    page,
+    restarts,
+    results,
+)
+from benchmarks.scale.command import main
 from benchmarks.scale.quantity import quantity_of
+from benchmarks.scale.registry import DIMENSIONS
 from benchmarks.scale.results import Allowance, Effort, Measured, Point, Quantity, Source
 
 
@@ -179,3 +194,42 @@
 def test_what_comes_and_goes_is_written_several_times() -> None:
     written = held.in_folder(held.written_per_message, 200)
     assert written > 2 * held.BODY_BYTES
+
+
+# Messages.
+
+
+def test_a_whole_sender_takes_all_that_is_offered_in_each_situation() -> None:
+    sizes = messages.SIZES[Effort.SMALL]
+    with load.stand_ins() as stand:
+        served = {
+            each.name: asyncio.run(messages.measure(stand, each, 200.0, sizes))
+            for each in messages.SITUATIONS
+        }
+    assert all(each.offered == each.accepted == 60 for each in served.values())
+    assert served["calm"].delivered == served["backlog"].delivered == 60
+    # Destinations 1 to 60 get one message each; those below load.DOWN are down.
+    assert served["down"].delivered == 60 - (load.DOWN - 1)
+
+
+# Restarts.
+
+
+def test_a_restart_costs_the_others_more_in_a_larger_fleet_and_all_know_it_in_the_end() -> None:
+    small, large = restarts.measure(6, 1), restarts.measure(12, 1)
+    assert small.is_whole and large.is_whole
+    assert 0 < small.hellos < large.hellos and small.restarted_bytes < large.restarted_bytes
+    assert restarts.measure(12, 1) == large
+
+
+def test_the_dimension_restarts_reports_each_quantity() -> None:
+    measured = restarts.run(Effort.SMALL)
+    names = {"other_bytes", "hellos", "one_other_bytes", "one_pair_bytes", "one_pair_hellos"}
+    assert set(named(measured)) == names
+    assert named(measured)["hellos"].line.slope > 0
+    assert [figure.value for figure in measured.figures] == [1.0]
+
+
+def test_every_dimension_is_registered_and_an_unknown_one_is_refused() -> None:
+    assert set(DIMENSIONS) >= {"members", "destinations", "held", "messages", "restarts"}
+    assert main(["nothing"]) == 2
