--- a/benchmarks/scale/destinations.py
+++ b/benchmarks/scale/destinations.py
@@ -11,17 +11,18 @@
 from dataclasses import dataclass
 from statistics import median
 
-from benchmarks.scale import plan, policy
+from benchmarks.scale import outage, plan, policy
 from benchmarks.scale.memory import traced_memory
 from benchmarks.scale.quantity import quantity_of
-from benchmarks.scale.results import Allowance, Effort, Measured, Point, Quantity, Source
+from benchmarks.scale.results import Allowance, Effort, Figure, Measured, Point, Quantity, Source
 from elmglade import interface as face
-from elmglade.http.platform import Listed
+from elmglade.http.platform import LINE_LIMIT, Listed
 
 SLOTS, MAX_OPEN = 60, 1_000
 CALL_US = 5_000  # virtual, between a message and the answer to its call
 CHANGES = 40  # single changes that are timed
 ROUNDS = 5  # of which the median counts
+OUTAGE_S = (10.0, 600.0)  # virtual
 UNITS_PER_S = {"s": 1.0, "us": 1e6}
 
 
@@ -65,7 +66,7 @@
         | {"block": number, "health": "ready", "share": 1.0}
         for number in range(count)
     ]
-    return json.dumps({"seq": 1, "whole": True, "hosts": hosts}).encode()
+    return json.dumps({"seq": 1, "whole": True, "hosts": hosts}, separators=(",", ":")).encode()
 
 
 def hear_text(world: World, text: bytes) -> Listed:
@@ -133,11 +134,36 @@
     sizes = SIZES[effort]
     return Measured(
         (
+            line_quantity(sizes.listed),
             memory_quantity("listed_bytes", "listed and not used", listed_bytes, sizes.listed),
             memory_quantity("used_bytes", "listed and used within the hour", used_bytes, sizes.used),
             processor_quantity("full_list_s", "CPU to hear a full list", "s", full_list_s, sizes.listed),
             processor_quantity("one_change_us", "CPU to hear one change", "us", one_change_us, sizes.listed),
-        )
+        ),
+        outage_figures(),
+    )
+
+
+def line_quantity(sizes: tuple[int, ...]) -> Quantity:
+    return quantity_of(
+        "list_line_bytes",
+        "bytes of a full list as the directory sends it, in compact JSON with short names",
+        "B",
+        "destinations",
+        Source.COUNT,
+        [Point(size, len(list_text(size))) for size in sizes],
+        plan.DESTINATIONS,
+        Allowance("full list in one line", LINE_LIMIT, "limit of the directory's client: 4 MiB a line"),
+    )
+
+
+def outage_figures() -> tuple[Figure, ...]:
+    """Calls of one sender of the planned fleet, without the link, to a destination that is down."""
+    where = f"calls of one of {plan.SENDERS} senders to a destination that is down"
+    first, later = (outage.calls_while_down(plan.SENDERS, seconds) for seconds in OUTAGE_S)
+    return (
+        Figure("calls_at_first", f"{where}, first {OUTAGE_S[0]:.0f} s", "", Source.COUNT, first),
+        Figure("calls_later", f"{where}, first {OUTAGE_S[1]:.0f} s", "", Source.COUNT, later),
     )
 
 
--- a/benchmarks/scale/limits.py
+++ b/benchmarks/scale/limits.py
@@ -3,16 +3,21 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from itertools import pairwise
-from math import inf
+from math import inf, isfinite
 
+from benchmarks.scale import fit, plan
 from benchmarks.scale.results import Quantity, Result
 
 
 @dataclass(frozen=True, slots=True)
 class Limit:
-    """One mechanism; `fraction` is of the planned size, infinite where the allowance is never passed."""
+    """One mechanism; `fraction` is of the planned size, infinite where the allowance is never passed.
+    `is_extrapolated`: the size at which it is passed lies beyond ten times the measured ones."""
 
     mechanism: str
+    planned_value: float | None  # at the planned size, in `unit`; None: there is nothing to measure
+    most: float  # the allowance, in `unit`
+    unit: str
     fraction: float
     at_size: float
     size_of: str
@@ -28,6 +33,9 @@
     return [
         Limit(
             "configuration in force everywhere",
+            None,
+            plan.IN_FORCE_WITHIN_S,
+            "s",
             0.0,
             0.0,
             "senders",
@@ -62,12 +70,15 @@
     size = size_at_allowance(quantity)
     return Limit(
         quantity.allowance.mechanism,
+        quantity.planned_value,
+        quantity.allowance.most,
+        quantity.unit,
         size / quantity.planned_size,
         size,
         quantity.size_of,
         quantity.allowance.reason,
         f"{result.dimension}: {quantity.name}",
-        quantity.is_extrapolated and size > quantity.points[-1].size,
+        isfinite(size) and fit.is_extrapolated(quantity.line, size) and size > quantity.points[-1].size,
     )
 
 
--- a/benchmarks/scale/messages.py
+++ b/benchmarks/scale/messages.py
@@ -13,7 +13,8 @@
 from benchmarks.scale.quantity import quantity_of
 from benchmarks.scale.results import Allowance, Effort, Figure, Measured, Point, Quantity, Source
 
-SECONDS = 4.0  # that messages are offered at each rate
+SECONDS = 3.0  # that messages are offered at each rate
+REPEATS = 2  # of each rate; all points go into the line
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +28,7 @@
 
 SIZES = {
     Effort.SMALL: Sizes((100.0, 200.0), 0.3, 50),
-    Effort.FULL: Sizes((50.0, 100.0, 200.0, 300.0), SECONDS, 5_000),
+    Effort.FULL: Sizes((50.0, 100.0, 150.0, 225.0) * REPEATS, SECONDS, 3_000),
 }
 
 
--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -11,12 +11,14 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from pathlib import Path
 
+from benchmarks.scale import derived, plan
 from benchmarks.scale import results as files
 from benchmarks.scale.limits import Limit, limits_in_order
 from benchmarks.scale.results import ROOT, Quantity, Result
 
 PAGE = ROOT / "docs" / "CAPACITY.md"
 MARKED = re.compile(r"(<!-- table: (\S+) -->\n).*?(<!-- end -->)", re.DOTALL)
+FAR_BEYOND = 10  # times the plan, from which no figure is told
 EXTRAPOLATED = " (extrapolated)"
 
 
@@ -94,16 +96,94 @@
 def fraction_text(limit: Limit) -> str:
     if math.isinf(limit.fraction):
         return "not reached"
+    if limit.fraction > FAR_BEYOND:
+        return f"beyond {FAR_BEYOND}"
     return number(limit.fraction) + (EXTRAPOLATED if limit.is_extrapolated else "")
 
 
 def limits_table(results: Mapping[str, Result]) -> str:
     """Limits in order."""
+    head = ["mechanism", "of the plan", "passed at", "allowance", "at the planned size", "by whom", "source"]
+    rows = [limit_cells(limit) for limit in limits_in_order(results)]
+    return table(head, rows)
+
+
+def limit_cells(limit: Limit) -> tuple[str, ...]:
+    is_near = limit.fraction <= FAR_BEYOND
+    there = "-" if limit.planned_value is None else f"{number(limit.planned_value)} {limit.unit}"
+    return (
+        limit.mechanism,
+        fraction_text(limit),
+        f"{number(limit.at_size)} {limit.size_of}" if is_near else "-",
+        f"{number(limit.most)} {limit.unit}",
+        there,
+        limit.reason,
+        limit.source,
+    )
+
+
+def data_path_table(results: Mapping[str, Result]) -> str:
+    """What the senders bear, by situation."""
+    head = [
+        "situation",
+        "CPU a message",
+        f"messages/s a sender at {plan.SENDER_UTILISATION:.0%}",
+        "senders needed",
+        "so that one zone may go",
+        "so that the larger region may go",
+        f"spare with {plan.SENDERS}",
+        "the backlog of 1.6 billion",
+    ]
+    rows = []
+    for each in derived.data_path(results):
+        needed = (each.needed, each.needed_without_zone, each.needed_without_region)
+        spare = f"{number(each.spare)} /s" if each.spare > 0 else "none"
+        drained = "never" if math.isinf(each.drain_s) else f"drained in {number(each.drain_s / 3600)} h"
+        cells = (each.situation, f"{number(each.cpu_us)} us", number(each.per_core))
+        rows.append((*cells, *(f"{count:,}" for count in needed), spare, drained))
+    return table(head, rows)
+
+
+def returns_table(results: Mapping[str, Result]) -> str:
+    """The correlated load behind failures."""
+    head = [
+        "comes back",
+        "senders",
+        "bytes at each other sender",
+        "bytes at each that comes back",
+        "handshake datagrams in all",
+        "list calls",
+        "messages that waited",
+    ]
     rows = []
-    for limit in limits_in_order(results):
-        at = "-" if math.isinf(limit.at_size) else f"{number(limit.at_size)} {limit.size_of}"
-        rows.append((limit.mechanism, fraction_text(limit), at, limit.reason, limit.source))
-    return table(("mechanism", "of the plan", "passed at", "allowance", "source"), rows)
+    for each in derived.returns(results):
+        values = (each.other_bytes, each.own_bytes, each.handshakes, each.list_calls, each.backlog)
+        rows.append((each.event, str(each.senders), *(number(value) for value in values)))
+    return table(head, rows)
+
+
+def state_table(results: Mapping[str, Result]) -> str:
+    """What one sender keeps at the planned size."""
+    rows = []
+    for each in derived.states(results):
+        total = f"{number(each.total / 1e6)} MB" + (EXTRAPOLATED if each.is_extrapolated else "")
+        rows.append((each.item, number(each.count), f"{number(each.bytes_each)} B", total, each.source))
+    return table(("state of one sender", "items", "bytes each", "total", "source"), rows)
+
+
+def absent_table(results: Mapping[str, Result]) -> str:
+    """Senders that are away on an ordinary day."""
+    ready = derived.quantity(results, "held", "ready_s")
+    return table(
+        ("restarts and failures a day", "away each time", "senders away on average"),
+        [
+            (
+                str(plan.RESTARTS_PER_DAY + plan.FAILED_MACHINES_PER_DAY),
+                f"{number(ready.planned_value)} s" + (EXTRAPOLATED if ready.is_extrapolated else ""),
+                number(derived.senders_absent(results)),
+            )
+        ],
+    )
 
 
 TABLES: dict[str, Callable[[Mapping[str, Result]], str]] = {
@@ -111,6 +191,10 @@
     "slopes": slopes_table,
     "figures": figures_table,
     "limits": limits_table,
+    "data-path": data_path_table,
+    "state": state_table,
+    "returns": returns_table,
+    "absent": absent_table,
 }
 
 
--- a/benchmarks/scale/plan.py
+++ b/benchmarks/scale/plan.py
@@ -29,3 +29,7 @@
 SENDER_CORES = 1.0  # a sender is one process with one event loop
 
 EXTRAPOLATION_LIMIT = 10.0  # times the largest measured size, beyond which a value is marked
+SENDER_UTILISATION = 0.7  # of a sender's core at the most in ordinary times: our own aim, room for bursts
+ZONES_OF_LARGER_REGION = 3  # of the five: our own assumption
+SENDERS_PER_RACK = 20  # our own assumption
+CORRELATED_WINDOW_S = 10.0  # in which the load behind a failure is counted
--- a/benchmarks/scale/policy.py
+++ b/benchmarks/scale/policy.py
@@ -12,7 +12,7 @@
 MESSAGE_CLASS = face.MessageClass("safe", 2 * MICROSECONDS, DEADLINE_US, 1.0, 0.3, face.Effect.SAFE)
 
 
-def settings(slots: int, max_open: int, must_ask: bool = False) -> face.Settings:
+def settings(slots: int, max_open: int, must_ask: bool = False, fleet_size: int = 1) -> face.Settings:
     """One class, one kind of destination with one endpoint each."""
     return face.Settings(
         classes=(MESSAGE_CLASS,),
@@ -23,12 +23,13 @@
         zone=ENDPOINTS_OF_ZONE,
         tick=5_000,
         must_ask=must_ask,
+        fleet_size=fleet_size,
     )
 
 
-def make_dispatcher(slots: int, max_open: int, must_ask: bool = False) -> Dispatcher:
+def make_dispatcher(slots: int, max_open: int, must_ask: bool = False, fleet_size: int = 1) -> Dispatcher:
     """`must_ask`: the list of endpoints comes only when it is asked for."""
-    return Dispatcher(settings(slots, max_open, must_ask), SEED)
+    return Dispatcher(settings(slots, max_open, must_ask, fleet_size), SEED)
 
 
 def endpoint(number: int, state: face.EndpointState = face.EndpointState.READY) -> face.Endpoint:
@@ -64,3 +65,14 @@
 def held_count(dispatcher: Dispatcher) -> int:
     """Messages that are owed."""
     return len(dispatcher.messages)
+
+
+def refused(send: face.Send) -> face.AttemptEnded:
+    """Nobody listens there."""
+    return face.AttemptEnded(send.message, send.attempt, face.Outcome.CONNECT_FAILED)
+
+
+def wake_after_us(actions: Sequence[face.Action]) -> int | None:
+    """When the module asks to be called again; None: as it asked before, or not at all."""
+    delays = [action.delay for action in actions if isinstance(action, face.WakeAfter)]
+    return delays[-1] if delays else None
--- a/benchmarks/scale/restarts.py
+++ b/benchmarks/scale/restarts.py
@@ -5,6 +5,7 @@
 destinations once; that call is counted by the decision module, not sent.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 
 from benchmarks.scale import plan, policy
@@ -31,7 +32,7 @@
 
 SIZES = {
     Effort.SMALL: Sizes(10, (1, 2, 4), (6, 10, 14)),
-    Effort.FULL: Sizes(50, (1, 2, 5, 10), (20, 40, 80, 120)),
+    Effort.FULL: Sizes(50, (1, 2, 5, 10), (20, 40, 60, 80, 120)),
 }
 
 
@@ -46,33 +47,41 @@
     is_whole: bool  # every member knows every other one's present epoch at the end
 
 
-def traffic_of(fleet: HollowFleet) -> tuple[Traffic, int]:
-    """Of ten seconds from now on, and the hellos among it."""
+@dataclass(frozen=True, slots=True)
+class Run:
+    """A fleet after ten seconds, in which some members restarted at the beginning or none did."""
+
+    fleet: HollowFleet
+    traffic: Traffic
+    hellos: int
+
+
+def run_fleet(size: int, restarted: Sequence[str]) -> Run:
+    """The same fleet each time: two runs differ by the restarts alone."""
+    fleet = HollowFleet(size, ANNOUNCEMENT_BYTES, SEED)
+    fleet.acquaint()
+    fleet.run(SETTLING_S)
     fleet.forget_traffic()
+    for name in restarted:
+        fleet.restart(name)
     fleet.run(WINDOW_S)
-    return fleet.traffic, fleet.kinds[HELLO]
+    return Run(fleet, fleet.traffic, fleet.kinds[HELLO])
 
 
 def measure(size: int, restarted: int) -> Excess:
     """Restarts the last members of a fleet at rest."""
-    fleet = HollowFleet(size, ANNOUNCEMENT_BYTES, SEED)
-    fleet.acquaint()
-    fleet.run(SETTLING_S)
-    names = list(fleet.nodes)
+    names = [f"n{number}" for number in range(size)]
     others, gone = names[: size - restarted], names[size - restarted :]
-    rest, rest_hellos = traffic_of(fleet)
-    for name in gone:
-        fleet.restart(name)
-    after, hellos = traffic_of(fleet)
-    calm_datagrams, calm_bytes = rest.received_by(others)
-    datagrams, total_bytes = after.received_by(others)
-    restarted_bytes = after.received_by(gone)[1] - rest.received_by(gone)[1]
+    calm, after = run_fleet(size, ()), run_fleet(size, gone)
+    calm_datagrams, calm_bytes = calm.traffic.received_by(others)
+    datagrams, total_bytes = after.traffic.received_by(others)
+    gone_bytes = after.traffic.received_by(gone)[1] - calm.traffic.received_by(gone)[1]
     return Excess(
         (total_bytes - calm_bytes) / len(others),
         (datagrams - calm_datagrams) / len(others),
-        restarted_bytes / restarted,
-        hellos - rest_hellos,
-        is_whole(fleet),
+        gone_bytes / restarted,
+        after.hellos - calm.hellos,
+        is_whole(after.fleet),
     )
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -15,6 +15,7 @@
     load,
     members,
     messages,
+    outage,
     page,
     restarts,
     results,
@@ -90,6 +91,9 @@
     result = results.Result("d", "t", "c", results.environment_since(0.0), measured)
     fractions = [limit.fraction for limit in limits.limits_in_order({"d": result})]
     assert fractions == [0.0, pytest.approx(0.15), pytest.approx(0.5)]
+    far = Measured((made(points, 1000, most=201.0), made(points, 1000, most=199.0)))
+    marks = limits.limits_in_order({"d": results.Result("d", "t", "c", result.environment, far)})
+    assert [limit.is_extrapolated for limit in marks] == [False, False, True]
     changes = results.Result("changes", "t", "c", results.environment_since(0.0), Measured(()))
     assert limits.limits_in_order({"changes": changes}) == []
 
@@ -177,6 +181,13 @@
     listed, used = found["listed_bytes"].line, found["used_bytes"].line
     assert 200 < listed.slope < used.slope < 10_000
     assert listed.relative_residual < 0.05 and used.relative_residual < 0.05
+    line = found["list_line_bytes"]
+    assert line.allowance and line.planned_value > line.allowance.most  # no sender can read the planned list
+
+
+def test_calls_to_a_destination_that_is_down_are_fewer_in_a_larger_fleet() -> None:
+    alone, among_many = (outage.calls_while_down(size, 60.0) for size in (1, 630))
+    assert 2 <= among_many < alone < 60
 
 
 # Held messages.
@@ -233,3 +244,10 @@
 def test_every_dimension_is_registered_and_an_unknown_one_is_refused() -> None:
     assert set(DIMENSIONS) >= {"members", "destinations", "held", "messages", "restarts"}
     assert main(["nothing"]) == 2
+
+
+def test_the_page_of_capacities_agrees_with_the_results_and_holds_each_table() -> None:
+    text = page.PAGE.read_text()
+    assert {name for _, name, _ in page.MARKED.findall(text)} == set(page.TABLES)
+    assert set(results.read_all()) <= set(DIMENSIONS)
+    assert page.update(write=False) == 0
