--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -122,6 +122,10 @@
     )
 
 
+def hours_text(seconds: float) -> str:
+    return "never" if math.isinf(seconds) else f"in {number(seconds / 3600)} h"
+
+
 def data_path_table(results: Mapping[str, Result]) -> str:
     """What the senders bear, by situation."""
     head = [
@@ -132,15 +136,16 @@
         "so that one zone may go",
         "so that the larger region may go",
         f"spare with {plan.SENDERS}",
-        "the backlog of 1.6 billion",
+        "1.6 billion drained",
+        "with whole cores",
     ]
     rows = []
     for each in derived.data_path(results):
         needed = (each.needed, each.needed_without_zone, each.needed_without_region)
         spare = f"{number(each.spare)} /s" if each.spare > 0 else "none"
-        drained = "never" if math.isinf(each.drain_s) else f"drained in {number(each.drain_s / 3600)} h"
+        drained = (hours_text(each.drain_s), hours_text(each.drain_at_full_s))
         cells = (each.situation, f"{number(each.cpu_us)} us", number(each.per_core))
-        rows.append((*cells, *(f"{count:,}" for count in needed), spare, drained))
+        rows.append((*cells, *(f"{count:,}" for count in needed), spare, *drained))
     return table(head, rows)
 
 
@@ -186,6 +191,36 @@
     )
 
 
+def shares_table(results: Mapping[str, Result]) -> str:
+    """What each part of the deployment carries."""
+    head = [
+        "part",
+        "senders",
+        "events/s",
+        "cores of the data path",
+        "messages held",
+        "their memory",
+        "link, datagrams/s sent",
+        "link, bytes/s sent",
+    ]
+    rows = []
+    for each in derived.shares(results):
+        traffic = (number(each.link_datagrams_per_s), number(each.link_bytes_per_s))
+        held = (number(each.held), f"{number(each.held_bytes / 1e9)} GB")
+        load = (number(each.events_per_s), number(each.data_path_cores))
+        rows.append((each.part, f"{each.senders:.0f}", *load, *held, *traffic))
+    return table(head, rows)
+
+
+def destination_table(results: Mapping[str, Result]) -> str:
+    """What one destination that is down sees."""
+    rows = [
+        (each.window, number(each.calls_of_one), number(each.calls_of_all))
+        for each in derived.at_destination(results)
+    ]
+    return table(("one destination, down", "calls of one sender", f"of {plan.SENDERS}"), rows)
+
+
 TABLES: dict[str, Callable[[Mapping[str, Result]], str]] = {
     "runs": runs_table,
     "slopes": slopes_table,
@@ -195,6 +230,8 @@
     "state": state_table,
     "returns": returns_table,
     "absent": absent_table,
+    "shares": shares_table,
+    "destination": destination_table,
 }
 
 
--- a/benchmarks/scale/restarts.py
+++ b/benchmarks/scale/restarts.py
@@ -150,6 +150,7 @@
 def quantities_by_fleet(by_fleet: dict[int, Excess]) -> tuple[Quantity, ...]:
     most = plan.CONTROL_BYTES_PER_S * WINDOW_S
     reason = "letter: 2 KB/s a sender for control, over 10 s"
+    pair = pair_quantity(by_fleet)
     return (
         quantity_of(
             "one_other_bytes",
@@ -161,15 +162,18 @@
             plan.SENDERS,
             Allowance("one restart, at each other member", most, reason),
         ),
+        pair,
         quantity_of(
-            "one_pair_bytes",
-            "bytes that each other member sends to one restarted member beyond rest in 10 s "
-            "(times the other members: what that one receives)",
+            "one_restarted_bytes",
+            "bytes that one restarted member receives beyond rest in 10 s (grows with the square: at the "
+            "planned size it is one_pair_bytes times the other members)",
             "B",
             "members",
             Source.COUNT,
-            [Point(size, round(each.restarted_bytes / (size - 1), 1)) for size, each in by_fleet.items()],
+            [Point(size, round(each.restarted_bytes)) for size, each in by_fleet.items()],
             plan.SENDERS,
+            Allowance("one restart, at the restarted member", most, reason),
+            planned_value=pair.planned_value * (plan.SENDERS - 1),
         ),
         quantity_of(
             "one_pair_hellos",
@@ -181,3 +185,15 @@
             plan.SENDERS,
         ),
     )
+
+
+def pair_quantity(by_fleet: dict[int, Excess]) -> Quantity:
+    return quantity_of(
+        "one_pair_bytes",
+        "bytes that each other member sends to one restarted member beyond rest in 10 s",
+        "B",
+        "members",
+        Source.COUNT,
+        [Point(size, round(each.restarted_bytes / (size - 1), 1)) for size, each in by_fleet.items()],
+        plan.SENDERS,
+    )
--- a/benchmarks/scale/results.py
+++ b/benchmarks/scale/results.py
@@ -57,7 +57,8 @@
 class Quantity(msgspec.Struct, frozen=True):
     """A cost measured at several sizes.
 
-    `planned_value` is the line's value at `planned_size`, or where `is_measured_at_plan` the measured one.
+    `planned_value` is the line's value at `planned_size`, or where `is_measured_at_plan` the measured one; of
+    what is no line it follows from another quantity, and the title says so.
     Points beyond `line.largest` are not fitted: the quantity is not linear there, and the title says so.
     """
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -236,7 +236,9 @@
 def test_the_dimension_restarts_reports_each_quantity() -> None:
     measured = restarts.run(Effort.SMALL)
     names = {"other_bytes", "hellos", "one_other_bytes", "one_pair_bytes", "one_pair_hellos"}
-    assert set(named(measured)) == names
+    assert set(named(measured)) == names | {"one_restarted_bytes"}
+    pair, whole = named(measured)["one_pair_bytes"], named(measured)["one_restarted_bytes"]
+    assert whole.planned_value == pytest.approx(pair.planned_value * 629)
     assert named(measured)["hellos"].line.slope > 0
     assert [figure.value for figure in measured.figures] == [1.0]
 
