--- a/benchmarks/scale/derived.py
+++ b/benchmarks/scale/derived.py
@@ -181,6 +181,7 @@
     data_path_cores: float  # with the planned share of destinations down
     held: float  # messages
     held_bytes: float  # in memory
+    is_held_extrapolated: bool
     link_datagrams_per_s: float  # sent, and as many received
     link_bytes_per_s: float
 
@@ -207,6 +208,7 @@
         planned("messages", "core_down"),
         senders * plan.BACKLOG_PER_SENDER,
         planned("held", "held_bytes"),
+        quantity(results, "held", "held_bytes").is_extrapolated,
         planned("members", "datagrams_at_rest"),
         planned("members", "bytes_at_rest"),
     )
--- a/benchmarks/scale/limits.py
+++ b/benchmarks/scale/limits.py
@@ -16,6 +16,7 @@
 
     mechanism: str
     planned_value: float | None  # at the planned size, in `unit`; None: there is nothing to measure
+    is_planned_extrapolated: bool  # the value at the planned size
     most: float  # the allowance, in `unit`
     unit: str
     fraction: float
@@ -34,6 +35,7 @@
         Limit(
             "configuration in force everywhere",
             None,
+            False,
             plan.IN_FORCE_WITHIN_S,
             "s",
             0.0,
@@ -71,6 +73,7 @@
     return Limit(
         quantity.allowance.mechanism,
         quantity.planned_value,
+        quantity.is_extrapolated,
         quantity.allowance.most,
         quantity.unit,
         size / quantity.planned_size,
--- a/benchmarks/scale/page.py
+++ b/benchmarks/scale/page.py
@@ -110,7 +110,10 @@
 
 def limit_cells(limit: Limit) -> tuple[str, ...]:
     is_near = limit.fraction <= FAR_BEYOND
-    there = "-" if limit.planned_value is None else f"{number(limit.planned_value)} {limit.unit}"
+    there = "-"
+    if limit.planned_value is not None:
+        mark = EXTRAPOLATED if limit.is_planned_extrapolated else ""
+        there = f"{number(limit.planned_value)} {limit.unit}{mark}"
     return (
         limit.mechanism,
         fraction_text(limit),
@@ -206,7 +209,8 @@
     rows = []
     for each in derived.shares(results):
         traffic = (number(each.link_datagrams_per_s), number(each.link_bytes_per_s))
-        held = (number(each.held), f"{number(each.held_bytes / 1e9)} GB")
+        mark = EXTRAPOLATED if each.is_held_extrapolated else ""
+        held = (number(each.held), f"{number(each.held_bytes / 1e9)} GB{mark}")
         load = (number(each.events_per_s), number(each.data_path_cores))
         rows.append((each.part, f"{each.senders:.0f}", *load, *held, *traffic))
     return table(head, rows)
