The control plane is a dimension of the scale tests, with the package's own types

Need: the measurement of the control plane had result types and a fit of its own beside those of benchmarks/scale.

--- /dev/null
+++ b/benchmarks/scale/changes_report.py
@@ -0,0 +1,216 @@
+"""The quantities and figures of the dimension `changes`, made of its runs."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from benchmarks.scale import plan
+from benchmarks.scale.changes import LOSSES, Day, Fault, Run, measure
+from benchmarks.scale.quantity import quantity_of
+from benchmarks.scale.results import Allowance, Effort, Figure, Measured, Point, Quantity, Source
+
+IN_FORCE = Allowance(
+    "control plane: a change in force everywhere",
+    plan.IN_FORCE_WITHIN_S,
+    "letter: 980 changes a day within 4 s",
+)
+REST_BYTES = Allowance(
+    "control plane: bytes of a sender at rest",
+    plan.CONTROL_BYTES_PER_S,
+    "letter: 2 KB/s a sender for control",
+)
+SENDER_CORE = Allowance(
+    "control plane: processor share of a sender",
+    plan.CONTROL_CORE_SHARE,
+    "letter: 3.2% of a core a sender",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class DayValue:
+    """One value of a day's run, by the number of senders."""
+
+    name: str
+    title: str
+    unit: str
+    source: Source
+    of: Callable[[Day], float]
+    allowance: Allowance | None = None
+
+
+DAY_VALUES = (
+    DayValue(
+        "rest_bytes", "bytes of a sender at rest", "B/s", Source.COUNT, lambda day: day.rest_bytes, REST_BYTES
+    ),
+    DayValue(
+        "rest_datagrams", "datagrams of a sender at rest", "1/s", Source.COUNT, lambda day: day.rest_datagrams
+    ),
+    DayValue(
+        "worst_bytes", "bytes of any sender in any second", "B/s", Source.COUNT, lambda day: day.worst_bytes
+    ),
+    DayValue(
+        "worst_datagrams",
+        "datagrams of any sender in any second",
+        "1/s",
+        Source.COUNT,
+        lambda day: day.worst_datagrams,
+    ),
+    DayValue(
+        "nodes_rest_bytes",
+        "bytes of all four nodes at rest",
+        "B/s",
+        Source.COUNT,
+        lambda day: day.node_rest_bytes,
+    ),
+    DayValue(
+        "node_worst_bytes",
+        "bytes of the busiest node in its worst second",
+        "B/s",
+        Source.COUNT,
+        lambda day: day.node_worst_bytes,
+    ),
+    DayValue(
+        "node_worst_datagrams",
+        "datagrams of the busiest node in its worst second",
+        "1/s",
+        Source.COUNT,
+        lambda day: day.node_worst_datagrams,
+    ),
+    DayValue(
+        "in_force_p50", "until in force, median", "s", Source.VIRTUAL_TIME, lambda day: day.in_force.p50
+    ),
+    DayValue("in_force_p99", "until in force, p99", "s", Source.VIRTUAL_TIME, lambda day: day.in_force.p99),
+    DayValue(
+        "in_force_most",
+        "until in force everywhere, longest",
+        "s",
+        Source.VIRTUAL_TIME,
+        lambda day: day.in_force.most,
+        IN_FORCE,
+    ),
+    DayValue(
+        "sender_cpu",
+        "processor share of a sender, hollow",
+        "core",
+        Source.CPU_TIME,
+        lambda day: day.sender_cpu_share,
+        SENDER_CORE,
+    ),
+    DayValue(
+        "node_cpu",
+        "processor share of a node, hollow, mean of the four",
+        "core",
+        Source.CPU_TIME,
+        lambda day: day.node_cpu_share,
+    ),
+)
+
+
+def run(effort: Effort) -> Measured:
+    """Measures and reports the dimension."""
+    found = measure(is_small=effort is Effort.SMALL)
+    return Measured(quantities_of(found), figures_of(found))
+
+
+def loss_marks(loss: float) -> tuple[str, str]:
+    """What a name and a title end with."""
+    return (f"_loss_{loss * 100:.0f}", f", {loss:.0%} lost") if loss else ("", "")
+
+
+def quantities_of(found: Run) -> tuple[Quantity, ...]:
+    """Lines over the number of senders."""
+    quantities = []
+    for loss in LOSSES:
+        days = [day for day in found.days if day.terms.loss == loss]
+        name_end, title_end = loss_marks(loss)
+        for each in DAY_VALUES:
+            quantities.append(
+                quantity_of(
+                    each.name + name_end,
+                    each.title + title_end,
+                    each.unit,
+                    "senders",
+                    each.source,
+                    [Point(day.terms.senders, each.of(day)) for day in days],
+                    plan.SENDERS,
+                    each.allowance,
+                )
+            )
+    return tuple(quantities)
+
+
+def figures_of(found: Run) -> tuple[Figure, ...]:
+    """Single values."""
+    figures = [
+        Figure("sender_memory", "memory of a sender's watch", "B", Source.TRACED_MEMORY, found.memory.sender),
+        Figure("document_memory", "of these, its document", "B", Source.TRACED_MEMORY, found.memory.document),
+        Figure(
+            "session_memory", "a node's session of a sender", "B", Source.TRACED_MEMORY, found.memory.session
+        ),
+        Figure("snapshot_bytes", "the document, encoded", "B", Source.COUNT, found.memory.snapshot_bytes),
+        Figure(
+            "confirmed_most",
+            "until a change is confirmed, longest",
+            "s",
+            Source.VIRTUAL_TIME,
+            max(day.confirmed_most for day in found.days),
+        ),
+        Figure(
+            "missing",
+            "senders without a change at the end, all days",
+            "",
+            Source.COUNT,
+            sum(day.in_force.missing for day in found.days),
+        ),
+    ]
+    scenarios = (
+        ("lost_node", "the leader killed", found.lost_node),
+        ("zone_return", "a zone's return", found.zone_return),
+        ("start", "all start at once", found.start),
+    )
+    for name, title, faults in scenarios:
+        for loss, fault in zip(LOSSES, faults, strict=True):
+            suffix, told = loss_marks(loss)
+            figures += fault_figures(name, title, fault, suffix, told)
+    return tuple(figures)
+
+
+def fault_figures(name: str, title: str, fault: Fault, suffix: str, told: str) -> list[Figure]:
+    values: list[tuple[str, str, str, Source, float]] = [
+        ("in_force_p50", "until in force, median", "s", Source.VIRTUAL_TIME, fault.in_force.p50),
+        ("in_force_p99", "until in force, p99", "s", Source.VIRTUAL_TIME, fault.in_force.p99),
+        ("in_force_most", "until in force, longest", "s", Source.VIRTUAL_TIME, fault.in_force.most),
+        ("missing", "senders without a change at the end", "", Source.COUNT, fault.in_force.missing),
+        ("worst_bytes", "bytes of any sender in any second", "B/s", Source.COUNT, fault.worst_bytes),
+        ("node_worst_bytes", "bytes of the busiest node", "B/s", Source.COUNT, fault.node_worst_bytes),
+        (
+            "node_worst_datagrams",
+            "datagrams of the busiest node",
+            "1/s",
+            Source.COUNT,
+            fault.node_worst_datagrams,
+        ),
+        ("node_changes", "changes of node", "", Source.COUNT, fault.node_changes),
+    ]
+    if fault.returned.count or fault.returned.missing:
+        values += [
+            (
+                "returned_p50",
+                "from a start to the newest version, median",
+                "s",
+                Source.VIRTUAL_TIME,
+                fault.returned.p50,
+            ),
+            (
+                "returned_most",
+                "from a start to the newest version, longest",
+                "s",
+                Source.VIRTUAL_TIME,
+                fault.returned.most,
+            ),
+            ("returned_missing", "starts that never had it", "", Source.COUNT, fault.returned.missing),
+            ("postponed", "answers that told to come again", "", Source.COUNT, fault.postponed),
+        ]
+    return [
+        Figure(f"{name}_{part}{suffix}", f"{title}: {what}{told}", unit, source, value)
+        for part, what, unit, source, value in values
+    ]
--- a/benchmarks/scale/hollow.py
+++ b/benchmarks/scale/hollow.py
@@ -14,8 +14,9 @@
 
 from elmglade.fleet import wire
 from elmglade.fleet.members import PERIOD, Member, State
-from elmglade.fleet.node import Me, Node, Peer
+from elmglade.fleet.node import Me, Node
 from elmglade.fleet.seal import Seal
+from elmglade.fleet.session import PeerSession
 from elmglade.fleet.udp import TICK
 from elmglade.fleet.wire import Address
 
@@ -113,7 +114,7 @@
         epoch = other.members.me.epoch
         name, address = other.me.name, other.me.address
         node.members.others[name] = Member(name, address, epoch, 0, State.ALIVE, self.now)
-        node.peers[name] = Peer(epoch, other.session)
+        node.peers[name] = PeerSession(epoch, other.session)
 
     def restart(self, name: str) -> None:
         """The member's process is replaced in an instant by one with its next epoch that knows nobody."""
--- a/benchmarks/scale/registry.py
+++ b/benchmarks/scale/registry.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from benchmarks.scale import destinations, held, members, messages, restarts
+from benchmarks.scale import changes_report, destinations, held, members, messages, restarts
 from benchmarks.scale.results import Effort, Measured
 
 
@@ -20,5 +20,6 @@
     "destinations": Dimension("the destination list, by its length", destinations.run),
     "held": Dimension("a backlog, by the number of held messages", held.run),
     "messages": Dimension("the data path of one sender, by messages a second", messages.run),
+    "changes": Dimension("the control plane, by the number of senders", changes_report.run),
     "restarts": Dimension("restarts at once, by the number of restarted members", restarts.run),
 }
--- a/tests/test_control_hollow.py
+++ b/tests/test_control_hollow.py
@@ -4,19 +4,18 @@
 
 import pytest
 
-from benchmarks.control_plane import ZONE_OF_NODE, HollowControlPlane, Terms
-from benchmarks.scale_control import (
-    IN_FORCE_WITHIN_S,
-    SENDER_BYTES_A_SECOND,
+from benchmarks.scale import plan
+from benchmarks.scale.changes import (
     Day,
     Fault,
     measure_day,
     measure_lost_node,
     measure_start,
     measure_zone_return,
-    quantity_of,
 )
-from benchmarks.scale_control import Point as PointOfRun
+from benchmarks.scale.control_plane import ZONE_OF_NODE, HollowControlPlane, Terms
+from benchmarks.scale.quantity import quantity_of
+from benchmarks.scale.results import Point, Source
 
 SENDERS = 40
 
@@ -29,9 +28,9 @@
 def test_a_day_is_within_the_operators_figures(day: Day) -> None:
     assert day.in_force.missing == 0
     assert day.in_force.count >= 20 * SENDERS
-    assert day.in_force.most < IN_FORCE_WITHIN_S
+    assert day.in_force.most < plan.IN_FORCE_WITHIN_S
     assert day.confirmed_most < 1.0
-    assert day.rest_bytes < SENDER_BYTES_A_SECOND / 5
+    assert day.rest_bytes < plan.CONTROL_BYTES_PER_S / 5
     assert 1.6 < day.rest_datagrams < 2.6, "a poll and its answer each second"
 
 
@@ -48,7 +47,7 @@
 def test_a_leader_that_is_killed_holds_changes_up_for_no_longer_than_allowed() -> None:
     fault: Fault = measure_lost_node(Terms(SENDERS, 150, loss=0.01))
     assert fault.in_force.missing == 0
-    assert fault.in_force.most < IN_FORCE_WITHIN_S
+    assert fault.in_force.most < plan.IN_FORCE_WITHIN_S
     assert fault.node_changes > 0
 
 
@@ -56,7 +55,7 @@
     fault = measure_zone_return(Terms(SENDERS, 90, loss=0.01))
     assert fault.returned.count == SENDERS // 5 and fault.returned.missing == 0
     assert fault.returned.most < 10
-    assert fault.in_force.missing == 0 and fault.in_force.most < IN_FORCE_WITHIN_S
+    assert fault.in_force.missing == 0 and fault.in_force.most < plan.IN_FORCE_WITHIN_S
 
 
 def test_all_that_start_at_once_get_the_document_within_bounded_bytes() -> None:
@@ -94,8 +93,8 @@
 
 
 def test_a_line_is_fitted_by_least_squares() -> None:
-    points = [PointOfRun(10, 21), PointOfRun(20, 41), PointOfRun(30, 61)]
-    quantity = quantity_of("x", "x", "B", "count", points, None)
+    points = [Point(10, 21), Point(20, 41), Point(30, 61)]
+    quantity = quantity_of("x", "x", "B", "senders", Source.COUNT, points, plan.SENDERS)
     assert quantity.line.slope == pytest.approx(2) and quantity.line.intercept == pytest.approx(1)
     assert quantity.line.relative_residual == pytest.approx(0, abs=1e-9)
     assert quantity.planned_value == pytest.approx(1261) and quantity.is_extrapolated
