A request that has no form on the wire is refused, and the control node goes on

A change with half of a surrogate pair in a name, in its id or its author, or with a base version beyond 64 bits, passed the control socket's check and made the encoder raise within a step of the node. A step that raises ends the process, so one request of an operator took a control node down. encode_change now names it as a fault of the request, as it does for one that is too large, and the answer is invalid. The new test asks a leader and a follower for four such changes and then makes a change at each; without the mend all four cases end in the story's time limit, and with it tests/test_control_node.py and tests/test_control_store.py pass.

--- a/elmglade/control/store.py
+++ b/elmglade/control/store.py
@@ -43,8 +43,12 @@
 
 
 def encode_change(change: Change) -> bytes:
-    """The data of a log entry. Raises ChangeFormatError where it would be too large."""
-    data = msgspec.msgpack.encode(change)
+    """The data of a log entry. Raises ChangeFormatError where it would be too large, or holds a text or a
+    number that has no form on the wire."""
+    try:
+        data = msgspec.msgpack.encode(change)
+    except (UnicodeEncodeError, OverflowError) as error:
+        raise ChangeFormatError(f"no change: {error}") from None
     if len(data) > CHANGE_BYTES_LIMIT:
         raise ChangeFormatError(f"a change of {len(data)} bytes; {CHANGE_BYTES_LIMIT} at the most")
     return data
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -338,6 +338,30 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        Change("huge", 10**30, (), ()),
+        Change("half", 0, (), ("\ud800",)),
+        Change("\ud800", 0, (), ()),
+        Change("author", 0, (), (), "\udc80"),
+    ],
+    ids=["number", "deleted name", "request id", "author"],
+)
+def test_what_has_no_form_on_the_wire_is_refused_and_the_node_goes_on(change: Change, tmp_path: Path) -> None:
+    async def story(cluster: Cluster) -> None:
+        cluster.start()
+        leader = await cluster.until_led()
+        other = next(name for name in VOTES if name != leader)
+        for name in (leader, other):
+            result = await cluster.submit(name, change)
+            assert result.outcome is Outcome.INVALID and result.faults[0].startswith("no change: ")
+            assert (await cluster.make(name)).outcome is Outcome.APPLIED
+            await cluster.until_everywhere()
+
+    play(tmp_path, story)
+
+
 def test_of_two_operators_at_once_one_is_told_of_the_other(tmp_path: Path) -> None:
     async def story(cluster: Cluster) -> None:
         cluster.start()
