A control node's epoch and its mark of a learner are durable under their names

The files of the state folder were synced before they were renamed, but the folder was not synced behind it. A power loss soon after a start could so take back an epoch that the other nodes had heard of and kept: the next start had the same epoch under another session, which they take for an old disk, and the node became a learner for good. In the same way the mark of a learner was not surely durable before the epoch that comes behind it. Each write of the folder now syncs the folder before it returns.

--- a/elmglade/control/folder.py
+++ b/elmglade/control/folder.py
@@ -3,10 +3,13 @@
 Rules:
 
 - `identity.json` is written last by `initialise`; a folder without it belongs to a learner.
+- A file that was replaced is durable under its name once its write returns: an epoch that others heard of and
+  that a power loss takes back would look like an old disk.
 - The mark of a learner is durable before the epoch by which the node learned that its disk is old: a start
   in between hears of it again.
 """
 
+import os
 from collections.abc import Mapping
 from pathlib import Path
 from typing import TypeVar
@@ -51,8 +54,7 @@
         if used:
             raise FolderError(f"{self.path}: is no empty folder; it holds {', '.join(used[:8])}")
         LogFile(self.path, disk).create()
-        replace_json(self.path / IDENTITY_FILE, msgspec.to_builtins(identity), sync=True)
-        disk.sync_folder(self.path)
+        self._replace(IDENTITY_FILE, msgspec.to_builtins(identity))
 
     def identity(self) -> Identity | None:
         """None where the folder was not initialised, or its file does not read."""
@@ -63,7 +65,7 @@
         return max(self._read(EPOCH_FILE, int) or 0, 0)
 
     def write_epoch(self, epoch: int) -> None:
-        replace_json(self.path / EPOCH_FILE, epoch, sync=True)
+        self._replace(EPOCH_FILE, epoch)
 
     def read_starts(self) -> dict[str, KnownStart]:
         """The latest starts of the other nodes that were heard of."""
@@ -72,7 +74,7 @@
 
     def write_starts(self, starts: Mapping[str, KnownStart]) -> None:
         pairs = {name: (each.epoch, each.session) for name, each in starts.items()}
-        replace_json(self.path / STARTS_FILE, pairs, sync=True)
+        self._replace(STARTS_FILE, pairs)
 
     def learner_reason(self) -> str:
         """Why this node is to stay a learner; empty if it is not."""
@@ -81,7 +83,15 @@
         return self._read(LEARNER_FILE, str) or "it was marked as a learner"
 
     def mark_learner(self, reason: str) -> None:
-        replace_json(self.path / LEARNER_FILE, reason, sync=True)
+        self._replace(LEARNER_FILE, reason)
+
+    def _replace(self, name: str, told: object) -> None:
+        replace_json(self.path / name, told, sync=True)
+        folder = os.open(self.path, os.O_RDONLY | os.O_DIRECTORY | os.O_CLOEXEC)
+        try:
+            os.fsync(folder)
+        finally:
+            os.close(folder)
 
     def _read(self, name: str, kind: type[Content]) -> Content | None:
         try:
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -1,8 +1,10 @@
 """Control nodes on virtual time: a bad network, disks that are lost, old or full, kills at chosen points."""
 
 import asyncio
+import os
 import random
 import shutil
+import stat
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
@@ -753,3 +755,32 @@
     cluster = Cluster(tmp_path)
     with pytest.raises(FolderError, match="no empty folder"):
         cluster.initialise(cluster.machines["c1"])
+
+
+@pytest.mark.parametrize("what", ["identity", "epoch", "starts", "learner"])
+def test_what_the_folder_keeps_is_durable_under_its_name_once_it_is_written(
+    what: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    done: list[str] = []
+    replace, sync = os.replace, os.fsync
+
+    def noted_replace(old: Path, new: Path) -> None:
+        replace(old, new)
+        done.append("name")
+
+    def noted_sync(file: int) -> None:
+        sync(file)
+        done.append("folder" if stat.S_ISDIR(os.fstat(file).st_mode) else "content")
+
+    folder = StateFolder(tmp_path / "c1")
+    folder.path.mkdir()
+    writes: dict[str, Callable[[], None]] = {
+        "identity": lambda: folder.initialise(Identity("test", "c1", "now"), MemoryDisk(Platter())),
+        "epoch": lambda: folder.write_epoch(7),
+        "starts": lambda: folder.write_starts({}),
+        "learner": lambda: folder.mark_learner("lost"),
+    }
+    monkeypatch.setattr(os, "replace", noted_replace)
+    monkeypatch.setattr(os, "fsync", noted_sync)
+    writes[what]()
+    assert done == ["content", "name", "folder"]
