A defect in a write beside the loop ends a control node, in place of a stall that nobody hears of

The tasks that write the log and the state folder caught OSError alone. Any other exception ended the task unheard: the batch stayed 'being stored' for ever, and the node went on to answer watches while it took no part in replication and said nothing of it. Such a task now ends the node by the same way as a defect within a step, so that it is logged and the process exits with 1.

--- a/elmglade/control/udp.py
+++ b/elmglade/control/udp.py
@@ -147,8 +147,11 @@
             for address, datagram in self.node.channel.take_datagrams():
                 self.send(address, datagram)
         except Exception as error:
-            self.close()
-            self.failed(error)
+            self._fail(error)
+
+    def _fail(self, error: Exception) -> None:
+        self.close()
+        self.failed(error)
 
     async def _store(self, batch: LogBatch) -> None:
         try:
@@ -176,7 +179,13 @@
     def _spawn(self, work: Any) -> None:  # noqa: ANN401
         task = self.loop.create_task(work)
         self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        """A defect in a task ends the node too: what waits for that task would wait for ever."""
+        self._tasks.discard(task)
+        if not task.cancelled() and isinstance(error := task.exception(), Exception) and not self.is_over:
+            self._fail(error)
 
     # Records.
 
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -784,3 +784,24 @@
     monkeypatch.setattr(os, "fsync", noted_sync)
     writes[what]()
     assert done == ["content", "name", "folder"]
+
+
+@pytest.mark.parametrize("method", [(LogFile, "store"), (StateFolder, "write_starts")], ids=["log", "folder"])
+def test_a_defect_beside_the_loop_ends_the_node(
+    method: tuple[type, str], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def defect(*_: object) -> None:
+        raise RuntimeError("a defect")
+
+    async def story(cluster: Cluster) -> None:
+        with monkeypatch.context() as broken:
+            broken.setattr(*method, defect)
+            cluster.start()
+            while not cluster.defects:
+                await asyncio.sleep(0.01)
+        assert str(cluster.defects[0]) == "a defect"
+        ended = [name for name in VOTES if cluster.driver(name).is_over]
+        assert len(ended) == len(cluster.defects), "each is told of once"
+        cluster.defects.clear()
+
+    play(tmp_path, story)
