Messages that wait for a control node's disk are bounded

While a Ready is outstanding, a follower went on to queue one answer for each heartbeat, ten a second, and without a leader a question to each peer for each election time-out. A disk whose sync hangs does not fail, so nothing ended this: the queue grew as long as the disk hung and left in one burst behind it. The queue now keeps the latest 256 messages; the oldest go as on a network that loses them, which Raft bears, and a leader's requests are made when the Ready is taken and are not counted.

--- a/elmglade/control/replica.py
+++ b/elmglade/control/replica.py
@@ -19,12 +19,13 @@
 - **Learner.** A node that may have forgotten a vote or an entry copies the log. It never votes, is never
   counted and never a candidate. Once a leader heard so it counts that node no more in its term.
 - **Durable first.** A `Ready` holds what is to be made durable, then sent, then applied. There is one at a
-  time, and messages of later events wait for the next one.
+  time, and messages of later events wait for the next one: so many, the latest, as a disk may hang.
 
 All times are seconds of the caller's monotonic clock; only differences count, and safety needs no clock.
 """
 
 import random
+from collections import deque
 from collections.abc import Mapping, Sequence
 
 from elmglade.control.leadership import Leadership
@@ -53,6 +54,7 @@
 HEARTBEAT_INTERVAL_S = 0.1
 ELECTION_TIMEOUT_LEAST_S = 0.6
 ELECTION_TIMEOUT_MOST_S = 1.2
+WAITING_MESSAGES_LIMIT = 256  # that wait for the disk; beyond it the oldest go, as a network loses them
 
 
 class Replica:
@@ -86,7 +88,7 @@
         self._disk_last_index = self._log.last_index
         self._handed_index = 0  # the last committed entry that a Ready has held
         self._outstanding: Ready | None = None
-        self._messages: list[tuple[str, RaftMessage]] = []
+        self._messages: deque[tuple[str, RaftMessage]] = deque(maxlen=WAITING_MESSAGES_LIMIT)
         self._granted: frozenset[str] = frozenset()
         self._leadership: Leadership | None = None  # while it is the leader
         self._chance = chance
@@ -183,13 +185,14 @@
         """What is to be done now; None: nothing, or the last one is not `persisted` yet."""
         if self._outstanding is not None:
             return None
+        requests: Sequence[tuple[str, RaftMessage]] = ()
         if self._leadership is not None:
-            self._messages.extend(self._leadership.take_requests(self.commit_index))
+            requests = self._leadership.take_requests(self.commit_index)
         ready = Ready(
             hard_state=self._hard_state if self._hard_state != self._durable_hard_state else None,
             truncate_from=self._durable_index + 1 if self._disk_last_index > self._durable_index else None,
             entries=self._log.between(self._durable_index + 1, self._log.last_index),
-            messages=tuple(self._messages),
+            messages=(*self._messages, *requests),
             committed=self._log.between(self._handed_index + 1, self.commit_index),
         )
         if ready == NOTHING_READY:
--- a/tests/test_control_raft_rules.py
+++ b/tests/test_control_raft_rules.py
@@ -14,6 +14,7 @@
     ELECTION_TIMEOUT_LEAST_S,
     ELECTION_TIMEOUT_MOST_S,
     HEARTBEAT_INTERVAL_S,
+    WAITING_MESSAGES_LIMIT,
     HardState,
     NotLeaderError,
     Ready,
@@ -544,3 +545,17 @@
     assert replica.commit_index == 0 and not replica.authority_age(now)
     with pytest.raises(NotLeaderError):
         replica.propose(b"change", now)
+
+
+def test_while_a_disk_hangs_the_messages_that_wait_are_bounded_and_the_latest_are_kept() -> None:
+    replica = follower()
+    replica.receive("b", AppendRequest(1, 0, 0, 0, 0, entries_of(1)), 0.0)
+    hanging = replica.take_ready()
+    assert hanging is not None and hanging.entries
+    rounds = 4 * WAITING_MESSAGES_LIMIT
+    for number in range(1, rounds + 1):
+        replica.receive("b", AppendRequest(1, 1, 1, 0, number, ()), number * HEARTBEAT_INTERVAL_S)
+    replica.persisted(hanging)
+    ready = replica.take_ready()
+    assert ready is not None and len(ready.messages) == WAITING_MESSAGES_LIMIT
+    assert ready.messages[-1] == ("b", AppendReply(1, True, 1, rounds, True))
