A cut-off leader doesn't say that a change against a later version was not made

A leader answered 'conflict: nothing was changed' at once for a base version above its own. While it is cut off, for up to an election time-out, that version may have been made by another leader, and with it the very change that the operator asks for again under its id: the answer could be untrue. Such a request now goes through the log, where the store answers it with a conflict, and only behind all that is applied, since a version under way could make its base the present one and the change would count unvalidated; a cut-off leader answers 'unavailable' as before. For a base below its own version the answer stays at once: had the change been made, its id would be known. The test of a new leader expected the answer at once from the leader's own document; it now asserts that nothing is answered before the log says it, that both are proposed once, and the whole answers.

--- a/elmglade/control/requests.py
+++ b/elmglade/control/requests.py
@@ -9,6 +9,9 @@
   against the document that the change names as its base: faults and an older base are answered at once, and
   nothing is written. A leader that has not applied an entry of its own term yet does not answer: its document
   may lack changes that were confirmed.
+- A base above the leader's own version may be another leader's by now, which this one has not heard of: it
+  can't say that nothing was changed. So the question goes through the log, behind all that is applied, where
+  the store answers it with a conflict; who is cut off answers nothing.
 - In one term an id is proposed once. Where a term was lost the store's memory of ids makes it once.
 - A node answers its operator once its own document has the version, so that what is read there shows it.
 """
@@ -152,14 +155,15 @@
             return known
         if not self._is_caught_up():
             return None
-        version = self.store.document.version
-        if change.base_version != version:
-            is_under_way = self._proposed.get(change.request_id) == self.replica.term
-            return None if is_under_way else self._result(change, Outcome.CONFLICT)
         if self._proposed.get(change.request_id) == self.replica.term:
             return None
-        faults = self._faults(change)
-        if faults:
+        version = self.store.document.version
+        if change.base_version < version:
+            return self._result(change, Outcome.CONFLICT)
+        if change.base_version > version:
+            if self.replica.last_index != self.store.applied_index:
+                return None  # what is under way may make that version: this would count unchecked behind it
+        elif faults := self._faults(change):
             return self._result(change, Outcome.INVALID, faults)
         self.replica.propose(encode_change(change), now)
         self._proposed[change.request_id] = self.replica.term
