A sender that is named as one of its control nodes is a fault of its file

A sender whose name is also a control node's shares its place in the other nodes' memory of starts: with a higher epoch it makes them tell the real control node that its disk is old, and that node then marks itself as a learner for good. One wrong name in a sender's file, which any valid key bears, could so take a vote out of the cluster. The file's check now names it. The new case of test_all_faults_of_the_control_plane_are_named_at_once fails without the check, and tests/test_config.py passes with it.

--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -321,6 +321,8 @@
         wrong += [f"budgets[{x.index}].{x.field}: {x.text}" for x in budget_faults(self.budgets, size)]
         if self.control and len(self.name) > CONTROL_NAME_LENGTH_LIMIT:
             wrong.append(f"name: must be {CONTROL_NAME_LENGTH_LIMIT} characters at the most with [control]")
+        if self.control and self.name in {each.name for each in self.control.nodes}:
+            wrong.append(f"name: {self.name!r} is a control node's, which would take this for its old disk")
         if wrong:
             raise ValueError("\n".join(wrong))
         return self
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -167,6 +167,10 @@
     ]
     for changes, text in (
         ({"name": "n" * 65, "control": CONTROL}, "name: must be 64 characters at the most with [control]"),
+        (
+            {"name": "c1", "control": CONTROL},
+            "name: 'c1' is a control node's, which would take this for its old disk",
+        ),
         ({"control": CONTROL | {"nodes": []}}, "control.nodes: must name at least one control node"),
     ):
         with pytest.raises(ConfigError) as error:
