A control node that knows no leader doesn't say that a version holds all already

'elmglade control set' compared the file with what the asked node has and ended with 0 and 'holds this already' where both agree. A node that is cut off answers with the last version that it has, so an operator who wanted an older content back was told that it is in force while another version was. Without a known leader the outcome is now 'not known', with that reason and exit code 1.

--- a/elmglade/cli/control.py
+++ b/elmglade/cli/control.py
@@ -143,10 +143,13 @@
 
 def plain_answer(request: ChangeRequest, present: Present, is_repeated: bool) -> ChangeAnswer | None:
     """The answer that needs no control node. One whose request id was given may have been made before: only
-    the control nodes know."""
+    the control nodes know. A node that knows no leader may be cut off, and its version an old one: that it
+    holds this already says nothing of the one in force."""
     if request.base_version != present.version:
         return None if is_repeated else ChangeAnswer(Outcome.CONFLICT, present.version, attempts=0)
     if not any(request.difference):
+        if not present.told["leader"]:
+            return ChangeAnswer(Outcome.UNAVAILABLE, present.version, attempts=0, reason=change.NO_LEADER)
         return ChangeAnswer(Outcome.UNCHANGED, present.version, attempts=0)
     return None
 
--- a/elmglade/cli/control_change.py
+++ b/elmglade/cli/control_change.py
@@ -21,6 +21,7 @@
 
 RETRY_INTERVAL_S = 0.3
 ANSWER_PATIENCE_S = 10.0  # for one answer of a control node
+NO_LEADER = "no leader with a majority is known"
 
 
 class Outcome(StrEnum):
@@ -137,5 +138,5 @@
     value = told["value"]
     faults = tuple(map(str, value.get("faults", ())))
     outcome = Outcome(value["outcome"])
-    reason = "no leader with a majority is known" if outcome is Outcome.UNAVAILABLE else ""
+    reason = NO_LEADER if outcome is Outcome.UNAVAILABLE else ""
     return ChangeAnswer(outcome, value["version"], faults, attempts, reason)
--- a/tests/test_control_cli.py
+++ b/tests/test_control_cli.py
@@ -39,13 +39,14 @@
         self.results: dict[str, dict[str, Any]] = {}
         self.unavailable = 0  # so many requests are answered so
         self.nodes: list[dict[str, Any]] = []
+        self.leader = "c1"  # that it knows of
         self.looked = 0
         self.look: Callable[[], None] = lambda: None
 
     def get(self, asked: Mapping[str, Any]) -> dict[str, Any]:
         values = {name: json.loads(value) for name, value in self.resources.items()}
         told = {"version": self.version, "digest": 77, "resources": values, "age_ms": 100}
-        return told | {"role": "leader", "leader": "c1"}
+        return told | {"role": "leader" if self.leader else "follower", "leader": self.leader}
 
     def set(self, asked: Mapping[str, Any]) -> dict[str, Any]:
         self.sets.append(dict(asked))
@@ -192,6 +193,15 @@
     assert len({asked["request_id"] for asked in stub.sets}) == 1
 
 
+def test_a_cut_off_node_does_not_say_that_all_is_as_wanted(stub: Stub, run: Run, tmp_path: Path) -> None:
+    """Another version may be in force by now."""
+    words = ("set", file(tmp_path, FLEET))
+    assert run(*words) == (0, "version 4 holds this already: nothing was changed\n")
+    stub.leader = ""
+    code, out = run(*words)
+    assert code == 1 and "no leader with a majority is known" in out and not stub.sets
+
+
 def test_an_outcome_that_stays_unknown_is_said(stub: Stub, run: Run, tmp_path: Path) -> None:
     stub.unavailable = 10**6
     code, out = run("set", file(tmp_path, ""), "--timeout", "0.2", "--request-id", "r1")
