--- a/elmglade/grpc/channel.py
+++ b/elmglade/grpc/channel.py
@@ -11,13 +11,13 @@
 from elmglade.config import General
 from elmglade.core.engine import Config as EngineConfig
 from elmglade.core.engine import Engine
-from elmglade.core.lock import Lock
 from elmglade.core.ports import End, State, TurnedAway
 from elmglade.directory.static import StaticDirectory
 from elmglade.grpc import retry
 from elmglade.grpc.courier import Factory, GrpcCourier, Options, insecure
 from elmglade.grpc.route import BadRouteError, Metadata, Router, from_metadata, message_from, pairs
 from elmglade.journal.answers import Answers
+from elmglade.journal.lock import Lock
 from elmglade.message import HandedIn
 
 Serializer = Callable[[Any], bytes]
--- a/elmglade/http/serve.py
+++ b/elmglade/http/serve.py
@@ -16,7 +16,6 @@
 from elmglade.core import explain, inventory
 from elmglade.core.engine import Clock, Engine
 from elmglade.core.engine import Config as EngineConfig
-from elmglade.core.lock import Lock
 from elmglade.core.ports import End
 from elmglade.core.witness import Witness
 from elmglade.directory.control import Command, Control
@@ -28,6 +27,7 @@
 from elmglade.http.daemon import HttpSender
 from elmglade.journal.disk import Disk
 from elmglade.journal.file import FILE, Journal
+from elmglade.journal.lock import Lock
 
 if TYPE_CHECKING:
     from elmglade.http.control import SenderControl
--- a/tests/conformance/test_plugin.py
+++ b/tests/conformance/test_plugin.py
@@ -15,7 +15,6 @@
 import pytest
 
 from conformance.sides import METHOD, PATIENCE, PluginSide
-from elmglade.core.lock import LockTakenError
 from elmglade.core.ports import Answer, State
 from elmglade.grpc import BadRouteError, open_channel
 from elmglade.grpc.courier import ENFORCED, OPTIONS, GrpcCourier
@@ -23,6 +22,7 @@
 from elmglade.grpc.retry import retry_after, trailers
 from elmglade.grpc.route import pairs, unpaired
 from elmglade.interface import NEVER_RAN, Outcome
+from elmglade.journal.lock import LockTakenError
 from elmglade.lab.grpc import GrpcEndpoint
 from elmglade.lab.history import Began, History, Over
 from elmglade.lab.script import Act, Does, Script
