A node that learns that its disk is old doesn't say any more what it had to say as a voter

A vote that was granted, or an answer that counts for a majority, waits for the disk's sync, and a body for a peer whose session is not known waits for that session. A node that heard meanwhile that its disk is older than what others know became a learner, and still sent these: a vote may so be its second one of the term, and two leaders in one term are then possible. The node now sends only what a learner may say, and the channel drops what waited. Two new tests, one case for each of the two places, fail without the mend (the vote, and the request for votes, reach the other side), the control case without an old disk passes both ways; tests/test_control_node.py and tests/test_control_channel.py pass with it.

--- a/elmglade/control/channel.py
+++ b/elmglade/control/channel.py
@@ -268,6 +268,7 @@
         if known_epoch >= self.epoch:
             self.epoch = known_epoch + 1
             self.is_behind = True
+            self._waiting.clear()  # said by one who did not know it
             self.on_behind(self.epoch)
 
     def _send_waiting(self, name: str) -> None:
--- a/elmglade/control/node.py
+++ b/elmglade/control/node.py
@@ -6,7 +6,8 @@
   do its messages leave and its entries count. While the disk refuses (`store_failed`) the same batch is given
   again each `DISK_RETRY_S`; replication stands still meanwhile, and watches and status are served.
 - Only names in the table of nodes take part in replication and forward changes; any name may watch.
-- An old disk (`Channel.is_behind`) makes the node a learner before the next message is looked at.
+- An old disk (`Channel.is_behind`) makes the node a learner before the next message is looked at. What it had
+  to say as a voter and had not said yet is not said any more: a vote may be its second one of the term.
 - Only the caller's monotonic clock is used, and only differences of it.
 """
 
@@ -20,6 +21,7 @@
 from elmglade.control.log_file import LogBatch, make_batch
 from elmglade.control.messages import (
     Address,
+    AppendReply,
     Body,
     Change,
     ForwardedChange,
@@ -183,7 +185,8 @@
 
     def _complete(self, ready: Ready) -> None:
         for to, message in ready.messages:
-            self._send(to, message)
+            if self.replica.is_voter or not _is_of_a_voter(message):
+                self._send(to, message)
         self.replica.persisted(ready)
         version = self.store.document.version
         for entry in ready.committed:
@@ -257,6 +260,10 @@
         return int(self.replica.authority_age(self._now) * MS_PER_SECOND)
 
 
+def _is_of_a_voter(message: RaftMessage) -> bool:
+    return not isinstance(message, AppendReply) or message.is_voter
+
+
 def _shortened(watcher: WatcherStatus) -> WatcherStatus:
     if len(watcher.reason) <= REASON_IN_STATUS_LIMIT:
         return watcher
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -15,14 +15,15 @@
 import pytest
 
 from elmglade.control import messages
-from elmglade.control.channel import Channel
+from elmglade.control.channel import Channel, KnownStart
 from elmglade.control.configuration import NodeConfiguration
 from elmglade.control.document import Document
 from elmglade.control.folder import FolderError, Identity, StateFolder
 from elmglade.control.log_file import LogFile
 from elmglade.control.messages import Address, Change, ChangeResult, Delta, NodeStatus, Outcome, Resource
+from elmglade.control.node import ControlNode
 from elmglade.control.process import build_node
-from elmglade.control.raft import Role
+from elmglade.control.raft import HardState, Role
 from elmglade.control.replica import Replica
 from elmglade.control.requests import ChangeRequests
 from elmglade.control.store import ConfigurationStore
@@ -842,3 +843,64 @@
         cluster.defects.clear()
 
     play(tmp_path, story)
+
+
+class Wire:
+    """A node between hand-made channels; what the channels are told is kept."""
+
+    def __init__(self, node: ControlNode, *others: Channel) -> None:
+        self.node, self.others = node, {each.name: each for each in others}
+        self.told: dict[str, list[messages.Body]] = {each.name: [] for each in others}
+
+    def exchange(self) -> None:
+        """Until nobody has more to say."""
+        is_busy = True
+        while is_busy:
+            is_busy = False
+            for other in self.others.values():
+                for _, datagram in other.take_datagrams():
+                    is_busy = True
+                    self.node.receive(datagram, (other.name, 7000), 0.0)
+            for address, datagram in self.node.channel.take_datagrams():
+                is_busy = True
+                found = self.others[address[0]].receive(datagram, (self.node.name, 7000), 0.0)
+                self.told[address[0]] += [body for _, body in found]
+
+
+@pytest.mark.parametrize("is_behind", [False, True])
+def test_a_vote_that_waits_for_the_disk_is_not_said_by_a_node_that_learns_that_its_disk_is_old(
+    is_behind: bool,
+) -> None:
+    seal, votes = Seal([KEY]), dict.fromkeys(("a", "b", "c"), 1)
+    addresses = {name: (name, 7000) for name in votes}
+    known = {"b": KnownStart(9, 99)} if is_behind else {}
+    candidate = Channel("a", 1, 11, seal, addresses)
+    witness = Channel("c", 1, 33, seal, addresses, known)
+    replica = Replica("b", votes, HardState(), (), random.Random(1), 0.0)
+    channel = Channel("b", 1, 22, seal, {name: addresses[name] for name in ("a", "c")})
+    node = ControlNode(channel, replica, ConfigurationStore(), no_faults, random.Random(2), 0.0)
+    wire = Wire(node, candidate, witness)
+    candidate.send("b", messages.VoteRequest(1, 0, 0, False), 0.0)
+    wire.exchange()
+    assert node.take_batch() is not None, "the vote"
+    witness.send("b", messages.StatusRequest(1), 0.0)
+    wire.exchange()
+    assert (replica.role is Role.LEARNER) is is_behind
+    node.stored(0.0)
+    wire.exchange()
+    vote = messages.VoteReply(1, True, False)
+    assert wire.told["a"] == ([] if is_behind else [vote])
+
+
+def test_what_waits_for_a_peer_is_not_said_by_one_that_learns_that_its_disk_is_old() -> None:
+    seal = Seal([KEY])
+    old = Channel("b", 1, 22, seal, {"c": ("c", 7000)})
+    witness = Channel("c", 1, 33, seal, {"b": ("b", 7000)}, {"b": KnownStart(9, 99)})
+    old.send("c", messages.VoteRequest(1, 0, 0, False), 0.0)
+    told: list[tuple[str, messages.Body]] = []
+    for _ in range(4):
+        for _, datagram in old.take_datagrams():
+            told += witness.receive(datagram, ("b", 7000), 0.0)
+        for _, datagram in witness.take_datagrams():
+            old.receive(datagram, ("c", 7000), 0.0)
+    assert old.is_behind and not told
