A sender's link to the control nodes that could not be made at its start is made later

A full disk, a key file that others may read or an address in use at a sender's start left it without a link until its next start, though the reason was soon gone: the sender stayed at its last version and showed nothing but a fault in its status. It now tries again each 10 s, logs a reason once, and clears the fault with the link.

--- a/elmglade/http/control.py
+++ b/elmglade/http/control.py
@@ -25,6 +25,7 @@
 
 TICK_S = 0.1
 REFUSED_DATAGRAMS_INTERVAL_S = 10.0  # between two records of datagrams that were refused
+LINK_RETRY_S = 10.0  # after a link that could not be made
 EPOCH_FILE = "control.epoch"
 SESSION_BITS = 62
 
@@ -164,6 +165,7 @@
         self.configuration = SenderConfiguration(config, state, disk or Files())
         self.link: ControlLink | None = None
         self.fault = ""  # why there is no link
+        self.retries: asyncio.Task[None] | None = None
 
     async def start(
         self,
@@ -172,18 +174,34 @@
         task_ended: Callable[[asyncio.Task[None]], None],
     ) -> None:
         """Versions are put in force from here on. `task_ended`: told of a defect. Never raises for a link
-        that cannot be made: the log and the status say so."""
+        that cannot be made: the log and the status say so, and it is tried again."""
         self.configuration.bind(directory, budgets)
+        await self.make_link(task_ended)
+        if self.link is None:
+            self.retries = asyncio.create_task(self.retry(task_ended))
+            self.retries.add_done_callback(task_ended)
+
+    async def make_link(self, task_ended: Callable[[asyncio.Task[None]], None]) -> None:
+        """Makes the link, or notes why it cannot be made."""
         try:
             link = ControlLink(self.name, self.plane, self.state, self.configuration)
             await link.start()
         except (KeyFileError, OSError) as error:
+            if self.fault != str(error):
+                version = self.configuration.document.version
+                log.error("control: no link, version %d stays: %s", version, error)
             self.fault = str(error)
-            log.error("control: no link, version %d stays: %s", self.configuration.document.version, error)
             return
         assert link.task
         link.task.add_done_callback(task_ended)
-        self.link = link
+        self.link, self.fault = link, ""
+
+    async def retry(self, task_ended: Callable[[asyncio.Task[None]], None]) -> None:
+        """Until the key is in order, the disk has room, or the address is free."""
+        while self.link is None:
+            await asyncio.sleep(LINK_RETRY_S)
+            await self.make_link(task_ended)
+        log.info("control: the link is made")
 
     def reread(self, config: General) -> General:
         """SIGHUP: the sender's own file as it is now; what is to be in force."""
@@ -221,6 +239,8 @@
 
     def close(self) -> None:
         """The link ends; what is in force stays on the disk."""
+        if self.retries:
+            self.retries.cancel()
         if self.link:
             self.link.close()
 
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -8,6 +8,7 @@
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import cast
+from unittest.mock import patch
 
 from peers import play
 from watching import ChangedStore
@@ -19,6 +20,7 @@
 from elmglade.control.messages import Poll, SnapshotRequest, WatcherStatus
 from elmglade.core.ports import End, State
 from elmglade.fleet.seal import Seal
+from elmglade.http import control
 from elmglade.http.configuration import IN_FORCE_FILE
 from elmglade.http.serve import LineTeller, PlainSender
 from elmglade.lab.history import History
@@ -214,6 +216,20 @@
             assert sender.dials() == {"hub": ("127.0.0.1", 2)}
 
 
+@play
+async def test_a_link_that_could_not_be_made_at_the_start_is_made_later(state: Path) -> None:
+    full = OSError(28, "No space left on device")
+    with patch.object(control, "LINK_RETRY_S", 0.01), patch.object(control, "write_epoch") as write:
+        write.side_effect = [full, full, None]
+        async with serving(Node()) as node:
+            sender = sender_at(state, node.port)
+            async with running(sender):
+                assert "No space" in sender.commands()["control"]({})["fault"]
+                await node.acknowledged(node.change(hub(1)))
+                assert sender.commands()["control"]({})["fault"] == "" and set(sender.dials()) == {"hub"}
+    assert write.call_count == 3
+
+
 @play
 async def test_a_damaged_document_is_fetched_whole(state: Path) -> None:
     async with serving(Node(history_limit=1)) as node:
