A flood of strangers or replays doesn't keep a control node out

Answers to strangers were bounded by 500 a second for all names together. Whoever replays 500 old datagrams a second, or as many senders that start at once, so used them up, and a control node or a sender's node that had started anew was not told the session until a second came in which it was first: a replayed datagram is to have no effect but its count. Each name in the table now has 50 answers a second of its own, and all others share the 500. The test of replays under a control node's name asserted 500 and now asserts 50, which is stricter.

--- a/elmglade/control/channel.py
+++ b/elmglade/control/channel.py
@@ -4,7 +4,8 @@
 
 - A datagram that is not sealed with a key of ours, or does not decode, is counted by its reason and dropped.
 - A datagram is believed only if it names the present session of this end. A stranger is told that session by
-  a `Hello`, a bounded number of times a second; that is all that a replayed datagram can cause.
+  a `Hello`, a bounded number of times a second, counted apart for each name in the table; that is all that a
+  replayed datagram can cause.
 - Of each name one start counts, the one of the highest epoch, and of its session each number once.
 - Who comes with an epoch below the one known of its name, or with the same one and another session, is told
   the epoch that is known. It goes on with a higher one, and knows that its disk is old (`is_behind`).
@@ -26,7 +27,8 @@
 from elmglade.fleet.seal import LEAST, MOST, RefusedError, Seal
 from elmglade.fleet.session import PeerSession
 
-GREETINGS_PER_SECOND = 500  # answers to strangers
+GREETINGS_PER_SECOND = 500  # answers to all that are not in the table
+PEER_GREETINGS_PER_SECOND = 50  # to each that is: what others send or replay takes nothing of it
 HELLO_INTERVAL_S = 0.3  # between two calls to a peer whose session is not known
 WAITING_LIMIT = 4  # bodies that wait for a peer's session, the latest ones
 PEERS_LIMIT = 4096  # peers that are remembered; beyond it the one that was silent longest is forgotten
@@ -107,7 +109,8 @@
         self._called: dict[str, float] = {}
         self._partial: dict[tuple[str, int], PartialMessage] = {}
         self._number = self._message = 0
-        self._greetings, self._greetings_since = 0, 0.0
+        self._greetings: Counter[str] = Counter()  # in this second, by name; "": of all not in the table
+        self._greetings_since = 0.0
         self._outbox: list[tuple[Address, bytes]] = []
         self._encoder = msgspec.msgpack.Encoder()
         self._envelope_decoder = msgspec.msgpack.Decoder(Envelope)
@@ -257,10 +260,14 @@
     def _greet(self, envelope: Envelope, source: Address, now: float) -> None:
         """Tells a stranger this session, at the address that its datagram came from."""
         if now - self._greetings_since >= 1.0:
-            self._greetings, self._greetings_since = 0, now
-        if self._greetings >= GREETINGS_PER_SECOND:
+            self._greetings.clear()
+            self._greetings_since = now
+        name, limit = "", GREETINGS_PER_SECOND
+        if envelope.name in self.addresses:
+            name, limit = envelope.name, PEER_GREETINGS_PER_SECOND
+        if self._greetings[name] >= limit:
             return
-        self._greetings += 1
+        self._greetings[name] += 1
         address = self.addresses.get(envelope.name, source)
         self._send_datagram(address, envelope.session, Hello(self._later_epoch(envelope), is_answer=True))
 
--- a/tests/test_control_channel.py
+++ b/tests/test_control_channel.py
@@ -103,7 +103,7 @@
         assert again.receive(datagram, ADDRESSES["c0"], 0.5) == []
     assert again.refused == {Refusal.OTHER_SESSION: 2_000}
     greetings = again.take_datagrams()
-    assert len(greetings) == channel_module.GREETINGS_PER_SECOND
+    assert len(greetings) == channel_module.PEER_GREETINGS_PER_SECOND
     assert {address for address, _ in greetings} == {ADDRESSES["c0"]}
 
 
@@ -313,3 +313,24 @@
                 bodies = channels[receiver].receive(datagram, ADDRESSES[sender], now)
                 heard += [body.number for _, body in bodies if isinstance(body, StatusRequest)]
     assert len(heard) == len(set(heard)) and len(heard) > 80
+
+
+def test_a_flood_of_strangers_does_not_keep_a_control_node_out() -> None:
+    node, stranger, other = make("c0"), make("s1"), make("c1")
+    for number in range(2 * channel_module.GREETINGS_PER_SECOND):
+        stranger.send("c0", StatusRequest(number), float(number))
+        for _, datagram in stranger.take_datagrams():
+            node.receive(datagram, WATCHER, 0.5)
+    assert len(node.take_datagrams()) == channel_module.GREETINGS_PER_SECOND
+    other.send("c0", StatusRequest(1), 0.5)
+    heard = exchange({"c0": node, "c1": other}, 0.5)
+    assert heard == [("c0", "c1", StatusRequest(1))]
+
+
+def test_a_flood_under_the_name_of_a_control_node_is_greeted_so_often() -> None:
+    node, other = make("c0"), make("c1")
+    for number in range(2 * channel_module.PEER_GREETINGS_PER_SECOND):
+        other.send("c0", StatusRequest(number), float(number))
+        for _, datagram in other.take_datagrams():
+            node.receive(datagram, ADDRESSES["c1"], 0.5)
+    assert len(node.take_datagrams()) == channel_module.PEER_GREETINGS_PER_SECOND
