A sender keeps a later epoch beside its loop

A sender that hears of a later start of its name wrote the epoch to its disk, with a sync, between two datagrams on the loop that also serves messages. Two senders of one name outbid each other with each poll for ever, so a wrong name cost both a sync on the loop and an error in the log a few times a second. The write now runs beside the loop, one at a time and the newest epoch alone, and the error is logged once for each write.

--- a/elmglade/http/control.py
+++ b/elmglade/http/control.py
@@ -65,6 +65,8 @@
         )  # fmt: skip
         self.transport: asyncio.DatagramTransport | None = None
         self.task: asyncio.Task[None] | None = None
+        self.kept_epoch = epoch
+        self.keeping: asyncio.Task[None] | None = None  # of a later epoch, beside the loop
         self.recorded = self.watch.status(self.loop.time())
         self.recorded_refusals, self.refusals_recorded_at = 0, -REFUSED_DATAGRAMS_INTERVAL_S
 
@@ -108,9 +110,17 @@
 
     def epoch_is_behind(self, epoch: int) -> None:
         """Control nodes know a later start of this name: an old disk, or a name that is used twice."""
-        log.error("control: this disk is old, or another sender has the name %s", self.channel.name)
+        if self.keeping is None or self.keeping.done():
+            log.error("control: this disk is old, or another sender has the name %s", self.channel.name)
+            self.keeping = self.loop.create_task(self.keep_epoch())
+
+    async def keep_epoch(self) -> None:
+        """A sync may take seconds, and two senders of one name outbid each other for ever. What is not kept
+        is heard of again at the next start."""
         try:
-            write_epoch(self.state, epoch)
+            while self.kept_epoch < (epoch := self.channel.epoch):
+                await asyncio.to_thread(write_epoch, self.state, epoch)
+                self.kept_epoch = epoch
         except OSError as error:
             log.error("control: the epoch %d is not kept: %s", epoch, error)
 
@@ -150,8 +160,9 @@
 
     def close(self) -> None:
         """Says nothing more."""
-        if self.task:
-            self.task.cancel()
+        for task in (self.task, self.keeping):
+            if task:
+                task.cancel()
         if self.transport:
             self.transport.close()
 
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -4,6 +4,7 @@
 import base64
 import io
 import random
+import threading
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
@@ -259,3 +260,30 @@
             told = sender.commands()["control"]({})
             assert told["version"] == 0 and sum(told["refused_datagrams"].values()) == 1
     assert node.watcher() is None
+
+
+@play
+async def test_a_later_epoch_is_kept_beside_the_loop(state: Path) -> None:
+    may_write, wrote = threading.Event(), asyncio.Event()
+    loop, kept = asyncio.get_running_loop(), list[int]()
+
+    def slow_write(_: Path, epoch: int) -> None:
+        assert may_write.wait(PATIENCE_S)
+        kept.append(epoch)
+        loop.call_soon_threadsafe(wrote.set)
+
+    async with serving(Node()) as node:
+        sender = sender_at(state, node.port)
+        async with running(sender):
+            await node.acknowledged(0)
+            assert sender.control_plane and sender.control_plane.link
+            channel = sender.control_plane.link.channel
+            with patch.object(control, "write_epoch", slow_write):
+                for epoch in (7, 9):
+                    channel.epoch = epoch
+                    channel.on_behind(epoch)
+                await node.acknowledged(node.change(hub(1)))
+                assert not kept, "a version came into force while the disk was busy"
+                may_write.set()
+                await asyncio.wait_for(wrote.wait(), PATIENCE_S)
+    assert kept == [9]
