A control node's leader validates what a change touches, and reads no resource twice

The leader checked the whole document for each change on its loop. Up to 4,096 resources the cache of parsed tables hid this; beyond it each check read every one again, in the order that makes such a cache miss always. The first check of a leader still reads all.

--- a/elmglade/control/process.py
+++ b/elmglade/control/process.py
@@ -20,7 +20,7 @@
 from elmglade.control.node import ControlNode
 from elmglade.control.operators import OperatorCommands
 from elmglade.control.replica import Replica
-from elmglade.control.schema import validate
+from elmglade.control.schema import Validator
 from elmglade.control.store import ConfigurationStore
 from elmglade.control.udp import FolderNotes, NodeDriver, UdpSocket
 from elmglade.directory.control import Control
@@ -122,7 +122,7 @@
     folder.write_epoch(epoch)
     session = secrets.randbits(SESSION_BITS) + 1
     channel = Channel(config.name, epoch, session, seal, config.addresses(), folder.read_starts())
-    return ControlNode(channel, replica, ConfigurationStore(), validate, chance, now, reason)
+    return ControlNode(channel, replica, ConfigurationStore(), Validator(), chance, now, reason)
 
 
 class NodeProcess:
--- a/elmglade/control/schema.py
+++ b/elmglade/control/schema.py
@@ -146,17 +146,19 @@
         raise ConfigError(faults) from None
 
 
-def faults_in(resources: Mapping[str, bytes], size: int = 1) -> Iterator[Fault]:
-    """Every fault, those of single resources first; `size`: the most senders that share a budget."""
-    good = dict[str, bytes]()
-    for name in sorted(resources):
+def faults_in(
+    resources: Mapping[str, bytes], size: int = 1, known: Mapping[str, bytes] | None = None
+) -> Iterator[Fault]:
+    """Every fault, those of single resources first; `size`: the most senders that share a budget; `known`:
+    resources that are in order by themselves, which are not read again."""
+    known, wrong = known or {}, set[str]()
+    for name in sorted(name for name, value in resources.items() if known.get(name) != value):
         try:
-            kind, _ = parsed(name, resources[name])
+            parsed(name, resources[name])
         except ConfigError as error:
+            wrong.add(name)
             yield from error.faults
-            continue
-        if kind.name == BUDGETS:
-            good[name] = resources[name]
+    good = {name: resources[name] for name in resources if has_kind(name, BUDGETS) and name not in wrong}
     yield from interpret(good).faults(size)
 
 
@@ -165,6 +167,20 @@
     return tuple(str(each) for each in faults_in(resources, size))
 
 
+class Validator:
+    """Checks whole configurations one after another, as `validate` does. What was in order the last time is
+    not read again: a leader checks each change, and its heartbeats wait meanwhile."""
+
+    def __init__(self) -> None:
+        self._in_order: Mapping[str, bytes] = {}
+
+    def __call__(self, resources: Mapping[str, bytes]) -> tuple[str, ...]:
+        faults = tuple(str(each) for each in faults_in(resources, known=self._in_order))
+        if not faults:
+            self._in_order = dict(resources)
+        return faults
+
+
 def read_values(values: Mapping[str, object]) -> dict[str, bytes]:
     """Resources from JSON values, in canonical form. Raises ConfigError with all faults."""
     found, faults = dict[str, bytes](), list[Fault]()
--- a/tests/test_control_schema.py
+++ b/tests/test_control_schema.py
@@ -181,3 +181,47 @@
     difference = schema.changes_between(old, new)
     assert difference == ({"b": b"4", "d": b"5"}, ("c",))
     assert schema.changes_between(new, new) == ({}, ())
+
+
+def test_of_a_configuration_that_was_in_order_only_what_changed_and_the_budgets_are_read_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    read_again: list[str] = []
+    parsed = schema.parsed
+
+    def noted(name: str, value: bytes) -> tuple[schema.Kind, object]:
+        read_again.append(name)
+        return parsed(name, value)
+
+    resources = {f"endpoints/{each}": b'{"destination":1,"dial":"h:1"}' for each in range(50)}
+    resources["budgets/a"] = b'{"of":"in_flight","destination":1,"whole":8}'
+    validator = schema.Validator()
+    assert validator(resources) == ()
+    monkeypatch.setattr(schema, "parsed", noted)
+    bad = resources | {"endpoints/7": b'{"destination":1}'}
+    for _ in range(2):
+        read_again.clear()
+        assert validator(bad) == ("endpoints/7.dial: is missing",)
+        assert set(read_again) == {"endpoints/7", "budgets/a"}
+
+
+VALUES = (
+    b'{"destination":1,"dial":"h:1"}',
+    b'{"destination":1}',
+    b'{"of":"in_flight","destination":1,"whole":8}',
+    b'{"of":"in_flight","destination":2,"whole":8}',
+    b'{"of":"in_flight","destination":1,"whole":8,"floor":9}',
+)
+NAMES = ("endpoints/a", "endpoints/b", "budgets/a", "budgets/b", "other/a")
+
+
+@given(
+    st.lists(
+        st.dictionaries(st.sampled_from(NAMES), st.sampled_from(VALUES)).map(dict[str, bytes]), max_size=8
+    )
+)
+@settings(deadline=None, derandomize=True)
+def test_a_validator_that_remembers_finds_the_same_faults(configurations: list[dict[str, bytes]]) -> None:
+    validator = schema.Validator()
+    for each in configurations:
+        assert validator(each) == schema.validate(each)
