A control node's address is an IP address: a name would be looked up on the loop

A datagram that is sent to a host name is looked up by the system within the send, for each datagram, and the loop stands still meanwhile; with a name service that does not answer, a sender would stand for seconds at each poll, and a control node at each heartbeat. The files of senders and of control nodes took such names. The seeds of the fleet's link have the same flaw, and stay as they are here.

--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -16,6 +16,7 @@
 from elmglade.directory.static import Dial, Place
 from elmglade.resource_tables import (
     MOST,
+    NOT_NUMERIC,
     WHOLE,
     Address,
     BudgetTable,
@@ -26,6 +27,7 @@
     Shared,
     Whole,
     budget_faults,
+    is_numeric,
     us,
 )
 from elmglade.tables import ConfigError, Fault, Share, Table, check, parse, within
@@ -286,6 +288,8 @@
                 wrong.append(f"nodes[{at}].address: two nodes at one address")
             if each.address[1] == 0:
                 wrong.append(f"nodes[{at}].address: must name a port")
+            elif not is_numeric(each.address):
+                wrong.append(f"nodes[{at}].address: {NOT_NUMERIC}")
             names.add(each.name)
             addresses.add(each.address)
         if wrong:
--- a/elmglade/control/configuration.py
+++ b/elmglade/control/configuration.py
@@ -8,6 +8,7 @@
 
 from elmglade.control.messages import NAME_LENGTH_LIMIT, Address
 from elmglade.control.watch import ControlNodeAddress
+from elmglade.resource_tables import NOT_NUMERIC, is_numeric
 from elmglade.resource_tables import Address as AddressField
 from elmglade.tables import Table, check, parse, within
 
@@ -62,6 +63,8 @@
                 wrong.append(f"nodes[{at}].address: two nodes at one address")
             if each.address[1] == 0:
                 wrong.append(f"nodes[{at}].address: must name a port")
+            elif not is_numeric(each.address):
+                wrong.append(f"nodes[{at}].address: {NOT_NUMERIC}")
             names.add(each.name)
             addresses.add(each.address)
         if self.name not in names:
--- a/elmglade/resource_tables.py
+++ b/elmglade/resource_tables.py
@@ -3,6 +3,7 @@
 Their form, with units, is in docs/operate/serve.md and docs/operate/budgets.md.
 """
 
+import ipaddress
 import re
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -20,6 +21,7 @@
 BY = ("destination", "endpoint", "zone", "tenant")  # what a budget may be bound to
 HELD = frozenset({"in_flight", "trials", "connections"})  # what is held at once, and has no rate
 BUDGET_NAME = re.compile(r"[A-Za-z0-9.-]{1,48}")
+NOT_NUMERIC = "must be an IP address and a port: a name would be looked up for each datagram, on the loop"
 ADDRESS = re.compile(r"(\[[0-9a-fA-F:.]+\]|[^:\s]+):([0-9]{1,5})")
 
 
@@ -52,6 +54,15 @@
     return found[1].strip("[]"), int(found[2])
 
 
+def is_numeric(dial: Dial) -> bool:
+    """Whether the host is an IP address, which a datagram's send needs not look up."""
+    try:
+        ipaddress.ip_address(dial[0])
+    except ValueError:
+        return False
+    return True
+
+
 def us(ms: float) -> int:
     return int(ms * MS)
 
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -171,6 +171,11 @@
             {"name": "c1", "control": CONTROL},
             "name: 'c1' is a control node's, which would take this for its old disk",
         ),
+        (
+            {"control": CONTROL | {"nodes": [{"name": "c1", "address": "control-1.example:7801"}]}},
+            "control.nodes[0].address: must be an IP address and a port: a name would be looked up for each "
+            "datagram, on the loop",
+        ),
         ({"control": CONTROL | {"nodes": []}}, "control.nodes: must name at least one control node"),
     ):
         with pytest.raises(ConfigError) as error:
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -222,17 +222,20 @@
     }
     path.write_text(
         'name = "c9"\ncluster = "a"\nlisten = "a:1"\nstate = "s"\nkey_file = "k"\n'
-        '[[nodes]]\nname = "c1"\naddress = "a:1"\n[[nodes]]\nname = "c1"\naddress = "a:1"\n'
+        '[[nodes]]\nname = "c1"\naddress = "10.0.0.1:1"\n[[nodes]]\nname = "c1"\naddress = "10.0.0.1:1"\n'
     )
     with pytest.raises(ConfigError) as caught:
         load(path)
     assert [fault.path for fault in caught.value.faults] == ["nodes[1].name", "nodes[1].address", "name"]
     path.write_text(
         'name = "c1"\ncluster = "a"\nlisten = "a:1"\nstate = "s"\nkey_file = "k"\n'
-        '[[nodes]]\nname = "c1"\naddress = "a:1"\n'
+        '[[nodes]]\nname = "c1"\naddress = "10.0.0.1:1"\n'
     )
     with pytest.raises(ConfigError, match="key_file"):
         process.run(path)
+    path.write_text(path.read_text().replace("10.0.0.1:1", "control-1.example:1"))
+    with pytest.raises(ConfigError, match=r"nodes\[0\].address: must be an IP address"):
+        load(path)
 
 
 def test_the_example_is_in_order() -> None:
