--- a/elmglade/http/control.py
+++ b/elmglade/http/control.py
@@ -25,6 +25,7 @@
 
 TICK_S = 0.1
 REFUSED_DATAGRAMS_INTERVAL_S = 10.0  # between two records of datagrams that were refused
+LINK_RETRY_S = 10.0  # after a link that could not be made
 EPOCH_FILE = "control.epoch"
 SESSION_BITS = 62
 
@@ -64,6 +65,8 @@
         )  # fmt: skip
         self.transport: asyncio.DatagramTransport | None = None
         self.task: asyncio.Task[None] | None = None
+        self.kept_epoch = epoch
+        self.keeping: asyncio.Task[None] | None = None  # of a later epoch, beside the loop
         self.recorded = self.watch.status(self.loop.time())
         self.recorded_refusals, self.refusals_recorded_at = 0, -REFUSED_DATAGRAMS_INTERVAL_S
 
@@ -107,9 +110,17 @@
 
     def epoch_is_behind(self, epoch: int) -> None:
         """Control nodes know a later start of this name: an old disk, or a name that is used twice."""
-        log.error("control: this disk is old, or another sender has the name %s", self.channel.name)
+        if self.keeping is None or self.keeping.done():
+            log.error("control: this disk is old, or another sender has the name %s", self.channel.name)
+            self.keeping = self.loop.create_task(self.keep_epoch())
+
+    async def keep_epoch(self) -> None:
+        """A sync may take seconds, and two senders of one name outbid each other for ever. What is not kept
+        is heard of again at the next start."""
         try:
-            write_epoch(self.state, epoch)
+            while self.kept_epoch < (epoch := self.channel.epoch):
+                await asyncio.to_thread(write_epoch, self.state, epoch)
+                self.kept_epoch = epoch
         except OSError as error:
             log.error("control: the epoch %d is not kept: %s", epoch, error)
 
@@ -149,8 +160,9 @@
 
     def close(self) -> None:
         """Says nothing more."""
-        if self.task:
-            self.task.cancel()
+        for task in (self.task, self.keeping):
+            if task:
+                task.cancel()
         if self.transport:
             self.transport.close()
 
@@ -164,6 +176,7 @@
         self.configuration = SenderConfiguration(config, state, disk or Files())
         self.link: ControlLink | None = None
         self.fault = ""  # why there is no link
+        self.retries: asyncio.Task[None] | None = None
 
     async def start(
         self,
@@ -172,18 +185,34 @@
         task_ended: Callable[[asyncio.Task[None]], None],
     ) -> None:
         """Versions are put in force from here on. `task_ended`: told of a defect. Never raises for a link
-        that cannot be made: the log and the status say so."""
+        that cannot be made: the log and the status say so, and it is tried again."""
         self.configuration.bind(directory, budgets)
+        await self.make_link(task_ended)
+        if self.link is None:
+            self.retries = asyncio.create_task(self.retry(task_ended))
+            self.retries.add_done_callback(task_ended)
+
+    async def make_link(self, task_ended: Callable[[asyncio.Task[None]], None]) -> None:
+        """Makes the link, or notes why it cannot be made."""
         try:
             link = ControlLink(self.name, self.plane, self.state, self.configuration)
             await link.start()
         except (KeyFileError, OSError) as error:
+            if self.fault != str(error):
+                version = self.configuration.document.version
+                log.error("control: no link, version %d stays: %s", version, error)
             self.fault = str(error)
-            log.error("control: no link, version %d stays: %s", self.configuration.document.version, error)
             return
         assert link.task
         link.task.add_done_callback(task_ended)
-        self.link = link
+        self.link, self.fault = link, ""
+
+    async def retry(self, task_ended: Callable[[asyncio.Task[None]], None]) -> None:
+        """Until the key is in order, the disk has room, or the address is free."""
+        while self.link is None:
+            await asyncio.sleep(LINK_RETRY_S)
+            await self.make_link(task_ended)
+        log.info("control: the link is made")
 
     def reread(self, config: General) -> General:
         """SIGHUP: the sender's own file as it is now; what is to be in force."""
@@ -221,6 +250,8 @@
 
     def close(self) -> None:
         """The link ends; what is in force stays on the disk."""
+        if self.retries:
+            self.retries.cancel()
         if self.link:
             self.link.close()
 
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -4,10 +4,12 @@
 import base64
 import io
 import random
+import threading
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from pathlib import Path
 from typing import cast
+from unittest.mock import patch
 
 from peers import play
 from watching import ChangedStore
@@ -19,6 +21,7 @@
 from elmglade.control.messages import Poll, SnapshotRequest, WatcherStatus
 from elmglade.core.ports import End, State
 from elmglade.fleet.seal import Seal
+from elmglade.http import control
 from elmglade.http.configuration import IN_FORCE_FILE
 from elmglade.http.serve import LineTeller, PlainSender
 from elmglade.lab.history import History
@@ -214,6 +217,20 @@
             assert sender.dials() == {"hub": ("127.0.0.1", 2)}
 
 
+@play
+async def test_a_link_that_could_not_be_made_at_the_start_is_made_later(state: Path) -> None:
+    full = OSError(28, "No space left on device")
+    with patch.object(control, "LINK_RETRY_S", 0.01), patch.object(control, "write_epoch") as write:
+        write.side_effect = [full, full, None]
+        async with serving(Node()) as node:
+            sender = sender_at(state, node.port)
+            async with running(sender):
+                assert "No space" in sender.commands()["control"]({})["fault"]
+                await node.acknowledged(node.change(hub(1)))
+                assert sender.commands()["control"]({})["fault"] == "" and set(sender.dials()) == {"hub"}
+    assert write.call_count == 3
+
+
 @play
 async def test_a_damaged_document_is_fetched_whole(state: Path) -> None:
     async with serving(Node(history_limit=1)) as node:
@@ -243,3 +260,30 @@
             told = sender.commands()["control"]({})
             assert told["version"] == 0 and sum(told["refused_datagrams"].values()) == 1
     assert node.watcher() is None
+
+
+@play
+async def test_a_later_epoch_is_kept_beside_the_loop(state: Path) -> None:
+    may_write, wrote = threading.Event(), asyncio.Event()
+    loop, kept = asyncio.get_running_loop(), list[int]()
+
+    def slow_write(_: Path, epoch: int) -> None:
+        assert may_write.wait(PATIENCE_S)
+        kept.append(epoch)
+        loop.call_soon_threadsafe(wrote.set)
+
+    async with serving(Node()) as node:
+        sender = sender_at(state, node.port)
+        async with running(sender):
+            await node.acknowledged(0)
+            assert sender.control_plane and sender.control_plane.link
+            channel = sender.control_plane.link.channel
+            with patch.object(control, "write_epoch", slow_write):
+                for epoch in (7, 9):
+                    channel.epoch = epoch
+                    channel.on_behind(epoch)
+                await node.acknowledged(node.change(hub(1)))
+                assert not kept, "a version came into force while the disk was busy"
+                may_write.set()
+                await asyncio.wait_for(wrote.wait(), PATIENCE_S)
+    assert kept == [9]
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -1,8 +1,10 @@
 """Control nodes on virtual time: a bad network, disks that are lost, old or full, kills at chosen points."""
 
 import asyncio
+import os
 import random
 import shutil
+import stat
 import time
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass, field
@@ -13,14 +15,15 @@
 import pytest
 
 from elmglade.control import messages
-from elmglade.control.channel import Channel
+from elmglade.control.channel import Channel, KnownStart
 from elmglade.control.configuration import NodeConfiguration
 from elmglade.control.document import Document
 from elmglade.control.folder import FolderError, Identity, StateFolder
 from elmglade.control.log_file import LogFile
 from elmglade.control.messages import Address, Change, ChangeResult, Delta, NodeStatus, Outcome, Resource
+from elmglade.control.node import ControlNode
 from elmglade.control.process import build_node
-from elmglade.control.raft import Role
+from elmglade.control.raft import HardState, Role
 from elmglade.control.replica import Replica
 from elmglade.control.requests import ChangeRequests
 from elmglade.control.store import ConfigurationStore
@@ -338,6 +341,30 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize(
+    "change",
+    [
+        Change("huge", 10**30, (), ()),
+        Change("half", 0, (), ("\ud800",)),
+        Change("\ud800", 0, (), ()),
+        Change("author", 0, (), (), "\udc80"),
+    ],
+    ids=["number", "deleted name", "request id", "author"],
+)
+def test_what_has_no_form_on_the_wire_is_refused_and_the_node_goes_on(change: Change, tmp_path: Path) -> None:
+    async def story(cluster: Cluster) -> None:
+        cluster.start()
+        leader = await cluster.until_led()
+        other = next(name for name in VOTES if name != leader)
+        for name in (leader, other):
+            result = await cluster.submit(name, change)
+            assert result.outcome is Outcome.INVALID and result.faults[0].startswith("no change: ")
+            assert (await cluster.make(name)).outcome is Outcome.APPLIED
+            await cluster.until_everywhere()
+
+    play(tmp_path, story)
+
+
 def test_of_two_operators_at_once_one_is_told_of_the_other(tmp_path: Path) -> None:
     async def story(cluster: Cluster) -> None:
         cluster.start()
@@ -675,6 +702,10 @@
     def __init__(self) -> None:
         self.proposed: list[bytes] = []
 
+    @property
+    def last_index(self) -> int:
+        return len(self.proposed) + 2
+
     def entry(self, index: int) -> messages.LogEntry:
         return messages.LogEntry(index, min(index, 2), b"")
 
@@ -696,13 +727,46 @@
     requests.applied(entry, store.apply(entry))
     for now in (1.0, 1.5, 2.0):
         requests.tick(now)
-    assert [(each.request_id, each.outcome) for each in answers] == [("early", Outcome.CONFLICT)]
-    assert len(leader.proposed) == 1
+    assert not answers and len(leader.proposed) == 2
+    for index, data in enumerate(tuple(leader.proposed), 3):
+        entry = messages.LogEntry(index, 2, data)
+        requests.applied(entry, store.apply(entry))
+    early, right = ChangeResult("early", Outcome.CONFLICT, 0), ChangeResult("right", Outcome.APPLIED, 1)
+    assert answers == [early, right]
+    requests.submit(Change("right", 0, (Resource("a", b"1"),), ()), answers.append, 9.0)
+    assert answers[2:] == [right] and len(leader.proposed) == 2
+
+
+def test_a_leader_that_is_cut_off_does_not_say_that_a_change_against_a_later_version_was_not_made() -> None:
+    """Another leader may have made that version, and the change behind it."""
+    leader, store = LeaderStub(), ConfigurationStore()
+    requests = ChangeRequests(cast(Replica, leader), store, no_faults)
+    answers: list[ChangeResult] = []
+    for index in (1, 2):
+        store.apply(leader.entry(index))
+    requests.submit(Change("later", 1, (Resource("a", b"2"),), ()), answers.append, 0.0)
+    for now in (0.5, 1.0, 2.9):
+        requests.tick(now)
+    assert not answers and len(leader.proposed) == 1
+    requests.tick(3.0)
+    assert answers == [ChangeResult("later", Outcome.UNAVAILABLE, 0)]
+
+
+def test_a_change_against_the_version_that_is_being_made_is_not_proposed_unchecked() -> None:
+    leader, store = LeaderStub(), ConfigurationStore()
+    requests = ChangeRequests(cast(Replica, leader), store, no_faults)
+    answers: list[ChangeResult] = []
+    for index in (1, 2):
+        store.apply(leader.entry(index))
+    requests.submit(Change("first", 0, (Resource("a", b"1"),), ()), answers.append, 0.0)
+    requests.submit(Change("second", 1, (Resource("a", b"bad"),), ()), answers.append, 0.0)
+    requests.tick(0.5)
+    assert not answers and len(leader.proposed) == 1
     entry = messages.LogEntry(3, 2, leader.proposed[0])
     requests.applied(entry, store.apply(entry))
-    assert answers[1:] == [ChangeResult("right", Outcome.APPLIED, 1)]
-    requests.submit(Change("right", 0, (Resource("a", b"1"),), ()), answers.append, 9.0)
-    assert answers[2:] == answers[1:2] and len(leader.proposed) == 1
+    requests.tick(1.0)
+    assert answers[0] == ChangeResult("first", Outcome.APPLIED, 1) and len(leader.proposed) == 1
+    assert answers[1] == ChangeResult("second", Outcome.INVALID, 1, ("a: is bad",))
 
 
 def test_a_folder_that_takes_no_writes_is_written_later(
@@ -729,3 +793,114 @@
     cluster = Cluster(tmp_path)
     with pytest.raises(FolderError, match="no empty folder"):
         cluster.initialise(cluster.machines["c1"])
+
+
+@pytest.mark.parametrize("what", ["identity", "epoch", "starts", "learner"])
+def test_what_the_folder_keeps_is_durable_under_its_name_once_it_is_written(
+    what: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    done: list[str] = []
+    replace, sync = os.replace, os.fsync
+
+    def noted_replace(old: Path, new: Path) -> None:
+        replace(old, new)
+        done.append("name")
+
+    def noted_sync(file: int) -> None:
+        sync(file)
+        done.append("folder" if stat.S_ISDIR(os.fstat(file).st_mode) else "content")
+
+    folder = StateFolder(tmp_path / "c1")
+    folder.path.mkdir()
+    writes: dict[str, Callable[[], None]] = {
+        "identity": lambda: folder.initialise(Identity("test", "c1", "now"), MemoryDisk(Platter())),
+        "epoch": lambda: folder.write_epoch(7),
+        "starts": lambda: folder.write_starts({}),
+        "learner": lambda: folder.mark_learner("lost"),
+    }
+    monkeypatch.setattr(os, "replace", noted_replace)
+    monkeypatch.setattr(os, "fsync", noted_sync)
+    writes[what]()
+    assert done == ["content", "name", "folder"]
+
+
+@pytest.mark.parametrize("method", [(LogFile, "store"), (StateFolder, "write_starts")], ids=["log", "folder"])
+def test_a_defect_beside_the_loop_ends_the_node(
+    method: tuple[type, str], tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def defect(*_: object) -> None:
+        raise RuntimeError("a defect")
+
+    async def story(cluster: Cluster) -> None:
+        with monkeypatch.context() as broken:
+            broken.setattr(*method, defect)
+            cluster.start()
+            while not cluster.defects:
+                await asyncio.sleep(0.01)
+        assert str(cluster.defects[0]) == "a defect"
+        ended = [name for name in VOTES if cluster.driver(name).is_over]
+        assert len(ended) == len(cluster.defects), "each is told of once"
+        cluster.defects.clear()
+
+    play(tmp_path, story)
+
+
+class Wire:
+    """A node between hand-made channels; what the channels are told is kept."""
+
+    def __init__(self, node: ControlNode, *others: Channel) -> None:
+        self.node, self.others = node, {each.name: each for each in others}
+        self.told: dict[str, list[messages.Body]] = {each.name: [] for each in others}
+
+    def exchange(self) -> None:
+        """Until nobody has more to say."""
+        is_busy = True
+        while is_busy:
+            is_busy = False
+            for other in self.others.values():
+                for _, datagram in other.take_datagrams():
+                    is_busy = True
+                    self.node.receive(datagram, (other.name, 7000), 0.0)
+            for address, datagram in self.node.channel.take_datagrams():
+                is_busy = True
+                found = self.others[address[0]].receive(datagram, (self.node.name, 7000), 0.0)
+                self.told[address[0]] += [body for _, body in found]
+
+
+@pytest.mark.parametrize("is_behind", [False, True])
+def test_a_vote_that_waits_for_the_disk_is_not_said_by_a_node_that_learns_that_its_disk_is_old(
+    is_behind: bool,
+) -> None:
+    seal, votes = Seal([KEY]), dict.fromkeys(("a", "b", "c"), 1)
+    addresses = {name: (name, 7000) for name in votes}
+    known = {"b": KnownStart(9, 99)} if is_behind else {}
+    candidate = Channel("a", 1, 11, seal, addresses)
+    witness = Channel("c", 1, 33, seal, addresses, known)
+    replica = Replica("b", votes, HardState(), (), random.Random(1), 0.0)
+    channel = Channel("b", 1, 22, seal, {name: addresses[name] for name in ("a", "c")})
+    node = ControlNode(channel, replica, ConfigurationStore(), no_faults, random.Random(2), 0.0)
+    wire = Wire(node, candidate, witness)
+    candidate.send("b", messages.VoteRequest(1, 0, 0, False), 0.0)
+    wire.exchange()
+    assert node.take_batch() is not None, "the vote"
+    witness.send("b", messages.StatusRequest(1), 0.0)
+    wire.exchange()
+    assert (replica.role is Role.LEARNER) is is_behind
+    node.stored(0.0)
+    wire.exchange()
+    vote = messages.VoteReply(1, True, False)
+    assert wire.told["a"] == ([] if is_behind else [vote])
+
+
+def test_what_waits_for_a_peer_is_not_said_by_one_that_learns_that_its_disk_is_old() -> None:
+    seal = Seal([KEY])
+    old = Channel("b", 1, 22, seal, {"c": ("c", 7000)})
+    witness = Channel("c", 1, 33, seal, {"b": ("b", 7000)}, {"b": KnownStart(9, 99)})
+    old.send("c", messages.VoteRequest(1, 0, 0, False), 0.0)
+    told: list[tuple[str, messages.Body]] = []
+    for _ in range(4):
+        for _, datagram in old.take_datagrams():
+            told += witness.receive(datagram, ("b", 7000), 0.0)
+        for _, datagram in witness.take_datagrams():
+            old.receive(datagram, ("c", 7000), 0.0)
+    assert old.is_behind and not told
