--- a/elmglade/cli/journal.py
+++ b/elmglade/cli/journal.py
@@ -9,8 +9,8 @@
 import click
 
 from elmglade.cli.basic import FOLDER, complaints
-from elmglade.journal.durable import Inspected
 from elmglade.journal.file import FILE
+from elmglade.journal.inspected import Inspected
 
 
 @click.group()
@@ -37,15 +37,16 @@
     if not found.checked:
         click.echo("the old form, whose records have no checksum: nothing can be said of them")
     reading = found.reading
-    for hole in reading.holes:
-        click.echo(f"damaged: {hole.size} bytes at byte {hole.at}")
+    for hole in (*reading.holes, *reading.unwritten):
+        click.echo(f"damaged: {hole.size} bytes at byte {hole.at}, which {hole.kind.value}")
     if reading.tail:
         click.echo(f"damaged: {reading.tail} bytes at the end, which were never durable")
     doubtful = sum(each.doubtful for each in found.entries.values())
     click.echo(
         f"{len(reading.records)} records are whole; {len(found.entries)} messages owed, {doubtful} doubtful"
     )
-    ctx.exit(1 if reading.holes or reading.tail or not found.checked else 0)
+    whole = found.checked and not (reading.holes or reading.unwritten or reading.tail)
+    ctx.exit(0 if whole else 1)
 
 
 @journal.command()
@@ -97,10 +98,12 @@
         to.mkdir(parents=True)
         found.save(to)
     reading = found.reading
-    for hole in reading.holes:
-        click.echo(f"not saved: {hole.size} bytes at byte {hole.at}")
+    for hole in (*reading.holes, *reading.unwritten):
+        click.echo(f"not saved: {hole.size} bytes at byte {hole.at}, which {hole.kind.value}")
     if reading.tail:
         click.echo(f"not saved: {reading.tail} bytes at the end, which were never durable")
+    for name in found.lost:
+        click.echo(f"lost: {name}, whose own record cannot be read")
     for name, entry in found.entries.items():
         if entry.doubtful:
             click.echo(f"doubtful: {name}, which may have run")
--- a/elmglade/journal/records.py
+++ b/elmglade/journal/records.py
@@ -3,19 +3,25 @@
     2 LENGTH CHECKSUM MARK PAYLOAD\\n
 
 Version, then length (8 hex digits, bytes of the payload), CRC-32C (8, over length, mark and payload), mark
-(10) and one JSON object. JSON escapes line ends, so that after damage the next record is found again at a
-line that begins with a version and whose checksum is right.
-
-`mark` says how many bytes of this file were durable when the record was written. It tells two kinds of damage
-apart. Where a later record's mark lies beyond a hole, the hole was durable once: something was done on the
-strength of what it held, and nobody knows what. Where none does, what stood there was never synced: nothing
-was done on its strength, nor on that of what follows, and both are dropped. The first record of a file is its
-header; its `whole` says how much was durable before the file got its name.
+(10) and one JSON object. After damage the next record is searched for at every byte: a record counts only if
+its checksum is right, and none can stand inside another one's payload, as JSON escapes the quotes in a text.
+
+`mark` says how many bytes of this file were durable when the record was written. The first record of a file
+is its header; its `whole` says how much was durable before the file got its name. A file is proven durable up
+to the highest of these numbers. Bytes that are no record are a `Hole`, of one of three kinds:
+
+- `DURABLE`: it begins below the proven size. Something may have been done on the strength of what it held.
+- `UNPROVEN`: it begins above, and whole records follow. It is treated as `DURABLE`, the more careful way.
+- `NEVER_WRITTEN`: it begins above, whole records follow, and it holds zeros, which no record does. That is
+  what a power loss leaves of what was written and not synced: nothing was done on its strength.
+
+Bytes at the end that are no record and not proven are the `tail`: what was being written as the life ended.
 """
 
 import json
 import re
 from dataclasses import dataclass
+from enum import Enum
 from typing import Any
 
 import google_crc32c
@@ -23,11 +29,15 @@
 HEAD = re.compile(rb"2 ([0-9a-f]{8}) ([0-9a-f]{8}) ([0-9a-f]{10}) ")
 WIDTH = 31  # bytes before the payload
 MOST = 64 * 1024 * 1024  # bytes of a payload; a length beyond is damage
+ZEROS = bytes(8)  # so many zero bytes in a row are no flipped bit
 
 
-def frame(payload: bytes, mark: int) -> bytes:
-    told = b"%08x %010x " % (len(payload), mark)
-    return b"2 %08x %08x %010x %s\n" % (len(payload), google_crc32c.value(told + payload), mark, payload)
+class Kind(Enum):
+    """Whether the bytes of a hole were durable; the texts are for people."""
+
+    DURABLE = "were durable"
+    UNPROVEN = "may have been durable"
+    NEVER_WRITTEN = "were never durable"
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,15 +54,23 @@
 
     at: int
     size: int
+    kind: Kind = Kind.DURABLE
 
 
 @dataclass(frozen=True, slots=True)
 class Reading:
-    records: tuple[Record, ...]
-    holes: tuple[Hole, ...]  # in what was durable: each may have held anything
+    records: tuple[Record, ...]  # all that are whole
+    holes: tuple[Hole, ...]  # DURABLE or UNPROVEN: something may have been done on the strength of each
+    unwritten: tuple[Hole, ...]  # NEVER_WRITTEN
     tail: int  # bytes at the end that were never durable, and are dropped
 
 
+def frame(payload: bytes, mark: int) -> bytes:
+    """The bytes of a record; `mark`: bytes of its file that are durable."""
+    told = b"%08x %010x " % (len(payload), mark)
+    return b"2 %08x %08x %010x %s\n" % (len(payload), google_crc32c.value(told + payload), mark, payload)
+
+
 def one(data: bytes, at: int) -> Record | None:
     """The record that begins there, if it is whole. Its line end tells nothing, and may be damaged: else the
     next record would go with it."""
@@ -74,29 +92,49 @@
 
 def read(data: bytes) -> Reading:
     """Never raises for what the file holds."""
-    records: list[Record] = []
-    holes: list[Hole] = []
+    found: list[Record] = []
+    gaps: list[tuple[int, int]] = []  # the first byte of each, and the one after it
     at = 0
     while at < len(data):
-        if found := one(data, at):
-            records.append(found)
-            at += found.size
-            continue
-        after = data.find(b"\n2 ", at)
-        while after >= 0 and one(data, after + 1) is None:
-            after = data.find(b"\n2 ", after + 1)
-        end = len(data) if after < 0 else after + 1
-        holes.append(Hole(at, end - at))
-        at = end
-    durable = max((durable_after(each) for each in records), default=0)
-    cut = next((each.at for each in holes if each.at >= durable), len(data))
+        record = one(data, at)
+        if record is None:
+            record = next_whole(data, at + 1)
+            gaps.append((at, record.at if record else len(data)))
+        if record is None:
+            break
+        found.append(record)
+        at = record.at + record.size
+    durable = max((durable_after(each) for each in found), default=0)
+    tail = 0
+    if gaps and gaps[-1][1] == len(data) and gaps[-1][0] >= durable:
+        begin, end = gaps.pop()
+        tail = end - begin
+    holes = [Hole(begin, end - begin, kind_of(data[begin:end], begin < durable)) for begin, end in gaps]
     return Reading(
-        tuple(each for each in records if each.at < cut),
-        tuple(each for each in holes if each.at < cut),
-        len(data) - cut,
+        tuple(found),
+        tuple(each for each in holes if each.kind is not Kind.NEVER_WRITTEN),
+        tuple(each for each in holes if each.kind is Kind.NEVER_WRITTEN),
+        tail,
     )
 
 
+def next_whole(data: bytes, at: int) -> Record | None:
+    """The first whole record that begins at this byte or behind it."""
+    while head := HEAD.search(data, at):
+        if record := one(data, head.start()):
+            return record
+        at = head.start() + 1
+    return None
+
+
+def kind_of(content: bytes, proven: bool) -> Kind:
+    """`proven`: the file is proven durable beyond the first of these bytes."""
+    if proven:
+        return Kind.DURABLE
+    lost = ZEROS in content or content.endswith(b"\0")
+    return Kind.NEVER_WRITTEN if lost else Kind.UNPROVEN
+
+
 def durable_after(record: Record) -> int:
     """Up to where the file was durable, as this record tells."""
     whole = record.told.get("whole", 0) if "journal" in record.told else 0
--- a/elmglade/recovery/trust.py
+++ b/elmglade/recovery/trust.py
@@ -20,7 +20,7 @@
 from dataclasses import dataclass, replace
 from enum import Enum
 
-from elmglade.journal.durable import Before
+from elmglade.journal.contents import Before
 from elmglade.journal.file import Entry
 
 SECOND = 1_000_000  # us
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -19,9 +19,12 @@
 from elmglade.cli.journal import journal as command
 from elmglade.interface import Outcome
 from elmglade.journal import records
+from elmglade.journal.contents import Before
 from elmglade.journal.disk import Files
-from elmglade.journal.durable import BALLAST, Anew, Before, DurableJournal, Inspected
+from elmglade.journal.durable import DurableJournal
 from elmglade.journal.file import COMPACTED, FILE, Attempt, Entry, Journal
+from elmglade.journal.inspected import Inspected
+from elmglade.journal.rewriting import BALLAST, Anew
 from elmglade.recovery import trust
 from elmglade.recovery.trust import SECOND, TABLE, Belief, Ended, Start
 
