--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -12,7 +12,7 @@
 import pytest
 from click.testing import CliRunner
 from faults import turn as loop_turn
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from peers import handed_in
 
@@ -304,6 +304,7 @@
         del plain[name]
 
 
+@settings(deadline=None, derandomize=True)
 @given(st.lists(ACTS, max_size=12), st.lists(ACTS, min_size=6, max_size=24))
 def test_whatever_happens_while_it_is_written_anew_is_there(before: list[Act], acts: list[Act]) -> None:
     plain: dict[str, Any] = {}
