--- a/elmglade/journal/durable.py
+++ b/elmglade/journal/durable.py
@@ -211,8 +211,12 @@
         written, size = self.written, anew.size if anew else self.size
         self.proof_waits = False
         job = partial(self.name_anew, anew) if anew else partial(self.disk.sync, self.file)
+        if anew:
+            anew.naming = True
         try:
             await self.disk.run(job)
+            if anew and anew.incomplete:
+                raise OSError("a record is missing from the file that was written anew")
         except OSError as error:
             self.task = None
             self.sync_failed(anew, error)
@@ -284,13 +288,15 @@
         if self.file < 0:
             return
         self.disk.finish()
-        if self.anew and self.anew.named:
-            self.take_place(self.anew, 0)
+        complete = True
+        if (anew := self.anew) and anew.named:
+            self.take_place(anew, 0)
+            complete = not anew.incomplete or self.rewrite()
         self.drop_anew()
-        if self.failed_at is None:
+        if complete and self.failed_at is None:
             self.prove()  # its counts tell what was not synced yet
         try:
-            if self.failed_at is None and self.append(b'{"closed":1,"at":%d}\n' % self.now()):
+            if complete and self.failed_at is None and self.append(b'{"closed":1,"at":%d}\n' % self.now()):
                 self.disk.sync(self.file)
         except OSError as error:
             log.error("journal: not closed cleanly: %s", error)
--- a/elmglade/journal/rewriting.py
+++ b/elmglade/journal/rewriting.py
@@ -6,6 +6,8 @@
 - *In steps*, `STEP` bytes in a pass of the loop, so that nobody waits for all that is owed. A record of a
   message whose turn has not come goes to the old file alone: its turn tells it as it is then. The new file is
   synced and named only once all is there. At a start, and after a failed sync, it is written at once.
+- *A file that a record is missing from* is dropped before it is synced. Where that begins while it is being
+  named, it counts as a failed sync: it may have the name, and the next file is written anew from memory.
 - *Another form refuses an older program*, which would read no record and begin with nothing: the folder GUARD
   stands where it deletes a file before anything else.
 """
@@ -38,6 +40,8 @@
     size: int = 0
     named: bool = False
     whole: bool = False  # all that is owed is there
+    naming: bool = False  # `name_anew` is out: nobody else may close it
+    incomplete: bool = False  # a record that came meanwhile could not be written to it
     left: dict[str, None] = field(default_factory=dict)  # messages that are not there yet
     tally: Tally = field(default_factory=Tally)  # of its records
 
@@ -62,7 +66,9 @@
             self.disk.write(anew.file, data)
         except OSError as error:
             log.error("journal: not written anew: %s", error)
-            self.drop_anew()
+            anew.incomplete = True
+            if not anew.naming:  # else the end of `name_anew` sees to it: the name may stand for it already
+                self.drop_anew()
             return False
         anew.size += len(data)
         return True
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -3,7 +3,7 @@
 import asyncio
 import errno
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -165,6 +165,90 @@
     assert list(reopened(tmp_path).entries) == ["a"]
 
 
+class Meanwhile(Failing):
+    """A message comes right before or after an operation by which a new file takes the journal's place, and
+    the write of it to the new file fails."""
+
+    def __init__(self, at: str) -> None:
+        super().__init__()
+        self.at = at
+        self.journal: DurableJournal | None = None  # none: no more
+        self.refused = -1
+        self.hold = asyncio.Event()  # until it is set the sync is out
+        self.hold.set()
+
+    def passes(self, at: str) -> None:
+        journal = self.journal
+        if journal and journal.anew and journal.anew.whole and at == self.at:
+            self.journal, self.refused = None, journal.anew.file
+            assert journal.taken(handed_in("b", until=7))
+
+    def write(self, file: int, data: bytes) -> None:
+        if file == self.refused:
+            self.refused = -1
+            raise OSError(errno.EIO, "as told")
+        super().write(file, data)
+
+    def sync(self, file: int) -> None:
+        self.passes("before the sync")
+        super().sync(file)
+        self.passes("after the sync")
+
+    def sync_folder(self, path: Path) -> None:
+        self.passes("after the rename")
+        super().sync_folder(path)
+        self.passes("after the sync of the folder")
+
+    async def run(self, job: Callable[[], None]) -> None:
+        job()
+        await self.hold.wait()
+
+
+MOMENTS = ["before the sync", "after the sync", "after the rename", "after the sync of the folder"]
+
+
+@pytest.mark.parametrize("at", MOMENTS)
+def test_a_new_file_that_misses_a_record_is_not_gone_on_with(tmp_path: Path, at: str) -> None:
+    async def play() -> None:
+        disk = Meanwhile(at)
+        journal = durable(tmp_path, disk)
+        journal.taken(handed_in("gone", until=7))
+        journal.taken(handed_in("a", until=7))
+        journal.ended("gone")
+        assert await synced(journal)
+        disk.journal = journal
+        journal.compact()
+        assert journal.anew
+        journal.taken(handed_in("c", until=7))
+        assert await synced(journal) and disk.journal is None
+        journal.release()
+
+    asyncio.run(play())
+    found = reopened(tmp_path)
+    assert {*found.entries} == {"a", "b", "c"} and not found.before.damage
+
+
+@pytest.mark.parametrize("at", MOMENTS)
+def test_a_stop_while_a_new_file_misses_a_record_loses_none(tmp_path: Path, at: str) -> None:
+    async def play() -> None:
+        disk = Meanwhile(at)
+        journal = durable(tmp_path, disk)
+        journal.taken(handed_in("gone", until=7))
+        journal.taken(handed_in("a", until=7))
+        journal.ended("gone")
+        assert await synced(journal)
+        disk.journal = journal
+        disk.hold.clear()
+        journal.compact()
+        while disk.journal:
+            await loop_turn()
+        journal.close()
+
+    asyncio.run(play())
+    found = reopened(tmp_path)
+    assert {*found.entries} == {"a", "b"} and found.before.clean
+
+
 def test_where_no_sync_works_nothing_is_taken_on_and_then_it_is_again(tmp_path: Path) -> None:
     async def play() -> None:
         disk = Failing()
