--- a/elmglade/journal/durable.py
+++ b/elmglade/journal/durable.py
@@ -120,7 +120,7 @@
             self.tally.add(of)
         if (anew := self.anew) and of not in anew.left:
             # Nothing of that file has been durable yet, as its marks would say.
-            if self.write_anew(anew, records.frame(record[:-1], 0)) and decisive:
+            if self.add_to_anew(anew, records.frame(record[:-1], 0)) and decisive:
                 anew.tally.add(of)
         self.written += 1
         self.want(LAZY)
--- a/elmglade/journal/rewriting.py
+++ b/elmglade/journal/rewriting.py
@@ -4,8 +4,9 @@
   only then named; while that goes on each record is written to both, so that whichever a power loss leaves is
   whole. The folder is synced before anybody hears of it.
 - *In steps*, `STEP` bytes in a pass of the loop, so that nobody waits for all that is owed. A record of a
-  message whose turn has not come goes to the old file alone: its turn tells it as it is then. The new file is
-  synced and named only once all is there. At a start, and after a failed sync, it is written at once.
+  message whose turn has not come goes to the old file alone: its turn tells it as it is then. Other records
+  come behind all of these, so that messages keep the order in which they were taken. The new file is synced
+  and named only once all is there. At a start, and after a failed sync, it is written at once.
 - *A file that a record is missing from* is dropped before it is synced. Where that begins while it is being
   named, it counts as a failed sync: it may have the name, and the next file is written anew from memory.
 - *Another form refuses an older program*, which would read no record and begin with nothing: the folder GUARD
@@ -43,6 +44,7 @@
     naming: bool = False  # `name_anew` is out: nobody else may close it
     incomplete: bool = False  # a record that came meanwhile could not be written to it
     left: dict[str, None] = field(default_factory=dict)  # messages that are not there yet
+    later: bytearray = field(default_factory=bytearray)  # records that come behind what is owed
     tally: Tally = field(default_factory=Tally)  # of its records
 
 
@@ -73,6 +75,13 @@
         anew.size += len(data)
         return True
 
+    def add_to_anew(self, anew: Anew, record: bytes) -> bool:
+        """A record that came meanwhile."""
+        if anew.whole:
+            return self.write_anew(anew, record)
+        anew.later += record
+        return True
+
     def give_up_ballast(self) -> bool:
         path = self.folder / BALLAST
         if not path.exists():
@@ -118,8 +127,11 @@
         data = bytearray()
         while len(data) < self.step_size and not anew.whole:
             part = next(parts, None)
-            anew.whole = part is None
-            data += whole_record(anew.size + len(data), anew.tally) if part is None else part
+            if part is None:
+                anew.whole = True
+                data += anew.later
+                part = whole_record(anew.size + len(data), anew.tally)
+            data += part
         if not self.write_anew(anew, bytes(data)):
             return
         if anew.whole:
--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -425,6 +425,32 @@
         assert {f"m{each}" for each in range(6)} <= {*again.entries, *again.over_ids}
 
 
+def test_what_is_taken_while_it_is_written_anew_stays_behind_what_was_taken_before(tmp_path: Path) -> None:
+    """Messages of one key go out in the order in which the journal has them."""
+
+    async def play() -> None:
+        journal = Stepped(tmp_path, LIMIT, 0.0, None, "boot 1", lambda: 100)
+        for name in ("gone", "a", "b"):
+            journal.taken(handed_in(name, until=7))
+        journal.ended("gone")
+        assert await synced(journal)
+        journal.compact()
+        anew = journal.anew
+        assert anew
+        journal.taken(handed_in("c", until=7))
+        journal.sent("c", 0, Attempt(5, "r", "z"))
+        while not anew.whole:
+            journal.next()
+        journal.taken(handed_in("d", until=7))
+        assert await synced(journal) and journal.anew is None
+        journal.release()
+
+    asyncio.run(play())
+    found = reopened(tmp_path)
+    assert list(found.entries) == ["a", "b", "c", "d"]
+    assert found.entries["c"].attempts and not found.before.damage
+
+
 def test_a_damaged_journal_is_repaired_beside(tmp_path: Path) -> None:
     old, new = tmp_path / "old", tmp_path / "new"
     old.mkdir()
