--- a/tests/test_durable.py
+++ b/tests/test_durable.py
@@ -3,7 +3,7 @@
 import asyncio
 import errno
 import tempfile
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import replace
 from functools import partial
 from pathlib import Path
@@ -12,16 +12,19 @@
 import pytest
 from click.testing import CliRunner
 from faults import turn as loop_turn
-from hypothesis import given
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from peers import handed_in
 
 from elmglade.cli.journal import journal as command
 from elmglade.interface import Outcome
 from elmglade.journal import records
+from elmglade.journal.contents import Before
 from elmglade.journal.disk import Files
-from elmglade.journal.durable import BALLAST, Anew, Before, DurableJournal, Inspected
+from elmglade.journal.durable import DurableJournal
 from elmglade.journal.file import COMPACTED, FILE, Attempt, Entry, Journal
+from elmglade.journal.inspected import Inspected
+from elmglade.journal.rewriting import BALLAST, Anew
 from elmglade.recovery import trust
 from elmglade.recovery.trust import SECOND, TABLE, Belief, Ended, Start
 
@@ -162,6 +165,90 @@
     assert list(reopened(tmp_path).entries) == ["a"]
 
 
+class Meanwhile(Failing):
+    """A message comes right before or after an operation by which a new file takes the journal's place, and
+    the write of it to the new file fails."""
+
+    def __init__(self, at: str) -> None:
+        super().__init__()
+        self.at = at
+        self.journal: DurableJournal | None = None  # none: no more
+        self.refused = -1
+        self.hold = asyncio.Event()  # until it is set the sync is out
+        self.hold.set()
+
+    def passes(self, at: str) -> None:
+        journal = self.journal
+        if journal and journal.anew and journal.anew.whole and at == self.at:
+            self.journal, self.refused = None, journal.anew.file
+            assert journal.taken(handed_in("b", until=7))
+
+    def write(self, file: int, data: bytes) -> None:
+        if file == self.refused:
+            self.refused = -1
+            raise OSError(errno.EIO, "as told")
+        super().write(file, data)
+
+    def sync(self, file: int) -> None:
+        self.passes("before the sync")
+        super().sync(file)
+        self.passes("after the sync")
+
+    def sync_folder(self, path: Path) -> None:
+        self.passes("after the rename")
+        super().sync_folder(path)
+        self.passes("after the sync of the folder")
+
+    async def run(self, job: Callable[[], None]) -> None:
+        job()
+        await self.hold.wait()
+
+
+MOMENTS = ["before the sync", "after the sync", "after the rename", "after the sync of the folder"]
+
+
+@pytest.mark.parametrize("at", MOMENTS)
+def test_a_new_file_that_misses_a_record_is_not_gone_on_with(tmp_path: Path, at: str) -> None:
+    async def play() -> None:
+        disk = Meanwhile(at)
+        journal = durable(tmp_path, disk)
+        journal.taken(handed_in("gone", until=7))
+        journal.taken(handed_in("a", until=7))
+        journal.ended("gone")
+        assert await synced(journal)
+        disk.journal = journal
+        journal.compact()
+        assert journal.anew
+        journal.taken(handed_in("c", until=7))
+        assert await synced(journal) and disk.journal is None
+        journal.release()
+
+    asyncio.run(play())
+    found = reopened(tmp_path)
+    assert {*found.entries} == {"a", "b", "c"} and not found.before.damage
+
+
+@pytest.mark.parametrize("at", MOMENTS)
+def test_a_stop_while_a_new_file_misses_a_record_loses_none(tmp_path: Path, at: str) -> None:
+    async def play() -> None:
+        disk = Meanwhile(at)
+        journal = durable(tmp_path, disk)
+        journal.taken(handed_in("gone", until=7))
+        journal.taken(handed_in("a", until=7))
+        journal.ended("gone")
+        assert await synced(journal)
+        disk.journal = journal
+        disk.hold.clear()
+        journal.compact()
+        while disk.journal:
+            await loop_turn()
+        journal.close()
+
+    asyncio.run(play())
+    found = reopened(tmp_path)
+    assert {*found.entries} == {"a", "b"} and found.before.clean
+
+
 def test_where_no_sync_works_nothing_is_taken_on_and_then_it_is_again(tmp_path: Path) -> None:
     async def play() -> None:
         disk = Failing()
@@ -301,6 +388,7 @@
         del plain[name]
 
 
+@settings(deadline=None, derandomize=True)
 @given(st.lists(ACTS, max_size=12), st.lists(ACTS, min_size=6, max_size=24))
 def test_whatever_happens_while_it_is_written_anew_is_there(before: list[Act], acts: list[Act]) -> None:
     plain: dict[str, Any] = {}
@@ -337,6 +425,32 @@
         assert {f"m{each}" for each in range(6)} <= {*again.entries, *again.over_ids}
 
 
+def test_what_is_taken_while_it_is_written_anew_stays_behind_what_was_taken_before(tmp_path: Path) -> None:
+    """Messages of one key go out in the order in which the journal has them."""
+
+    async def play() -> None:
+        journal = Stepped(tmp_path, LIMIT, 0.0, None, "boot 1", lambda: 100)
+        for name in ("gone", "a", "b"):
+            journal.taken(handed_in(name, until=7))
+        journal.ended("gone")
+        assert await synced(journal)
+        journal.compact()
+        anew = journal.anew
+        assert anew
+        journal.taken(handed_in("c", until=7))
+        journal.sent("c", 0, Attempt(5, "r", "z"))
+        while not anew.whole:
+            journal.next()
+        journal.taken(handed_in("d", until=7))
+        assert await synced(journal) and journal.anew is None
+        journal.release()
+
+    asyncio.run(play())
+    found = reopened(tmp_path)
+    assert list(found.entries) == ["a", "b", "c", "d"]
+    assert found.entries["c"].attempts and not found.before.damage
+
+
 def test_a_damaged_journal_is_repaired_beside(tmp_path: Path) -> None:
     old, new = tmp_path / "old", tmp_path / "new"
     old.mkdir()
