Test four control nodes and four senders as processes, with faults between them

The tests had four control nodes with watchers inside the test process, and one sender beside three nodes; no sender was ever killed.

--- a/elmglade/lab/control_cluster.py
+++ b/elmglade/lab/control_cluster.py
@@ -1,7 +1,8 @@
-"""Control nodes as processes on loopback, watchers in this process, and the relay of lab/cluster.py between.
+"""Control nodes and senders as processes on loopback, watchers in this process, and between all of them the
+relay of lab/cluster.py.
 
-A node's process is `python -m elmglade.control.process`. Its end by a signal is all that a kill does: its
-disk keeps what it wrote.
+A node's process is `python -m elmglade.control.process`, a sender's is `elmglade serve` with `[control]`. Its
+end by a signal is all that a kill does: its disk keeps what it wrote.
 """
 
 import asyncio
@@ -26,6 +27,17 @@
 from elmglade.lab.cluster import HOST, PATIENCE, Relay
 
 WATCH_TICK_S = 0.05
+ASK_AGAIN_S = 0.02  # between two questions over a control socket
+SENDER_CLASS_AND_ENDPOINT = f"""
+[classes.c]
+effect = "safe"
+aim_ms = 4000
+deadline_ms = 8000
+[[endpoints]]
+id = "own"
+destination = 1
+dial = "{HOST}:1"
+"""
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +58,10 @@
 
 
 @dataclass
-class ControlMember:
-    """A control node's folder and its process."""
+class LabProcess:
+    """A folder, and the process that works in it while it runs."""
 
-    plan: NodePlan
+    name: str
     folder: Path
     own: int = 0  # the port that it binds, and the one at which it is called
     public: int = 0
@@ -65,6 +77,30 @@
     def state(self) -> Path:
         return self.folder / "state"
 
+    def command(self) -> tuple[str, ...]:
+        """What python is started with."""
+        raise NotImplementedError
+
+
+@dataclass
+class ControlMember(LabProcess):
+    """A control node."""
+
+    plan: NodePlan = field(kw_only=True)
+
+    def command(self) -> tuple[str, ...]:
+        return "-m", "elmglade.control.process", str(self.config)
+
+
+@dataclass
+class SenderMember(LabProcess):
+    """A sender that watches the control nodes."""
+
+    region: str = field(kw_only=True)
+
+    def command(self) -> tuple[str, ...]:
+        return "-m", "elmglade", "serve", "--config", str(self.config), "--state", str(self.state)
+
 
 class RecordingApplier:
     """Takes every version, and notes them."""
@@ -141,12 +177,16 @@
 
 
 class ControlCluster:
-    """Control nodes and watchers, with what is done to them."""
+    """Control nodes, senders and watchers, with what is done to them."""
 
     def __init__(self, folder: Path, plans: Sequence[NodePlan] = FOUR_NODES, seed: int = 0) -> None:
         self.relay = Relay(seed)
         self.key = random.Random(f"control key {seed}").randbytes(32)
-        self.members = {plan.name: ControlMember(plan, folder / plan.name) for plan in plans}
+        self.folder = folder
+        self.members = {
+            plan.name: ControlMember(plan.name, folder / plan.name, plan=plan) for plan in plans
+        }  # fmt: skip
+        self.senders: dict[str, SenderMember] = {}
         self.watchers: list[LabWatcher] = []
 
     async def __aenter__(self) -> Self:
@@ -161,14 +201,12 @@
     async def __aexit__(self, *_: object) -> None:
         for watcher in self.watchers:
             watcher.close()
-        await self.kill(*self.members)
+        await self.kill(*self.members, *self.senders)
         self.relay.close()
 
     def configure(self, member: ControlMember) -> None:
         """Writes its configuration and key."""
-        key = member.folder / "control.key"
-        key.write_text(base64.b64encode(self.key).decode() + "\n")
-        key.chmod(0o600)
+        self.write_key(member)
         lines = [
             f'name = "{member.plan.name}"',
             'cluster = "lab"',
@@ -186,6 +224,33 @@
             ]
         member.config.write_text("\n".join(lines) + "\n")
 
+    def write_key(self, member: LabProcess) -> None:
+        key = member.folder / "control.key"
+        key.write_text(base64.b64encode(self.key).decode() + "\n")
+        key.chmod(0o600)
+
+    async def add_sender(self, name: str, region: str) -> None:
+        """Makes a sender's folder; `start` starts it."""
+        member = self.senders[name] = SenderMember(name, self.folder / name, region=region)
+        member.folder.mkdir()
+        member.own, member.public = await self.relay.add(name)
+        self.write_key(member)
+        nodes = [
+            f'{{ name = "{each.name}", address = "{HOST}:{each.address[1]}", region = "{each.region}" }}'
+            for each in self.addresses()
+        ]
+        lines = [
+            f'name = "{name}"',
+            f'listen = "{HOST}:0"',
+            SENDER_CLASS_AND_ENDPOINT,
+            "[control]",
+            'key_file = "control.key"',
+            f'listen = "{HOST}:{member.own}"',
+            f'region = "{region}"',
+            f"nodes = [{', '.join(nodes)}]",
+        ]
+        member.config.write_text("\n".join(lines) + "\n")
+
     def addresses(self) -> tuple[ControlNodeAddress, ...]:
         return tuple(
             ControlNodeAddress(name, (HOST, each.public), each.plan.region)
@@ -203,12 +268,15 @@
 
     # Processes.
 
+    def process_of(self, name: str) -> LabProcess:
+        return self.members.get(name) or self.senders[name]
+
     async def start(self, *names: str) -> None:
-        """Starts these nodes, or all, and waits until they serve."""
-        await asyncio.gather(*(self.start_one(self.members[name]) for name in names or self.members))
+        """Starts these nodes and senders, or all nodes, and waits until they serve."""
+        await asyncio.gather(*(self.start_one(self.process_of(name)) for name in names or self.members))
 
-    async def start_one(self, member: ControlMember) -> None:
-        words = [sys.executable, "-m", "elmglade.control.process", str(member.config)]
+    async def start_one(self, member: LabProcess) -> None:
+        words = [sys.executable, *member.command()]
         pipe, nothing = asyncio.subprocess.PIPE, asyncio.subprocess.DEVNULL
         member.process = await asyncio.create_subprocess_exec(
             *words, stdin=nothing, stdout=nothing, stderr=pipe
@@ -217,9 +285,21 @@
         member.reader = asyncio.create_task(self.read(member, member.process, ready))
         async with asyncio.timeout(PATIENCE):
             await ready
+            if isinstance(member, SenderMember):
+                await self.until_it_answers(member)
+
+    async def until_it_answers(self, sender: SenderMember) -> None:
+        """A sender's control socket opens a moment after its door."""
+        while True:
+            try:
+                await self.ask(sender.name, {"do": "control"})
+            except OSError:
+                await asyncio.sleep(ASK_AGAIN_S)
+            else:
+                return
 
     async def read(
-        self, member: ControlMember, process: asyncio.subprocess.Process, ready: asyncio.Future[None]
+        self, member: LabProcess, process: asyncio.subprocess.Process, ready: asyncio.Future[None]
     ) -> None:
         assert process.stderr
         while line := (await process.stderr.readline()).decode(errors="replace"):
@@ -227,10 +307,10 @@
             if re.search(r"ready on \S+:\d+", line) and not ready.done():
                 ready.set_result(None)
         if not ready.done():
-            ready.set_exception(RuntimeError(f"{member.plan.name} did not start: {member.log[-5:]}"))
+            ready.set_exception(RuntimeError(f"{member.name} did not start: {member.log[-5:]}"))
 
     def signal(self, name: str, number: int) -> None:
-        process = self.members[name].process
+        process = self.process_of(name).process
         if process is not None and process.returncode is None:
             process.send_signal(number)
 
@@ -241,8 +321,8 @@
             await self.ended(name)
 
     async def ended(self, name: str) -> int | None:
-        """Waits for the end of a node's process; its exit code."""
-        member = self.members[name]
+        """Waits for the end of a process; its exit code."""
+        member = self.process_of(name)
         process, member.process = member.process, None
         if process is None:
             return None
@@ -252,13 +332,15 @@
         return code
 
     def running(self) -> list[str]:
+        """The control nodes whose processes run."""
         return [name for name, each in self.members.items() if each.process is not None]
 
     # Operators.
 
     async def ask(self, name: str, request: Mapping[str, Any]) -> Any:  # noqa: ANN401
-        """The value of a node's answer. Raises OSError where it does not answer."""
-        told = await asyncio.to_thread(ask, self.members[name].state, request)
+        """The value of a node's or sender's answer. Raises OSError where it does not answer, and ValueError
+        where it ends before it has."""
+        told = await asyncio.to_thread(ask, self.process_of(name).state, request)
         if not told["ok"]:
             raise ValueError(told["faults"])
         return told["value"]
