Have a leader that gets SIGTERM hand over to a node with the whole log

Need: the end of a leader cost changes an election time-out, about a second, also where an operator ended it on purpose. Change: on SIGTERM a leader proposes nothing more and asks a voter with the whole log to stand for election at once (TimeoutNow, as in Ongaro's thesis, 3.10), again each 0.3 s; it ends when it hears another leader, or after 2 s.

--- a/elmglade/control/leadership.py
+++ b/elmglade/control/leadership.py
@@ -76,6 +76,15 @@
         index = self._quorum.majority_value(durable)
         return index if self._log.term_at(index) == self._term else 0
 
+    def successor(self) -> str:
+        """The voter with the whole log that answered the latest heartbeat round; empty if none has it."""
+        rounds = {
+            peer: progress.answered_round
+            for peer, progress in self._voting_peers()
+            if progress.match_index == self._log.last_index
+        }
+        return max(rounds, key=lambda peer: rounds[peer], default="")
+
     def _voting_peers(self) -> list[tuple[str, Progress]]:
         return [(peer, progress) for peer, progress in self._progress.items() if progress.is_voter]
 
--- a/elmglade/control/messages.py
+++ b/elmglade/control/messages.py
@@ -175,6 +175,12 @@
     is_voter: bool
 
 
+class TimeoutNow(msgspec.Struct, array_like=True, frozen=True, tag=24):
+    """A leader that is to end asks the receiver to stand for election at once."""
+
+    term: Count
+
+
 # Between control nodes: forwarded requests of operators.
 
 
@@ -215,7 +221,7 @@
     fault: str = ""  # a disk that takes no writes, or why the node is a learner
 
 
-RaftMessage = VoteRequest | VoteReply | AppendRequest | AppendReply
+RaftMessage = VoteRequest | VoteReply | AppendRequest | AppendReply | TimeoutNow
 WatchMessage = Poll | VersionNotice | Delta | SnapshotRequest | SnapshotChunk
 OperatorMessage = ForwardedChange | ForwardedResult | StatusRequest | NodeStatus
 Body = Hello | Fragment | RaftMessage | WatchMessage | OperatorMessage
--- a/elmglade/control/node.py
+++ b/elmglade/control/node.py
@@ -37,6 +37,7 @@
 from elmglade.control.store import ConfigurationStore
 
 DISK_RETRY_S = 1.0
+HAND_OVER_REPEAT_S = 0.3
 STATUS_TIMEOUT_S = 1.0
 STATUS_REPEAT_S = 0.25
 WATCHERS_BYTES_LIMIT = 48 * 1024  # of the watchers in one status, as they are encoded
@@ -84,6 +85,7 @@
         self._ready: Ready | None = None
         self._is_storing = False  # the caller has the batch
         self._retry_at = now
+        self._hand_over_at = now
         self._seen_term = replica.term
         self._queries: dict[int, StatusQuery] = {}
         self._query_number = 0
@@ -107,6 +109,8 @@
         self._check_disk_age()
         if not self.disk_fault or self.replica.role is Role.LEADER:
             self.replica.tick(now)
+        if self.requests.is_ending:
+            self._hand_over(now)
         self.fanout.tick(now)
         self.requests.tick(now)
         self._tick_queries(now)
@@ -118,6 +122,18 @@
         self.requests.submit(change, answer, now)
         self._advance()
 
+    def end(self, now: float) -> None:
+        """This node is to end: from now on it proposes nothing, and as long as it leads it asks another node
+        to lead. One that lacked a late proposal could not be elected."""
+        self._now = now
+        self.requests.is_ending = True
+        self._hand_over(now)
+        self._advance()
+
+    def _hand_over(self, now: float) -> None:
+        if now >= self._hand_over_at and self.replica.hand_over():
+            self._hand_over_at = now + HAND_OVER_REPEAT_S
+
     def _dispatch(self, sender: str, body: Body, now: float) -> None:
         is_node = sender in self.channel.addresses
         match body:
--- a/elmglade/control/process.py
+++ b/elmglade/control/process.py
@@ -19,6 +19,7 @@
 from elmglade.control.log_file import LOG_FILE, LogFile
 from elmglade.control.node import ControlNode
 from elmglade.control.operators import OperatorCommands
+from elmglade.control.raft import Role
 from elmglade.control.replica import Replica
 from elmglade.control.schema import validate
 from elmglade.control.store import ConfigurationStore
@@ -31,6 +32,8 @@
 
 SESSION_BITS = 62
 SEED_BITS = 64
+HAND_OVER_LIMIT_S = 2.0  # that a leader waits for another one as it ends
+HAND_OVER_LOOK_S = 0.02
 
 log = logging.getLogger(__name__)
 
@@ -143,11 +146,12 @@
         )  # fmt: skip
         self.socket.on_datagram = self.driver.received
         self.control = Control(config.state, OperatorCommands(self.driver).commands())
+        self.ending: asyncio.Task[None] | None = None
 
     async def run(self) -> int:
         """Raises OSError where an address cannot be bound."""
         for number in (signal.SIGTERM, signal.SIGINT):
-            self.loop.add_signal_handler(number, self.stop, 0)
+            self.loop.add_signal_handler(number, self.terminate)
         self.loop.add_signal_handler(signal.SIGHUP, self.reread_keys)
         try:
             await self.socket.open(self.config.listen)
@@ -162,6 +166,22 @@
             self.log_file.disk.finish()
             self.log_file.close()
 
+    def terminate(self) -> None:
+        """SIGTERM or SIGINT; the second one waits for nothing."""
+        if self.ending is None and self.driver.node.replica.role is Role.LEADER:
+            self.ending = self.loop.create_task(self.hand_over())
+        else:
+            self.stop(0)
+
+    async def hand_over(self) -> None:
+        """Ends once another node leads, so that changes wait for no time-out, or after HAND_OVER_LIMIT_S."""
+        replica, ends_at = self.driver.node.replica, self.loop.time() + HAND_OVER_LIMIT_S
+        self.driver.do(self.driver.node.end)
+        while replica.leader in ("", self.config.name) and self.loop.time() < ends_at:
+            await asyncio.sleep(HAND_OVER_LOOK_S)
+        log.info("control: %s: handed over to %s", self.config.name, replica.leader or "nobody")
+        self.stop(0)
+
     def stop(self, code: int) -> None:
         if not self.stopped.done():
             log.info("control: %s: ends", self.config.name)
--- a/elmglade/control/replica.py
+++ b/elmglade/control/replica.py
@@ -1,7 +1,7 @@
 """Replication of the control plane's log: Raft with weighted votes, as a state machine without I/O.
 
 Source: Ongaro and Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014); pre-vote and check
-quorum as in Ongaro's thesis, sections 9.6 and 6.2.
+quorum as in Ongaro's thesis, sections 9.6 and 6.2, the hand-over of leadership as in its section 3.10.
 
 The rules:
 
@@ -18,6 +18,8 @@
 - **Check quorum.** A leader that no majority answered for an election time-out steps down.
 - **Learner.** A node that may have forgotten a vote or an entry copies the log. It never votes, is never
   counted and never a candidate. Once a leader heard so it counts that node no more in its term.
+- **Hand-over.** A leader that is to end asks a voter with the whole log to stand for election now, without
+  pre-vote. For safety that is a time-out like any other: the votes decide as ever.
 - **Durable first.** A `Ready` holds what is to be made durable, then sent, then applied. There is one at a
   time, and messages of later events wait for the next one.
 
@@ -34,6 +36,7 @@
     AppendRequest,
     LogEntry,
     RaftMessage,
+    TimeoutNow,
     VoteReply,
     VoteRequest,
 )
@@ -141,6 +144,8 @@
                 self._receive_append_request(sender, message, now)
             case AppendReply():
                 self._receive_append_reply(sender, message, now)
+            case TimeoutNow(term) if term == self.term and self.role in (Role.FOLLOWER, Role.PRE_CANDIDATE):
+                self._start_election(now)
 
     def tick(self, now: float) -> None:
         """Does what is due by now; to be called at least each HEARTBEAT_INTERVAL_S."""
@@ -169,6 +174,14 @@
             raise NotLeaderError(self.leader)
         return self._append_own(data)
 
+    def hand_over(self) -> bool:
+        """Has another node stand for election now. Whether one was asked: this one must lead, and another one
+        have the whole log. To be repeated until another one leads, without proposals meanwhile."""
+        successor = self._leadership.successor() if self._leadership is not None else ""
+        if successor:
+            self._messages.append((successor, TimeoutNow(self.term)))
+        return bool(successor)
+
     def become_learner(self, reason: str) -> None:
         """Its disk was lost or is old: it may have forgotten a vote, and so copies the log from now on."""
         self.is_voter = False
--- a/elmglade/control/requests.py
+++ b/elmglade/control/requests.py
@@ -65,6 +65,7 @@
 
     def __init__(self, replica: Replica, store: ConfigurationStore, validate: Validate) -> None:
         self.replica, self.store, self.validate = replica, store, validate
+        self.is_ending = False  # nothing is proposed any more
         self._waiting: dict[str, WaitingRequest] = {}
         self._forwarded: dict[str, ForwardedRequest] = {}
         self._proposed: dict[str, int] = {}  # by request id: the term
@@ -150,7 +151,7 @@
         known = self.store.known_result(change.request_id)
         if known is not None:
             return known
-        if not self._is_caught_up():
+        if self.is_ending or not self._is_caught_up():
             return None
         version = self.store.document.version
         if change.base_version != version:
--- a/tests/raft_model.py
+++ b/tests/raft_model.py
@@ -23,6 +23,7 @@
     AppendRequest,
     LogEntry,
     RaftMessage,
+    TimeoutNow,
     VoteReply,
     VoteRequest,
 )
@@ -66,6 +67,7 @@
     disks: tuple[Disk, ...] = (Disk(), Disk(), Disk())
     proposals: int = 1
     crashes: int = 0
+    has_hand_overs: bool = False  # a leader may hand over at any time, to nodes that are no candidates too
     is_sync_separate: bool = False
     has_events_before_sync: bool = False  # a node takes further events before the sync of the last one
     is_sent_before_sync: bool = False  # a planted defect: messages leave with the event
@@ -178,6 +180,8 @@
             return not is_sync_separate and is_merged(replica, message)
         case AppendReply():
             return replica._leadership is None or is_known(replica._leadership._progress[sender], message)
+        case TimeoutNow():
+            return replica.role is Role.LEARNER
 
 
 def is_merged(replica: Replica, request: AppendRequest) -> bool:
@@ -326,6 +330,8 @@
             if replica.role is Role.LEADER:
                 replica._become_follower(replica.term, "", NOW)
             replica._start_election(NOW)
+        elif kind == "hand over":
+            replica.hand_over()
         elif kind == "propose":
             replica.propose(b"%d" % argument, NOW)
 
@@ -345,10 +351,14 @@
                     continue
             if replica.role is Role.LEADER and state.proposals < self.world.proposals:
                 yield "propose", node, state.proposals + 1
+            if replica.role is Role.LEADER and self.world.has_hand_overs:
+                yield "hand over", node, 0
             if replica.role is not Role.LEARNER and self.may_stand(node, replica.term + 1):
                 yield "elect", node, 0
             for message in bits(state.messages & self.inbox[node]):
-                yield "deliver", node, message
+                is_hand_over = isinstance(self.messages[message][2], TimeoutNow)
+                if not is_hand_over or replica.term < len(self.world.candidates):
+                    yield "deliver", node, message
 
     def may_stand(self, node: int, term: int) -> bool:
         candidates = self.world.candidates
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -21,7 +21,7 @@
 from elmglade.control.messages import Address, Change, ChangeResult, Delta, NodeStatus, Outcome, Resource
 from elmglade.control.process import build_node
 from elmglade.control.raft import Role
-from elmglade.control.replica import Replica
+from elmglade.control.replica import ELECTION_TIMEOUT_LEAST_S, Replica
 from elmglade.control.requests import ChangeRequests
 from elmglade.control.store import ConfigurationStore
 from elmglade.control.udp import FolderNotes, NodeDriver
@@ -315,6 +315,34 @@
     play(tmp_path, story)
 
 
+@pytest.mark.parametrize("seed", range(12))
+def test_a_leader_that_ends_hands_over_though_changes_come(seed: int, tmp_path: Path) -> None:
+    """One change is under way as it begins to end, others come just behind, at the leader and elsewhere."""
+
+    async def story(cluster: Cluster) -> None:
+        cluster.start()
+        cluster.network.delay = 0.02
+        first = await cluster.until_led()
+        await cluster.make("c1")
+        other = next(name for name in VOTES if name != first)
+        node = cluster.driver(first).node
+        term = node.replica.term
+        before = asyncio.create_task(cluster.submit(other, cluster.change(1)))
+        await asyncio.sleep(0.02 * cluster.chance.random())
+        cluster.driver(first).do(node.end)
+        behind = [asyncio.create_task(cluster.submit(name, cluster.change(1))) for name in (first, other)]
+        took = await cluster.until(lambda: node.replica.leader not in ("", first))
+        assert took < ELECTION_TIMEOUT_LEAST_S and node.replica.term == term + 1
+        cluster.kill(first)
+        results = await asyncio.gather(before, behind[1])
+        assert sorted(each.outcome for each in results) == [Outcome.APPLIED, Outcome.CONFLICT]
+        behind[0].cancel()  # its node has ended
+        await cluster.until_everywhere()
+        print(f"another node led after {took:.3f} s")
+
+    play(tmp_path, story, seed)
+
+
 def test_faults_and_old_versions_are_refused_at_any_node(tmp_path: Path) -> None:
     async def story(cluster: Cluster) -> None:
         cluster.start()
--- a/tests/test_control_processes.py
+++ b/tests/test_control_processes.py
@@ -191,6 +191,39 @@
     play(tmp_path, story)
 
 
+def test_a_leader_that_is_told_to_end_hands_over(tmp_path: Path) -> None:
+    async def story(cluster: ControlCluster, operator: Operator) -> None:
+        await cluster.leader()
+        await operator.change("c1")
+        for _ in range(3):
+            leader = await cluster.leader()
+            others = [name for name in cluster.members if name != leader]
+            changes = asyncio.create_task(change_until_ended(cluster, operator, others[0], leader))
+            cluster.signal(leader, signal.SIGTERM)
+            told_at = time.monotonic()
+            assert await cluster.ended(leader) == 0
+            took = time.monotonic() - told_at
+            roles = [(await cluster.ask(name, {"do": "get"}))["role"] for name in others]
+            assert "leader" in roles, cluster.members[leader].log[-3:]
+            longest = await changes
+            print(f"{leader} ended after {took:.2f} s, the longest change meanwhile took {longest:.2f} s")
+            await cluster.start(leader)
+        await operator.everywhere("all are back")
+        await operator.check()
+
+    play(tmp_path, story)
+
+
+async def change_until_ended(cluster: ControlCluster, operator: Operator, at: str, leader: str) -> float:
+    """Changes one after another, the last one begun after the leader's end; the seconds of the longest."""
+    longest, has_ended = 0.0, False
+    while not has_ended:
+        has_ended = cluster.members[leader].process is None
+        await operator.change(at)
+        longest = max(longest, operator.confirmed_at - operator.asked_at)
+    return longest
+
+
 def test_a_folder_is_initialised_once_and_for_one_node(tmp_path: Path) -> None:
     cluster = ControlCluster(tmp_path)
     member = cluster.members["c1"]
--- a/tests/test_control_raft_rules.py
+++ b/tests/test_control_raft_rules.py
@@ -7,7 +7,14 @@
 
 from elmglade.control import leadership
 from elmglade.control.log import ReplicatedLog
-from elmglade.control.messages import AppendReply, AppendRequest, LogEntry, VoteReply, VoteRequest
+from elmglade.control.messages import (
+    AppendReply,
+    AppendRequest,
+    LogEntry,
+    TimeoutNow,
+    VoteReply,
+    VoteRequest,
+)
 from elmglade.control.progress import IN_FLIGHT_REQUESTS_LIMIT
 from elmglade.control.quorum import Quorum
 from elmglade.control.replica import (
@@ -544,3 +551,68 @@
     assert replica.commit_index == 0 and not replica.authority_age(now)
     with pytest.raises(NotLeaderError):
         replica.propose(b"change", now)
+
+
+# A leader hands over.
+
+
+def test_a_leader_hands_over_within_no_time() -> None:
+    cluster = with_leader(FOUR)
+    first = cluster.leader()
+    cluster.propose(b"x")
+    cluster.exchange()
+    term = first.term
+    first.hand_over()
+    cluster.exchange()
+    second = cluster.leader()
+    assert second is not first and second.term == term + 1
+    assert {each.leader for each in cluster.replicas.values()} == {second.name}
+    cluster.propose(b"y")
+    cluster.exchange()
+    cluster.run(2 * HEARTBEAT_INTERVAL_S)
+    assert cluster.leader() is second
+    assert set(map(tuple, cluster.committed.values())) == {(b"x", b"y")}
+
+
+def test_a_leader_hands_over_to_no_node_without_the_whole_log_or_a_vote() -> None:
+    replica = follower(votes=THREE)
+    now = elected(replica, 0.0)
+    flush(replica)
+    assert not replica.hand_over() and flush(replica) is None  # nobody has answered yet
+    acknowledge(replica, "b", replica.last_index, now, is_voter=False)
+    flush(replica)
+    assert not replica.hand_over() and flush(replica) is None
+    acknowledge(replica, "c", replica.last_index, now)
+    flush(replica)
+    replica.hand_over()
+    ready = flush(replica)
+    assert ready and ready.messages == (("c", TimeoutNow(replica.term)),)
+
+
+def test_of_two_nodes_with_the_whole_log_the_one_that_answered_last_is_asked() -> None:
+    replica = follower(votes=THREE)
+    now = elected(replica, 0.0)
+    flush(replica)
+    for peer in ("b", "c"):
+        acknowledge(replica, peer, replica.last_index, now)
+    now += HEARTBEAT_INTERVAL_S
+    replica.tick(now)
+    replica.receive("c", AppendReply(replica.term, True, replica.last_index, 2, True), now)
+    flush(replica)
+    replica.hand_over()
+    ready = flush(replica)
+    assert ready and ready.messages == (("c", TimeoutNow(replica.term)),)
+
+
+def test_a_request_to_stand_counts_in_its_own_term_and_for_a_follower_alone() -> None:
+    replica = follower(term=3)
+    for term in (2, 4):
+        replica.receive("b", TimeoutNow(term), 0.0)
+        assert replica.role is Role.FOLLOWER and replica.term == 3
+    replica.receive("b", TimeoutNow(3), 0.0)
+    assert replica.role is Role.CANDIDATE and replica.term == 4
+    replica.receive("b", TimeoutNow(4), 0.0)
+    assert replica.term == 4  # it stands already
+    learner = Replica("a", THREE, HardState(3, ""), (), Random(7), 0.0, is_voter=False)
+    learner.receive("b", TimeoutNow(3), 0.0)
+    assert learner.role is Role.LEARNER and learner.term == 3
--- a/tests/test_control_replica.py
+++ b/tests/test_control_replica.py
@@ -21,6 +21,8 @@
 #: Figure 8 of the paper: term 1's leader wrote an entry, then term 2's another one; each stands alone.
 FIGURE_8 = (Disk(HardState(2, "a"), (A,)), Disk(HardState(2, "b"), (B,)), Disk(HardState(2, "b")))
 LEARNER = World(learners=frozenset("c"), candidates=("a", "b"), proposals=0)
+#: The second term's leader is one that the first one asked to stand.
+HAND_OVER = World(candidates=("a", ""), proposals=0, has_hand_overs=True)
 HEAVY = World(votes=(("a", 3), ("b", 1), ("c", 1)), candidates=("a",), is_sync_separate=True, proposals=0)
 
 #: Worlds that are explored to the end.
@@ -37,6 +39,8 @@
         candidates=("ab",), proposals=0, crashes=1, is_sync_separate=True
     ),
     "a learner": LEARNER,
+    "a leader hands over": HAND_OVER,
+    "a leader hands over beside an election": replace(HAND_OVER, candidates=("a", "b")),
     "figure 8": World(disks=FIGURE_8, candidates=("", "", "a", "b"), proposals=0),
 }
 
@@ -51,6 +55,8 @@
     "a crash between an event and its sync": 13_046,
     "unequal votes and a crash": 296,
     "a learner": 403,
+    "a leader hands over": 6_045,
+    "a leader hands over beside an election": 8_554,
     "figure 8": 7_941,
 }
 
@@ -130,6 +136,17 @@
         super().__init__(name, votes, HardState(hard_state.term, ""), *rest)
 
 
+class HastyReplica(Replica):
+    """It leads once it is asked to stand, whatever the others would vote."""
+
+    def _start_election(self, now: float) -> None:
+        if self.term == 0:  # the first leader is elected
+            super()._start_election(now)
+            return
+        self._hard_state = HardState(self.term + 1, self.name)
+        self._become_leader(now)
+
+
 def any_log_is_new_enough(self: Replica, request: VoteRequest) -> bool:
     return True
 
@@ -174,6 +191,7 @@
         "committed_index",
         committed_before_its_own_disk,
     ),
+    "a leader hands over and no votes are asked for": Defect(replace(HAND_OVER, replica_class=HastyReplica)),
     "a learner is counted for a majority": Defect(LEARNER, Leadership, "_voting_peers", all_peers),
     "a log is not truncated where it conflicts": Defect(
         WORLDS["two terms"], Replica, "_merge", merge_without_truncating
