What is over its share makes room in a crowd before anything is sent

In Dispatcher.handle send_next comes before keep_room, so a newcomer that can go at once is out before room is asked for, and what waits in turn is the only one left to be refused. Change: in a crowd newcomers over their tenant's share make room before anything is sent (keep_room(below=1.0)); order_room returns its order; the plain model of test_schedule.py passes the argument on. The new test fails without it in one of its four cases; 156 tests of the policy pass.

--- a/elmglade/policy/dispatcher.py
+++ b/elmglade/policy/dispatcher.py
@@ -51,6 +51,8 @@
             self.hear(event)
         self.inflight.find_overdue()
         self.pending.end_due()
+        if self.loop.pace.crowd > 1:
+            self.pending.keep_room(below=1.0)
         self.send_next()
         self.pending.keep_room()
         self.registry.age_out()
--- a/elmglade/policy/pending.py
+++ b/elmglade/policy/pending.py
@@ -185,28 +185,26 @@
         early = self.loop.pace.crowd <= 1 or not waited or min(told, default=0) >= message.until
         return waited >= RETURN_FROM * life or (early and not message.restored)
 
-    def keep_room(self) -> None:
-        """End the least promising held messages when the queue is full. Their order is rebuilt only now and
-        then, which bounds the CPU time of walking over all that is held."""
+    def keep_room(self, below: float = NEVER) -> None:
+        """End the least promising held messages, of a share `below` this one, when the queue is full. Their
+        order is rebuilt only now and then, which bounds the CPU time of walking over all that is held."""
         excess = len(self.messages) - self.settings.max_open + 1
         if self.loop.now >= self.room_until:
-            self.room = []
-            if excess > 0:
-                self.order_room()
-        while excess > 0 and self.room:
+            self.room = self.order_room() if excess > 0 else []
+        while excess > 0 and self.room and self.room[0][2].share < below:
             message = self.room.pop(0)[2]
             if self.is_held(message) and self.may_refuse(message) and self.may_return(message):
                 self.end(message)
                 excess -= 1
 
-    def order_room(self) -> None:
+    def order_room(self) -> list[tuple[float, int, Message]]:
         places: dict[str, int] = {}
         for line in self.keys.values():
             places |= {name: place for place, name in enumerate(line.queue)}
         self.loop.looks += len(self.messages) + len(places)
-        self.room = sorted(
+        self.room_until = self.loop.now + max(PROSPECT_AGE * len(self.messages), 1)
+        return sorted(
             self.prospect(each, self.registry.destinations[each.destination], places.get(each.id, 0))
             for each in self.messages.values()
             if self.is_held(each) and self.may_refuse(each)
         )
-        self.room_until = self.loop.now + max(PROSPECT_AGE * len(self.messages), 1)
--- a/tests/test_crowd.py
+++ b/tests/test_crowd.py
@@ -206,3 +206,22 @@
         world.answer(f"m{world.count}", Outcome.FULL)
         assert (700 * MS < breaker.gap < 900 * MS) == usual
         assert usual or breaker.gap == breaker.step
+
+
+@pytest.mark.parametrize(
+    ("fleet", "tenant", "goes"), [(CROWD, "t", False), (CROWD, "", True), (4, "t", True), (4, "", True)]
+)
+def test_over_its_share_a_newcomer_doesnt_go_past_a_full_room_of_a_crowd(
+    fleet: int, tenant: str, goes: bool
+) -> None:
+    """A newcomer that has to wait in turn finds no room then; one that could go at once went ahead of it."""
+    told = {"fleet_size": fleet, "max_open": 5, "tenants": (("t", 1.0),), "over_share_worth": 0.1}
+    world = World(endpoint("a"), endpoint("b", destination=2), **told)
+    assert sent(world.take())
+    world.answer("m1", Outcome.FULL, wait=10 * SECOND)
+    for _ in range(3):
+        world.take()
+    actions = world.take(destination=2, tenant=tenant)
+    assert sent(actions) == (["m5"] if goes else [])
+    if not goes:
+        assert [each.message for each in ended(actions)] == ["m5"]
--- a/tests/test_schedule.py
+++ b/tests/test_schedule.py
@@ -35,9 +35,9 @@
             elif each.queued and not (self.is_held(each) and self.in_turn(each)):
                 at.leave(each)
 
-    def keep_room(self) -> None:
+    def keep_room(self, below: float = NEVER) -> None:
         self.room, self.room_until = [], -NEVER
-        super().keep_room()
+        super().keep_room(below)
         self.room, self.room_until = [], -NEVER
 
 
