A candidate of the control nodes asks again for votes that have not come

Change: pre-candidates and candidates repeat their request each 0.1 s to those whose vote has not come (Replica._request_votes), unless what was asked last still waits for the disk. A test that used a restarted learner's own version as its base right after the election now waits until the learner has copied it, since the election is over sooner; its assertions are as they were.

--- a/elmglade/control/replica.py
+++ b/elmglade/control/replica.py
@@ -158,6 +158,8 @@
                 self._start_round(self._leadership, now)
             return
         if now < self._election_at:
+            if self.role in (Role.PRE_CANDIDATE, Role.CANDIDATE) and now >= self._heartbeat_at:
+                self._request_votes(now)
             return
         if self.role is Role.LEARNER:
             self.leader = ""
@@ -254,23 +256,31 @@
 
     def _start_pre_vote(self, now: float) -> None:
         self.role = Role.PRE_CANDIDATE
-        self._ask_for_votes(self.term + 1, is_pre_vote=True, now=now)
+        self._ask_for_votes(now)
         if self._quorum.is_majority(self._granted):
             self._start_election(now)
 
     def _start_election(self, now: float) -> None:
         self.role = Role.CANDIDATE
         self._hard_state = HardState(self.term + 1, self.name)
-        self._ask_for_votes(self.term, is_pre_vote=False, now=now)
+        self._ask_for_votes(now)
         if self._quorum.is_majority(self._granted):
             self._become_leader(now)
 
-    def _ask_for_votes(self, term: int, is_pre_vote: bool, now: float) -> None:
+    def _ask_for_votes(self, now: float) -> None:
         self.leader = ""
         self._granted = frozenset((self.name,))
         self._restart_election_timer(now)
-        request = VoteRequest(term, self._log.last_index, self._log.last_term, is_pre_vote)
-        self._messages.extend((peer, request) for peer in self._peers)
+        self._request_votes(now)
+
+    def _request_votes(self, now: float) -> None:
+        """Asks those whose vote is not here: again each HEARTBEAT_INTERVAL_S, as a request may be lost."""
+        self._heartbeat_at = now + HEARTBEAT_INTERVAL_S
+        if self._outstanding is not None and self._messages:
+            return  # what was asked last has not left yet
+        is_pre_vote = self.role is Role.PRE_CANDIDATE
+        request = VoteRequest(self.term + is_pre_vote, self._log.last_index, self._log.last_term, is_pre_vote)
+        self._messages.extend((peer, request) for peer in self._peers if peer not in self._granted)
 
     def _become_leader(self, now: float) -> None:
         self.role = Role.LEADER
--- a/tests/test_control_node.py
+++ b/tests/test_control_node.py
@@ -20,7 +20,16 @@
 from elmglade.control.document import Document
 from elmglade.control.folder import FolderError, Identity, StateFolder
 from elmglade.control.log_file import LogFile
-from elmglade.control.messages import Address, Change, ChangeResult, Delta, NodeStatus, Outcome, Resource
+from elmglade.control.messages import (
+    Address,
+    Change,
+    ChangeResult,
+    Delta,
+    NodeStatus,
+    Outcome,
+    Resource,
+    TimeoutNow,
+)
 from elmglade.control.node import ControlNode
 from elmglade.control.process import build_node
 from elmglade.control.raft import HardState, Role
@@ -346,6 +355,33 @@
     play(tmp_path, story, seed)
 
 
+@pytest.mark.parametrize("asked", VOTES)
+def test_a_successor_is_elected_by_nodes_that_were_started_since_it_spoke_to_them(
+    asked: str, tmp_path: Path
+) -> None:
+    async def story(cluster: Cluster) -> None:
+        cluster.start()
+        first = await cluster.until_led()
+        await cluster.make("c1")
+        await cluster.status(asked)  # it has spoken to each of them
+        if asked == first:
+            return
+        for name in VOTES:
+            if name not in (first, asked):
+                cluster.kill(name)
+                cluster.start(name)
+                await cluster.until(lambda name=name: cluster.driver(name).node.replica.leader == first)  # type: ignore[misc]
+        await cluster.until_everywhere()
+        await asyncio.sleep(1.0)
+        replica = cluster.driver(asked).node.replica
+        cluster.driver(asked).do(lambda now: replica.receive(first, TimeoutNow(replica.term), now))
+        took = await cluster.until(lambda: replica.role is Role.LEADER)
+        print(f"{asked} in place of {first}: elected after {took:.3f} s")
+        assert took < ELECTION_TIMEOUT_LEAST_S
+
+    play(tmp_path, story, 3)
+
+
 def test_faults_and_old_versions_are_refused_at_any_node(tmp_path: Path) -> None:
     async def story(cluster: Cluster) -> None:
         cluster.start()
@@ -511,6 +547,8 @@
         cluster.start(lost, others[0])
         await cluster.until_led()
         assert cluster.driver(lost).node.replica.role is Role.LEARNER
+        # A change is made against the version of the node that is asked: the learner copies it first.
+        await cluster.until(lambda: cluster.document(lost).version >= 2)
         assert (await cluster.make(lost)).outcome is Outcome.APPLIED
 
     play(tmp_path, story)
