One check of a list of control nodes, and one way to read keys anew

Need: the faults of a list of control nodes were told in config.py and control/configuration.py by the same lines, and SIGHUP read keys anew in three places. Change: resource_tables.node_list_faults and fleet.seal.reread_keys serve them all; words of faults and of the log as they were.

--- a/elmglade/config.py
+++ b/elmglade/config.py
@@ -16,7 +16,6 @@
 from elmglade.directory.static import Dial, Place
 from elmglade.resource_tables import (
     MOST,
-    NOT_NUMERIC,
     WHOLE,
     Address,
     BudgetTable,
@@ -27,7 +26,7 @@
     Shared,
     Whole,
     budget_faults,
-    is_numeric,
+    node_list_faults,
     us,
 )
 from elmglade.tables import ConfigError, Fault, Share, Table, check, parse, within
@@ -278,20 +277,9 @@
 
     @model_validator(mode="after")
     def consistent(self) -> Self:
-        wrong, names, addresses = [], set[str](), set[Dial]()
+        wrong = node_list_faults([(each.name, each.address) for each in self.nodes])
         if not self.nodes:
             wrong.append("nodes: must name at least one control node")
-        for at, each in enumerate(self.nodes):
-            if each.name in names:
-                wrong.append(f"nodes[{at}].name: {each.name!r} is listed twice")
-            if each.address in addresses:
-                wrong.append(f"nodes[{at}].address: two nodes at one address")
-            if each.address[1] == 0:
-                wrong.append(f"nodes[{at}].address: must name a port")
-            elif not is_numeric(each.address):
-                wrong.append(f"nodes[{at}].address: {NOT_NUMERIC}")
-            names.add(each.name)
-            addresses.add(each.address)
         if wrong:
             raise ValueError("\n".join(wrong))
         return self
--- a/elmglade/control/configuration.py
+++ b/elmglade/control/configuration.py
@@ -8,8 +8,8 @@
 
 from elmglade.control.messages import NAME_LENGTH_LIMIT, Address
 from elmglade.control.watch import ControlNodeAddress
-from elmglade.resource_tables import NOT_NUMERIC, is_numeric
 from elmglade.resource_tables import Address as AddressField
+from elmglade.resource_tables import node_list_faults
 from elmglade.tables import Table, check, parse, within
 
 VOTES_LIMIT = 100
@@ -55,19 +55,8 @@
 
     @model_validator(mode="after")
     def consistent(self) -> Self:
-        wrong, names, addresses = [], set[str](), set[Address]()
-        for at, each in enumerate(self.nodes):
-            if each.name in names:
-                wrong.append(f"nodes[{at}].name: {each.name!r} is listed twice")
-            if each.address in addresses:
-                wrong.append(f"nodes[{at}].address: two nodes at one address")
-            if each.address[1] == 0:
-                wrong.append(f"nodes[{at}].address: must name a port")
-            elif not is_numeric(each.address):
-                wrong.append(f"nodes[{at}].address: {NOT_NUMERIC}")
-            names.add(each.name)
-            addresses.add(each.address)
-        if self.name not in names:
+        wrong = node_list_faults([(each.name, each.address) for each in self.nodes])
+        if self.name not in {each.name for each in self.nodes}:
             wrong.append(f"name: {self.name!r} is not among the nodes")
         if wrong:
             raise ValueError("\n".join(wrong))
--- a/elmglade/control/process.py
+++ b/elmglade/control/process.py
@@ -25,7 +25,7 @@
 from elmglade.control.store import ConfigurationStore
 from elmglade.control.udp import FolderNotes, NodeDriver, UdpSocket
 from elmglade.directory.control import Control
-from elmglade.fleet.seal import KeyFileError, Seal, read_keys
+from elmglade.fleet.seal import KeyFileError, Seal, read_keys, reread_keys
 from elmglade.journal.disk import Disk, Files
 from elmglade.journal.lock import Lock, LockTakenError
 from elmglade.tables import ConfigError, Fault
@@ -194,13 +194,7 @@
 
     def reread_keys(self) -> None:
         """SIGHUP."""
-        try:
-            keys = read_keys(self.config.key_file)
-        except KeyFileError as error:
-            log.error("control: the keys stay as they were: %s", error)
-            return
-        self.seal.change(keys)
-        log.info("control: %d keys from now on", len(keys))
+        reread_keys(self.seal, self.config.key_file, "control")
 
 
 if __name__ == "__main__":
--- a/elmglade/fleet/seal.py
+++ b/elmglade/fleet/seal.py
@@ -10,6 +10,7 @@
 
 import base64
 import binascii
+import logging
 import os
 import stat
 from collections.abc import Callable, Sequence
@@ -18,6 +19,8 @@
 from cryptography.exceptions import InvalidTag
 from cryptography.hazmat.primitives.ciphers.aead import ChaCha20Poly1305
 
+log = logging.getLogger(__name__)
+
 VERSION = b"EL1"
 NONCE, KEY = 12, 32  # bytes
 LEAST = len(VERSION) + NONCE + 16
@@ -84,3 +87,15 @@
             except InvalidTag:
                 continue
         raise RefusedError("sealed with another key, or changed on its way")
+
+
+def reread_keys(seal: Seal, path: Path, part: str) -> None:
+    """Takes the keys that the file holds now. One that cannot be used changes nothing, and the log says why
+    with `part`, the name of who seals."""
+    try:
+        keys = read_keys(path)
+    except KeyFileError as error:
+        log.error("%s: the keys stay as they were: %s", part, error)
+        return
+    seal.change(keys)
+    log.info("%s: %d keys from now on", part, len(keys))
--- a/elmglade/fleet/udp.py
+++ b/elmglade/fleet/udp.py
@@ -10,7 +10,7 @@
 
 from elmglade.files import replace_json
 from elmglade.fleet.node import Me, Node
-from elmglade.fleet.seal import KeyFileError, Seal, read_keys
+from elmglade.fleet.seal import Seal, read_keys, reread_keys
 from elmglade.fleet.wire import Address
 
 TICK = 0.05  # s
@@ -91,12 +91,7 @@
 
     def reread_keys(self) -> None:
         """SIGHUP."""
-        try:
-            keys = read_keys(self.key_file)
-            self.seal.change(keys)
-            log.info("fleet: %d keys from now on", len(keys))
-        except KeyFileError as error:
-            log.error("fleet: the keys stay as they were: %s", error)
+        reread_keys(self.seal, self.key_file, "fleet")
 
     def close(self) -> None:
         if self.task:
--- a/elmglade/http/control.py
+++ b/elmglade/http/control.py
@@ -19,7 +19,7 @@
 from elmglade.control.schema import BUDGETS, ENDPOINTS, has_kind
 from elmglade.control.watch import ControlNodeAddress, Watch, WatchStatus
 from elmglade.files import replace_json
-from elmglade.fleet.seal import KeyFileError, Seal, read_keys
+from elmglade.fleet.seal import KeyFileError, Seal, read_keys, reread_keys
 from elmglade.http.configuration import Directory, SenderConfiguration, SharedBudgets
 from elmglade.journal.disk import Disk, Files
 
@@ -150,13 +150,7 @@
 
     def reread_keys(self) -> None:
         """SIGHUP."""
-        try:
-            keys = read_keys(self.config.key_file)
-        except KeyFileError as error:
-            log.error("control: the keys stay as they were: %s", error)
-            return
-        self.seal.change(keys)
-        log.info("control: %d keys from now on", len(keys))
+        reread_keys(self.seal, self.config.key_file, "control")
 
     def close(self) -> None:
         """Says nothing more."""
--- a/elmglade/resource_tables.py
+++ b/elmglade/resource_tables.py
@@ -54,6 +54,23 @@
     return found[1].strip("[]"), int(found[2])
 
 
+def node_list_faults(nodes: Sequence[tuple[str, Dial]]) -> list[str]:
+    """What is wrong with a list of control nodes, names and addresses: a line for each fault."""
+    wrong, names, addresses = [], set[str](), set[Dial]()
+    for at, (name, address) in enumerate(nodes):
+        if name in names:
+            wrong.append(f"nodes[{at}].name: {name!r} is listed twice")
+        if address in addresses:
+            wrong.append(f"nodes[{at}].address: two nodes at one address")
+        if address[1] == 0:
+            wrong.append(f"nodes[{at}].address: must name a port")
+        elif not is_numeric(address):
+            wrong.append(f"nodes[{at}].address: {NOT_NUMERIC}")
+        names.add(name)
+        addresses.add(address)
+    return wrong
+
+
 def is_numeric(dial: Dial) -> bool:
     """Whether the host is an IP address, which a datagram's send needs not look up."""
     try:
