A setting of the drawn power losses that nobody sets is gone

Need: a second reading found Cuts.keeps, which came with the sharper cuts and which no test or command sets. Change: it is taken out; a cut draws what it keeps, as it did with the setting's default. The rest of the suite was not run again.

--- a/elmglade/emulator/power.py
+++ b/elmglade/emulator/power.py
@@ -24,7 +24,6 @@
     most: int = 8
     apart: int = 25  # operations between two cuts at the most; an early one catches a start
     before: str = ""  # the power goes right before such an operation, and only these are counted; "": any
-    keeps: float | None = None  # share of what was not synced that a cut keeps; None: drawn for each cut
     gather: float | None = 0.005  # s; None: nothing is synced
     journal: type[DurableJournal] = DurableJournal
 
@@ -56,7 +55,7 @@
         if super().lived():
             return True
         self.left -= 1
-        self.platter = Platter(self.platter.cut(self.power, self.cuts.keeps))
+        self.platter = Platter(self.platter.cut(self.power))
         self.draw_next()
         return False
 
