Let a receiver's connection rest before its next call, so that no copy answers it

Cause: HttpTransport.take_idle gave the most recently used connection to the next call at once. HTTP/1.1 answers carry no id, so HttpCall took whatever came next for the answer of its own request. A copied 503 led to a further attempt beside the open one, a copied 200 to a message that counted as delivered, without a call that was served. `has_ended` saw only copies that had come before the call.

Change: http/reuse.py decides when a connection may carry its next call. A connection rests for 0.3 s after a response; what arrives meanwhile belongs to no request, closes the connection and is logged with endpoint, connection and the message before it. An endpoint that wrote such a response gets one call per connection for 60 s, because its next copy may come later than the rest. A call that may open no connection (shared budgets) waits until one has rested, in place of ending as not sent.

test_client.py and the stage "pooled" of test_socket_faults.py test what becomes of a pooled connection; they set the rest to 0 and are otherwise as they were. add_completions of test_replaced.py moved to testbed/history.py.

--- a/message_sender/http/call.py
+++ b/message_sender/http/call.py
@@ -9,7 +9,7 @@
 from typing import Any, Protocol
 
 from message_sender.core.ports import AttemptResult
-from message_sender.http.client_connection import ClientConnection
+from message_sender.http.client_connection import AnsweredRequest, ClientConnection
 from message_sender.http.common import (
     BODY_LIMIT,
     CONNECTION_ERRORS,
@@ -54,7 +54,10 @@
     on_limit_announced: Callable[[str, int, int], None] | None
 
     def take_idle(self, endpoint: str) -> ClientConnection | None:
-        """Takes an idle connection to the endpoint out of the pool, if there is one."""
+        """Takes an idle connection that may carry a call out of the pool, if there is one."""
+
+    def next_rested_at(self, endpoint: str) -> float | None:
+        """When the next idle connection may carry a call, in seconds on the loop's clock; None: none will."""
 
     async def open_connection(self, address: Address, closed: Callable[[], None]) -> ClientConnection:
         """Opens a connection; `closed` is called when it has been closed."""
@@ -62,6 +65,9 @@
     def return_to_pool(self, endpoint: str, connection: ClientConnection) -> bool:
         """Returns a connection to the pool; False if it may not be reused."""
 
+    def finish_response(self, endpoint: str, connection: ClientConnection) -> bool:
+        """Returns a connection whose response is complete to the pool; False if it may not be reused."""
+
     def return_if_complete(self, endpoint: str, connection: ClientConnection) -> bool:
         """Returns a connection to the pool when its response is complete; False if it may not be reused."""
 
@@ -171,17 +177,18 @@
 
     async def _connect(self) -> ClientConnection | None:
         """Returns a pooled or a new connection; None if the endpoint is gone or none may be opened."""
-        address = self.owner.dials().get(self.endpoint)
-        if address is None:
-            return None
-        self.connection = self.owner.take_idle(self.endpoint)
-        self.is_reused = self.connection is not None
-        if self.connection is None:
-            closed = self.owner.reserve_connection(self.endpoint, self.message.id)
-            if closed is None:
+        while address := self.owner.dials().get(self.endpoint):
+            if connection := self.owner.take_idle(self.endpoint):
+                self.connection, self.is_reused = connection, True
+                return connection
+            if closed := self.owner.reserve_connection(self.endpoint, self.message.id):
+                self.connection = await self.owner.open_connection(address, closed)
+                return self.connection
+            rested_at = self.owner.next_rested_at(self.endpoint)
+            if rested_at is None:
                 return None
-            self.connection = await self.owner.open_connection(address, closed)
-        return self.connection
+            await asyncio.sleep(rested_at - self.loop.time())
+        return None
 
     def _headers(self) -> dict[str, str]:
         remaining_s = max(self.deadline - self.loop.time(), 0.0)
@@ -193,6 +200,10 @@
         }
 
     def _read_head(self, response: ResponseHead) -> AttemptResult:
+        assert self.connection
+        previous = self.connection.answered
+        number = previous.number + 1 if previous else 1
+        self.connection.answered = AnsweredRequest(self.message.id, response.status_code, number)
         result = answer_from(response)
         self.retry_after_us = result.retry_after_us
         if self.retry_after_us:
@@ -212,7 +223,7 @@
         # Only a complete, well-formed response proves that the request did not run, whatever its status says.
         async with asyncio.timeout(BODY_TIMEOUT_S):
             await connection.skip_body()
-        self.is_returned = connection.next_cycle() and self.owner.return_to_pool(self.endpoint, connection)
+        self.is_returned = self.owner.finish_response(self.endpoint, connection)
 
     # Early ends: cancellation, time-out, and errors.
 
--- a/message_sender/http/client.py
+++ b/message_sender/http/client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import math
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
@@ -11,9 +12,10 @@
 from message_sender.core.traffic_observer import ObservedConnection, TrafficObserver
 from message_sender.http import fast_path
 from message_sender.http.call import BODY_TIMEOUT_S, HttpCall
-from message_sender.http.client_connection import ClientConnection, do_nothing
+from message_sender.http.client_connection import STATUS_LINE, ClientConnection, do_nothing
 from message_sender.http.common import CONNECTION_ERRORS, Address
 from message_sender.http.response_mapping import answer_from
+from message_sender.http.reuse import REUSE_DELAY_S, ReuseRules
 from message_sender.http.unread_sockets import UnreadSockets
 from message_sender.message import Message
 from message_sender.policy.model import NEVER_RAN, Outcome
@@ -21,6 +23,8 @@
 IDLE_LIMIT_FRACTION = 0.8  # of the receiver's idle limit, so that idle connections are closed before it does
 SHORTAGE_RETRY_S = 0.05  # before another attempt to open a connection when no descriptor or port was left
 
+log = logging.getLogger(__name__)
+
 
 def ignore_retry_after(endpoint: str, delay_us: int) -> None:
     """Default Retry-After callback of a transport that is used without an engine."""
@@ -55,6 +59,7 @@
         unsent: Tasks of the calls whose first byte has not been written.
         is_closing: No further call is started.
         body_tasks: Tasks that read the rest of responses in the background.
+        reuse: Decides when a connection may carry its next call.
         observer: Observes the traffic of connections that are opened from now on.
         reserve_connection: Called with endpoint and message id before a connection is opened. Returns the
             callback for when the connection has been closed, or None if no connection may be opened.
@@ -72,6 +77,7 @@
         connection_limit: int,
         dials: Callable[[], Mapping[str, Address]],
         retry_after_received: Callable[[str, int], None] = ignore_retry_after,
+        reuse_delay_s: float = REUSE_DELAY_S,
     ) -> None:
         """Creates a transport without connections.
 
@@ -81,6 +87,7 @@
             connection_limit: Maximum number of open connections.
             dials: Returns the addresses of the listed endpoints.
             retry_after_received: Called with an endpoint and its Retry-After in microseconds.
+            reuse_delay_s: Seconds that a connection rests after a response before it carries another call.
 
         Raises:
             OSError: No file descriptor is left.
@@ -101,6 +108,7 @@
         self.is_closing = False
         self.body_tasks: set[asyncio.Task[None]] = set()
         self.reports = ErrorReports()
+        self.reuse = ReuseRules(reuse_delay_s)
         self.observer: TrafficObserver | None = None
         self.reserve_connection: Callable[[str, str], Callable[[], None] | None] = allow_connection
         self.max_age_s: Callable[[str], float] = no_max_age
@@ -246,11 +254,18 @@
         """
         try:
             if connection.is_answer_complete():
-                return connection.next_cycle() and self.return_to_pool(endpoint, connection)
+                return self.finish_response(endpoint, connection)
         except CONNECTION_ERRORS:
             return False
         return self.return_after_body(endpoint, connection, connection.skip_body())
 
+    def finish_response(self, endpoint: str, connection: ClientConnection) -> bool:
+        """Returns a connection whose response is complete to the pool; False if it may not be reused."""
+        if connection.next_cycle():
+            return self.return_to_pool(endpoint, connection)
+        self.report_unsolicited(endpoint, connection)
+        return False
+
     def return_after_body(
         self, endpoint: str, connection: ClientConnection, rest: Coroutine[Any, Any, None]
     ) -> bool:
@@ -267,7 +282,7 @@
         try:
             async with asyncio.timeout(BODY_TIMEOUT_S):
                 await rest
-            is_returned = connection.next_cycle() and self.return_to_pool(endpoint, connection)
+            is_returned = self.finish_response(endpoint, connection)
         except CONNECTION_ERRORS:
             pass  # includes TimeoutError; the outcome of the call is already known
         finally:
@@ -277,25 +292,61 @@
     # The pool.
 
     def take_idle(self, endpoint: str) -> ClientConnection | None:
-        """Takes the most recently used idle connection that is neither closed by the receiver nor too old."""
-        while idle_connections := self.pool.get(endpoint):
-            connection = idle_connections[-1]
-            self.remove_idle(connection)
+        """Takes the most recently used idle connection that may carry a call."""
+        now = asyncio.get_running_loop().time()
+        for connection in reversed(self.pool.get(endpoint, [])[:]):
+            if not self.reuse.may_carry_call(endpoint, connection.answered_at, now):
+                continue
             if not connection.has_ended() and not self.is_too_old(connection):
+                self.remove_idle(connection)
                 return connection
-            self.drop(connection)
+            self.close_idle_connection(connection)
         return None
 
-    def remove_idle(self, connection: ClientConnection) -> None:
-        """Removes a connection from the pool."""
+    def next_rested_at(self, endpoint: str) -> float | None:
+        """When the next idle connection may carry a call, in seconds on the loop's clock; None: none will."""
+        now = asyncio.get_running_loop().time()
+        times = (
+            self.reuse.rested_at(each.answered_at)
+            for each in self.pool.get(endpoint, ())
+            if self.reuse.may_keep(endpoint, each.answered_at, now)
+        )
+        return min(times, default=None)
+
+    def report_unsolicited(self, endpoint: str, connection: ClientConnection) -> None:
+        """Reports bytes that an endpoint has sent on a connection on which no response was due, if any."""
+        if not (data := connection.unsolicited_bytes()):
+            return
+        now = asyncio.get_running_loop().time()
+        status_line, answered = STATUS_LINE.match(data), connection.answered
+        status = int(status_line[1]) if status_line else 0
+        self.reuse.unsolicited_received(endpoint, status, now)
+        log.warning(
+            "unsolicited response: endpoint=%s connection=%d status=%d after_ms=%.0f last_message=%s"
+            " last_status=%d requests=%d total=%d",
+            endpoint,
+            connection.local_port(),
+            status,
+            (now - connection.answered_at) * 1e3,
+            answered.message_id if answered else "",
+            answered.status if answered else 0,
+            answered.number if answered else 0,
+            self.reuse.unsolicited,
+        )
+
+    def remove_idle(self, connection: ClientConnection) -> str:
+        """Removes a connection from the pool and returns its endpoint."""
         endpoint = self.idle.pop(connection)
         self.pool[endpoint].remove(connection)
         if not self.pool[endpoint]:
             del self.pool[endpoint]
+        return endpoint
 
     def return_to_pool(self, endpoint: str, connection: ClientConnection) -> bool:
-        """Returns a connection to the pool; False if it is too old or the endpoint has moved."""
+        """Returns a connection to the pool; False if it may carry no other call."""
         now = asyncio.get_running_loop().time()
+        if not self.reuse.may_keep(endpoint, connection.answered_at, now):
+            return False
         max_age_s = self.max_age_s(endpoint)
         is_retired = now - connection.opened_at >= max_age_s
         if is_retired or self.dials().get(endpoint) != connection.address:
@@ -312,9 +363,12 @@
         return now - connection.idle_since >= self.idle_limit or now >= connection.retires_at
 
     def close_expired(self) -> None:
-        """Closes idle connections that are too old or closed by the receiver; called periodically."""
-        for connection in [each for each in self.idle if self.is_too_old(each) or each.has_ended()]:
-            self.close_idle_connection(connection)
+        """Closes idle connections that can carry no other call; called periodically."""
+        now = asyncio.get_running_loop().time()
+        for connection, endpoint in list(self.idle.items()):
+            may_keep = self.reuse.may_keep(endpoint, connection.answered_at, now)
+            if not may_keep or self.is_too_old(connection) or connection.has_ended():
+                self.close_idle_connection(connection)
 
     def endpoints_changed(self) -> None:
         """Closes idle connections to endpoints that are no longer listed or have moved."""
@@ -324,7 +378,7 @@
 
     def close_idle_connection(self, connection: ClientConnection) -> None:
         """Closes an idle connection."""
-        self.remove_idle(connection)
+        self.report_unsolicited(self.remove_idle(connection), connection)
         self.drop(connection)
 
     def close_idle(self, endpoint: str) -> None:
--- a/message_sender/http/client_connection.py
+++ b/message_sender/http/client_connection.py
@@ -5,6 +5,7 @@
 import re
 import socket
 from collections.abc import Callable
+from dataclasses import dataclass
 
 import h11
 
@@ -25,6 +26,22 @@
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before a final one
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 STATUS_LINE_PREFIX = b"HTTP/1."
+UNSOLICITED_PREFIX = 64  # bytes of an unsolicited response, enough for its status line
+
+
+@dataclass(frozen=True, slots=True)
+class AnsweredRequest:
+    """A request on a connection, with the response that was taken for its own.
+
+    Attributes:
+        message_id: The id of the message.
+        status: The status of the response.
+        number: 1 for the first request on the connection.
+    """
+
+    message_id: str
+    status: int
+    number: int
 
 
 def wake(waiting: "asyncio.Future[None]") -> None:
@@ -44,6 +61,9 @@
         idle_since: When the connection became idle, in seconds on the loop's clock.
         opened_at: When the connection was opened, in seconds on the loop's clock.
         retires_at: From when the connection takes no more calls, in seconds on the loop's clock.
+        answered_at: When the latest response was complete, in seconds on the loop's clock; minus infinity
+            before the first one.
+        answered: The request that got the latest response; None before the first one.
         closed: Called when the connection has been closed.
         body_size: Bytes of the response body received so far.
         unsent: Bytes of the request that the operating system has not accepted yet.
@@ -68,6 +88,8 @@
         self.idle_since = 0.0
         self.opened_at = 0.0
         self.retires_at = math.inf
+        self.answered_at = -math.inf
+        self.answered: AnsweredRequest | None = None
         self.closed: Callable[[], None] = do_nothing
         self.body_size = 0
         self.unsent = 0
@@ -374,6 +396,7 @@
         Bytes received behind the response belong to no request: taken for the response to the next request,
         they would end that call while it is still in flight.
         """
+        self.answered_at = asyncio.get_running_loop().time()
         if self.is_fast:
             self.head_result = None
             return True
@@ -387,13 +410,30 @@
 
     def has_ended(self) -> bool:
         """Whether the server has closed an idle connection, or has sent unsolicited bytes on it."""
+        return self.unsolicited_bytes() is not None
+
+    def unsolicited_bytes(self) -> bytes | None:
+        """Returns the first bytes that the server has sent on an idle connection.
+
+        Returns:
+            Empty if the server has closed the connection or it is broken; None if nothing has arrived.
+        """
+        behind_response = self.codec.trailing_data[0]
+        if behind_response:
+            return behind_response[:UNSOLICITED_PREFIX]
         try:
-            self.sock.recv(1, socket.MSG_PEEK)
+            return self.sock.recv(UNSOLICITED_PREFIX, socket.MSG_PEEK)
         except (BlockingIOError, InterruptedError):
-            return False
+            return None
         except OSError:
-            return True
-        return True
+            return b""
+
+    def local_port(self) -> int:
+        """The port of this side, which identifies the connection in logs and captures; 0 if it is unknown."""
+        try:
+            return int(self.sock.getsockname()[1])
+        except OSError:
+            return 0
 
     def close(self) -> None:
         """Closes the connection. Never raises: the descriptor is freed even if the system call fails."""
--- a/message_sender/testbed/history.py
+++ b/message_sender/testbed/history.py
@@ -181,3 +181,24 @@
             first += 1
         max_count = max(max_count, last - first + 1)
     return max_count
+
+
+def add_deliveries(history: History) -> list[HistoryEvent]:
+    """Return the events of a history with a completion for each delivered message.
+
+    The endpoint's first answer that states the effect completes a message. A later notice, from a process
+    that could not know about this answer, does no harm (see the page on the protocol) and is left out.
+    """
+    message_of = {event.call: event.message for event in history.events if isinstance(event, AttemptStarted)}
+    events: list[HistoryEvent] = []
+    delivered: set[str] = set()
+    for event in history.events:
+        if not (isinstance(event, MessageCompleted) and event.message in delivered):
+            events.append(event)
+        if not isinstance(event, AttemptFinished) or event.ran is not EffectApplied.YES:
+            continue
+        message = message_of[event.call]
+        if message not in delivered:
+            delivered.add(message)
+            events.append(MessageCompleted(event.at, message, "delivered"))
+    return events
--- a/message_sender/testbed/http.py
+++ b/message_sender/testbed/http.py
@@ -136,8 +136,8 @@
             self.history.record_end(call, EffectApplied.MAYBE)
             raise ConnectionResetError
         if answer.behavior in (EndpointBehavior.SERVE, EndpointBehavior.ERROR) and answer.seconds:
-            await asyncio.sleep(answer.seconds)
-        if writer.transport.is_closing():
+            await self.serve_for(answer.seconds, reader)
+        if writer.transport.is_closing() or reader.at_eof():
             self.history.record_end(call, EffectApplied.MAYBE)
             raise ConnectionResetError
         response = http_answer(answer)
@@ -145,7 +145,15 @@
         self.history.record_end(call, response.effect, wait)
         self.served += answer.behavior is EndpointBehavior.SERVE
         head = f"HTTP/1.1 {response.status} It\r\nContent-Length: 0\r\n"
-        writer.write(f"{head}{response.fields}{self.extra_fields}\r\n".encode())
+        self.write_answer(writer, f"{head}{response.fields}{self.extra_fields}\r\n".encode())
+
+    async def serve_for(self, seconds: float, reader: asyncio.StreamReader) -> None:
+        """Work on a call for so long; a subclass may end with the connection."""
+        await asyncio.sleep(seconds)
+
+    def write_answer(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
+        """Write an encoded answer; a subclass may write more or less than that."""
+        writer.write(answer)
 
     async def abort_call(
         self, answer: ScriptedAnswer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
--- a/tests/conformance/test_replaced.py
+++ b/tests/conformance/test_replaced.py
@@ -11,14 +11,11 @@
 
 from message_sender.policy.model import Effect
 from message_sender.testbed.history import (
-    AttemptFinished,
-    AttemptStarted,
-    EffectApplied,
     History,
-    HistoryEvent,
     MessageAdmitted,
     MessageCompleted,
     SenderRestarted,
+    add_deliveries,
 )
 from message_sender.testbed.history_checker import ClassRule, HistoryChecker, Rules
 from message_sender.testbed.http import HttpClient, HttpEndpoint
@@ -123,7 +120,7 @@
             len(
                 {
                     event.message
-                    for event in add_completions(self.history)
+                    for event in add_deliveries(self.history)
                     if isinstance(event, MessageCompleted)
                 }
             )
@@ -172,28 +169,6 @@
             stats = (await serving.call("GET", "/stats")).body.decode()
             assert "edge_balancer.cluster_size=1" in stats
         rules = Rules({"c": ClassRule(Effect.KEYED, WINDOW, is_ordered=True)}, destinations={"r": 3})
-        assert HistoryChecker(rules).check(add_completions(service.history)) == []
+        assert HistoryChecker(rules).check(add_deliveries(service.history)) == []
 
     test(tmp_path)
-
-
-def add_completions(history: History) -> list[HistoryEvent]:
-    """Returns the history with a completion for each delivered message.
-
-    The endpoint's first answer completes a message. A later notice, from a process that could not know about
-    this answer, does no harm (see the page on the protocol) and is left out.
-    """
-    message_ids = {event.call: event.message for event in history.events if isinstance(event, AttemptStarted)}
-    events: list[HistoryEvent] = []
-    delivered = set()
-    for event in history.events:
-        if not (isinstance(event, MessageCompleted) and event.message in delivered):
-            events.append(event)
-        if (
-            isinstance(event, AttemptFinished)
-            and event.ran is EffectApplied.YES
-            and message_ids[event.call] not in delivered
-        ):
-            delivered.add(message_ids[event.call])
-            events.append(MessageCompleted(event.at, message_ids[event.call], "delivered"))
-    return events
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -47,7 +47,7 @@
 def client_with(
     conn_idle: float = 10, connect_timeout: float = 10, connection_limit: int = 4
 ) -> HttpTransport:
-    return HttpTransport(conn_idle, connect_timeout, connection_limit, dict)
+    return HttpTransport(conn_idle, connect_timeout, connection_limit, dict, reuse_delay_s=0)
 
 
 @asynccontextmanager
--- a/tests/test_socket_faults.py
+++ b/tests/test_socket_faults.py
@@ -81,6 +81,9 @@
             return result
 
         self.sender.transport.call = recording_call  # type: ignore[method-assign]
+        self.sender.transport.reuse.reuse_delay_s = (
+            0  # the stage "pooled" needs a connection that is used again
+        )
 
     def arm_at(self, stage: str, side: str) -> None:
         """Arms the fault on this side if this is the stage of the case."""
