Post each batch of notices on a connection of its own

What callers saw: a message that had ended by a notice had no notice on the platform's record, where the platform wrote an answer twice.

Discovery._usable_notice_connection kept one connection, and `_try_to_post` took the second copy of an earlier 204 for the acknowledgement of the next batch. If the platform then rejected that batch or the connection broke, its notices were gone; a copied 400 ended a notice as refused.

Change: a connection carries one batch, so its first answer can only be the batch's own. Notices are posted one batch at a time, so there is still one such connection at most.

--- a/message_sender/http/discovery.py
+++ b/message_sender/http/discovery.py
@@ -5,7 +5,7 @@
 import logging
 import time
 from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, closing
 from typing import Any
 
 import h11
@@ -135,7 +135,6 @@
         self.poll_error: Exception | None = None
         self.notices: dict[str, str] = {}
         self.has_notices = asyncio.Event()
-        self._notice_connection: ClientConnection | None = None
         self._failed_posts = 0
 
     def move(self, address: Address) -> None:
@@ -306,10 +305,7 @@
     async def run(self) -> None:
         """Posts queued notices until cancelled."""
         self._failed_posts = 0
-        try:
-            await self._post_notices()
-        finally:
-            self._close_notice_connection()
+        await self._post_notices()
 
     async def _post_notices(self) -> None:
         batch_limit = NOTICE_BATCH_LIMIT
@@ -333,33 +329,16 @@
     async def _try_to_post(self, batch: dict[str, str]) -> int:
         """Posts a batch and returns the status of the response; 0 if there is none.
 
-        A connection that failed is closed and not reused.
+        Each batch has a connection of its own, so that no second copy of an earlier response acknowledges it.
         """
         timeout_s = NOTICE_TIMEOUT_S * 2 ** min(self._failed_posts, MAX_NOTICE_TIMEOUT_DOUBLINGS)
         try:
             async with asyncio.timeout(timeout_s):
-                connection = await self._usable_notice_connection()
-                status = await self._post(connection, "\n".join(batch.values()) + "\n")
-            if not connection.next_cycle():
-                self._close_notice_connection()
+                with closing(await ClientConnection.open(self.address)) as connection:
+                    return await self._post(connection, "\n".join(batch.values()) + "\n")
         except CONNECTION_ERRORS as error:
             log.warning("notices not acknowledged: error=%s", str(error) or type(error).__name__)
-            self._close_notice_connection()
             return 0
-        return status
-
-    async def _usable_notice_connection(self) -> ClientConnection:
-        connection = self._notice_connection
-        if connection and (connection.address != self.address or connection.has_ended()):
-            self._close_notice_connection()
-        if self._notice_connection is None:
-            self._notice_connection = await ClientConnection.open(self.address)
-        return self._notice_connection
-
-    def _close_notice_connection(self) -> None:
-        if self._notice_connection:
-            self._notice_connection.close()
-            self._notice_connection = None
 
     async def _post(self, connection: ClientConnection, body: str) -> int:
         data = body.encode()
--- a/tests/repeated_answers.py
+++ b/tests/repeated_answers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import random
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
@@ -10,7 +11,7 @@
 from pathlib import Path
 from typing import Any
 
-from peers import CLASS, Request, answer_notices, config_json, host
+from peers import CLASS, Request, config_json, host
 from peers import Platform as Discovery
 from sender_processes import Platform as SenderHost
 
@@ -38,6 +39,7 @@
     "safe": ClassRule(),
 }
 ENDPOINTS = {"r1": ("z", 3), "r2": ("y", 3), "r3": ("z", 4), "r4": ("y", 4)}  # zone and destination by name
+UNREACHABLE = 9  # a destination without an endpoint
 NOTICE_STATES = {"returned": "refused", "failed": "failed"}
 
 
@@ -50,12 +52,14 @@
         delay_s: The shortest and the longest delay, in seconds.
         share: The share of the answers that are written twice.
         copied: The number of second copies that were written.
+        dropped: The number of second copies whose connection had ended.
     """
 
     rng: random.Random
     delay_s: tuple[float, float]
     share: float = 0.3
     copied: int = field(default=0, init=False)
+    dropped: int = field(default=0, init=False)
 
     def write(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
         """Writes an answer, and its second copy later if it is chosen."""
@@ -65,7 +69,9 @@
 
     def copy(self, writer: asyncio.StreamWriter, answer: bytes) -> None:
         """Writes the second copy, unless the connection has ended."""
-        if not writer.transport.is_closing():
+        if writer.transport.is_closing():
+            self.dropped += 1
+        else:
             self.copied += 1
             writer.write(answer)
 
@@ -106,8 +112,10 @@
         history: What endpoints, platform and clients observed.
     """
 
-    def __init__(self, folder: Path, seed: int, delay_s: tuple[float, float]) -> None:
-        self.folder = folder
+    def __init__(
+        self, folder: Path, seed: int, delay_s: tuple[float, float], destinations: tuple[int, ...] = (3, 4)
+    ) -> None:
+        self.folder, self.destinations = folder, destinations
         self.rng = random.Random(seed)
         self.copies = AnswerCopies(self.rng, delay_s)
         self.history = History()
@@ -119,13 +127,13 @@
         """Starts endpoints, platform and sender."""
         async with self.stack as stack:
             script = Script(rule=answers_of(self.rng))
-            hosts = []
+            hosts = [host("127.0.0.1:9", "d", block=UNREACHABLE, health="draining")]
             for name, (zone, destination) in ENDPOINTS.items():
                 endpoint = RepeatingEndpoint(name, script, self.history, self.copies)
                 self.endpoints.append(await stack.enter_async_context(endpoint))
                 hosts.append(host(f"127.0.0.1:{endpoint.port}", name, site=zone, block=destination))
             discovery = await stack.enter_async_context(Discovery())
-            notices = asyncio.create_task(answer_notices(discovery, self.record_notice))
+            notices = asyncio.create_task(self.answer_platform_requests(discovery))
             stack.callback(notices.cancel)
             state = self.folder / "state"
             state.mkdir()
@@ -148,9 +156,22 @@
         config["settings"]["safety"]["key_quiet"] = int(KEY_PAUSE_S * 1e6)
         return config
 
-    def record_notice(self, message_id: str, state: str) -> None:
-        """Records a notice that the platform received."""
-        self.history.record(MessageCompleted(self.history.clock(), message_id, NOTICE_STATES[state]))
+    async def answer_platform_requests(self, discovery: Discovery) -> None:
+        """Answers posts of notices, some of them twice; one in ten is rejected and not recorded."""
+        while True:
+            request = await discovery.requests.get()
+            status = 503 if self.rng.random() < 0.1 else 204
+            if status == 204:
+                self.record_notices(request)
+            answer = f"HTTP/1.1 {status} It\r\nContent-Length: 0\r\n\r\n".encode()
+            self.copies.write(request.writer, answer)
+
+    def record_notices(self, request: Request) -> None:
+        """Records the notices of a post."""
+        for line in request.body.decode().splitlines():
+            notice = json.loads(line)
+            state = NOTICE_STATES[notice["state"]]
+            self.history.record(MessageCompleted(self.history.clock(), notice["id"], state))
 
     async def run_clients(self, clients: int, messages: int, pause_s: float) -> None:
         """Lets each client submit its messages one after another, with random pauses in between."""
@@ -168,18 +189,19 @@
 
     async def submit(self, client: HttpClient, message: str, service: str, key: str) -> None:
         """Submits a message and records it if it is accepted."""
+        destination = self.destinations[0] if key else self.rng.choice(self.destinations)
         fields = {
             "X-Correlation-Id": message,
             "X-Service-Class": service,
             "X-Time-Left": str(TIME_LEFT_S),
-            "X-Route-To": f"dest={self.rng.choice((3, 4))}" if not key else "dest=3",
+            "X-Route-To": f"dest={destination}",
             "X-Session-Key": key,
             "Idempotency-Key": message,
         }
         at = self.history.clock()
         status, _ = await client.post(f"/{service}", fields, b"x")
         if status == 202:
-            admitted = MessageAdmitted(at, message, service, 3, at + TIME_LEFT_S, key)
+            admitted = MessageAdmitted(at, message, service, destination, at + TIME_LEFT_S, key)
             self.history.record(admitted)
 
     async def wait_for_completions(self) -> None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -105,6 +105,28 @@
         assert await with_timeout(acknowledged.get()) == "a"
 
 
+@pytest.mark.parametrize("status", [204, 400, 503])
+def test_a_second_copy_of_an_answer_does_not_acknowledge_the_next_notices(status: int) -> None:
+    """In place of the next answer, a copied 204 or 400 ended a notice that the platform had not recorded."""
+
+    async def test(_: Path) -> None:
+        async with watching() as (discovery, platform, _updates, acknowledged):
+            discovery.notify("a", Completion(CompletionState.FAILED))
+            first = await platform.next()
+            first.answer(204)
+            assert await with_timeout(acknowledged.get()) == "a"
+            discovery.notify("b", Completion(CompletionState.FAILED))
+            second = await platform.next()
+            first.answer(status)
+            second.abort()
+            third = await platform.next()
+            assert acknowledged.empty() and json.loads(third.body)["id"] == "b"
+            third.answer(204)
+            assert await with_timeout(acknowledged.get()) == "b"
+
+    run_async_test(test)(Path())
+
+
 @run_async_test
 async def test_a_notice_rejected_as_unreadable_does_not_delay_the_others(_: Path) -> None:
     async with watching() as (discovery, platform, _updates, acknowledged):
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -8,7 +8,7 @@
 
 import pytest
 from peers import Peer, run_async_test, sample_message, with_timeout
-from repeated_answers import Load, answer_twice
+from repeated_answers import UNREACHABLE, Load, answer_twice
 from socket_faults import next_iteration
 
 from message_sender.core.ports import AttemptResult
@@ -38,6 +38,20 @@
     test(tmp_path)
 
 
+@pytest.mark.parametrize("seed", range(2))
+def test_second_copies_of_the_platforms_answers_lose_no_notice(seed: int, tmp_path: Path) -> None:
+    @run_async_test
+    async def test(folder: Path) -> None:
+        load = Load(folder, seed, DELAYS_S[0], destinations=(UNREACHABLE,))
+        async with load.running():
+            await load.run_clients(clients=12, messages=20, pause_s=0.1)
+            await load.wait_for_completions()
+        assert load.copies.copied > 0 or load.copies.dropped > 0
+        assert load.violations() == []
+
+    test(tmp_path)
+
+
 class Calls:
     """A transport and a receiver that the test controls."""
 
