Keep the base of the clock in the state folder, so that steps change no deadline

After a step back, messages that were owed neither were delivered nor ended in their time; after a step forward they were refused at once with most of their time left; a call in flight at the kill was repeated after its window.

Only a hand-over passed the base on. The next process read all of them against another base.

The monotonic clock goes on between two processes of one boot, so they now use one base: the platform's sender, the standalone one with both journals, and the plug-in. The standalone sender's overrides keep the wall clock, in which operators give their ends.

Evidence: a real process whose wall clock is shifted at the restart (tests/stepped_sender.py).

--- a/message_sender/core/clock.py
+++ b/message_sender/core/clock.py
@@ -2,6 +2,8 @@
 
 import time
 
+from message_sender.journal.clock_record import wall_clock_base_ns
+
 
 class Clock:
     """A monotonic clock that starts at the wall time.
@@ -18,7 +20,7 @@
         Args:
             base: Nanoseconds to add to the monotonic clock; None: its current difference to the wall clock.
         """
-        self.base = time.time_ns() - time.monotonic_ns() if base is None else base
+        self.base = wall_clock_base_ns() if base is None else base
 
     def now(self) -> int:
         """Microseconds since the epoch."""
--- a/message_sender/core/engine.py
+++ b/message_sender/core/engine.py
@@ -29,6 +29,7 @@
 )
 from message_sender.core.restoration import Restoration
 from message_sender.core.socket_errors import describe_defect
+from message_sender.journal.clock_record import FolderClock
 from message_sender.journal.process_journal import Journal
 from message_sender.message import Message
 from message_sender.policy.actions import (
@@ -94,7 +95,7 @@
 
         Args:
             config: The engine's configuration.
-            clock: Returns microseconds since the epoch; None: the engine creates a `Clock`.
+            clock: Returns microseconds since the epoch; None: the clock of the state folder.
             decide: Creates the delivery policy; replaced only where policies are compared.
             open_journal: Opens the journal in a folder, with a limit in bytes.
 
@@ -104,7 +105,7 @@
         self.config = config
         self.settings = config.settings
         self.loop = asyncio.get_running_loop()
-        self.now = clock or Clock().now
+        self.now = clock or Clock(FolderClock(config.state).base_ns).now
         self.hooks = HookChain()
         self.dispatcher = decide(config.settings, config.seed)
         self.journal = open_journal(config.state, config.disk_bytes)
--- a/message_sender/recovery/startup.py
+++ b/message_sender/recovery/startup.py
@@ -4,25 +4,16 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from message_sender.journal.clock_record import read_boot_id
 from message_sender.journal.disk import Disk, SystemDisk
 from message_sender.journal.durable import DurableJournal
 from message_sender.policy.model import Settings
 from message_sender.recovery import trust
 from message_sender.recovery.trust import PreviousEnd, StartConditions
 
-BOOT_ID_PATH = Path("/proc/sys/kernel/random/boot_id")
-
 log = logging.getLogger(__name__)
 
 
-def read_boot_id() -> str:
-    """Returns the id of the machine's current boot; "" if it cannot be read."""
-    try:
-        return BOOT_ID_PATH.read_text().strip()
-    except OSError:
-        return ""
-
-
 class RecoveryStart:
     """One start of a sender: its journal, and the end of the previous run.
 
@@ -56,7 +47,11 @@
 
         A clock that was behind the latest recorded time at the start is shifted to continue from it.
         """
-        return self.clock() + self.conditions.clock_lag_us
+        return self.shift(self.clock)
+
+    def shift(self, clock: Callable[[], int]) -> int:
+        """Returns another wall clock's time, shifted as that of `now`."""
+        return clock() + self.conditions.clock_lag_us
 
     def is_state_current(self) -> bool:
         """Whether the disk has all that the previous run knew."""
--- a/message_sender/service/daemon.py
+++ b/message_sender/service/daemon.py
@@ -30,6 +30,7 @@
     EndpointList,
 )
 from message_sender.http.server import MAX_ACCEPTS_PER_ITERATION, Server
+from message_sender.journal.clock_record import CLOCK_SPACE_BYTES, FolderClock
 from message_sender.management import server as management
 from message_sender.policy.events import EndpointsUpdated, Stopping
 from message_sender.policy.model import ListingKind, Settings
@@ -307,12 +308,14 @@
         out_of_service, is_draining = maintenance_file.load()
         self.maintenance = Maintenance(out_of_service, predecessor.returned if predecessor else ())
         self.operator_commands = OperatorCommands(self, maintenance_file, is_draining)
-        self.clock = Clock(predecessor.clock_base_ns if predecessor else None)
+        self.folder_clock = FolderClock(config.state, predecessor.clock_base_ns if predecessor else None)
+        self.clock = Clock(self.folder_clock.base_ns)
         endpoint_list = predecessor.endpoint_list if predecessor else config.known
         engine = self._build_engine(endpoint_list)
         self.discovery = self._build_discovery(engine, endpoint_list)
         management_sockets = management.MAX_DESCRIPTORS if config.management else 0
         super().__init__(engine, config.listen, config.sockets - management_sockets)
+        engine.periodic_tasks.append(self.folder_clock.save_if_needed)
         self.set_ports(self.discovery, self.discovery)
         self.management_server = self._use_management_server(management_server)
         self.process_handover = ProcessHandover(self, ownership) if ownership else None
@@ -324,7 +327,7 @@
             config.name,
             config.state,
             config.seed,
-            config.disk_bytes - (FILE_SPACE_BYTES if config.management else 0),
+            config.disk_bytes - CLOCK_SPACE_BYTES - (FILE_SPACE_BYTES if config.management else 0),
             config.settings,
             listed.endpoints,
             listed.returned,
--- a/message_sender/service/standalone.py
+++ b/message_sender/service/standalone.py
@@ -6,12 +6,14 @@
 import signal
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING, TextIO
 
 from message_sender.configuration.general import ConfigError, SenderConfig, load
 from message_sender.control_socket import Command, ControlSocket
 from message_sender.core import inventory
+from message_sender.core.clock import Clock
 from message_sender.core.engine import Engine
 from message_sender.core.engine_config import EngineConfig
 from message_sender.core.ports import Completion
@@ -19,6 +21,7 @@
 from message_sender.discovery.overridden import OverriddenDirectory
 from message_sender.discovery.override_store import OverrideStore
 from message_sender.discovery.static import Dial
+from message_sender.journal.clock_record import FolderClock
 from message_sender.journal.lock import Lock
 from message_sender.journal.process_journal import Journal
 from message_sender.policy.events import EndpointsUpdated
@@ -125,26 +128,37 @@
         """
         self.lock = Lock(state)
         machine = machine or HostMachine()
+        self.folder_clock = None if machine.clock else FolderClock(state)
+        base_ns = self.folder_clock.base_ns if self.folder_clock else None
+        clock = (machine.clock or Clock(base_ns)).now
         self.recovery_start: RecoveryStart | None = None
         if config.durability.sync != "none" or has_durable_journal(state):
-            self.recovery_start = open_recovery(config, machine)
-        clock = self.recovery_start.now if self.recovery_start else machine.clock.now
+            self.recovery_start = open_recovery(config, machine, clock)
+            clock = self.recovery_start.now
+        wall_clock = clock if machine.clock else self._wall_clock()
         self.control_plane = open_control_plane(config, state, machine.disk)
         if self.control_plane:
             config = self.control_plane.configuration.effective_config()
-        self.directory = build_directory(config, state, clock)
-        self.overrides = self._build_overrides(config, state, clock)
-        engine = self._build_engine(config, state, clock)
+        self.directory = build_directory(config, state, wall_clock)
+        self.overrides = self._build_overrides(config, state, wall_clock)
+        engine = self._build_engine(config, state, clock, wall_clock)
         self.overrides.on_update = engine.endpoints_updated
         self.directory.on_update = self.overrides.apply_update
         engine.hooks.add(OverrideHooks(self.overrides))
         self.control_socket = ControlSocket(state, self.commands())
         super().__init__(engine, config.listen, config.sockets)
         self.set_ports(self.overrides, completion_listener)
+        if self.folder_clock:
+            engine.periodic_tasks.append(self.folder_clock.save_if_needed)
         self.server.observer = self.transport.observer = traffic_observer
         self.learned_state = self._build_learned_state(state)
         self.membership = self._build_membership(config, state)
 
+    def _wall_clock(self) -> Callable[[], int]:
+        """Returns the clock for times that operators give, in microseconds since the epoch."""
+        now = Clock().now
+        return partial(self.recovery_start.shift, now) if self.recovery_start else now
+
     def _build_overrides(
         self, config: SenderConfig, state: Path, clock: Callable[[], int]
     ) -> OverriddenDirectory:
@@ -154,9 +168,11 @@
         slow_start_us, ejection = config.lists.slow_start_us, config.lists.ejection
         return OverriddenDirectory(self.directory, store, clock, ignore_update, slow_start_us, ejection)
 
-    def _build_engine(self, config: SenderConfig, state: Path, clock: Callable[[], int]) -> Engine:
+    def _build_engine(
+        self, config: SenderConfig, state: Path, clock: Callable[[], int], wall_clock: Callable[[], int]
+    ) -> Engine:
         snapshot = EndpointsUpdated(ListingKind.FULL, self.directory.endpoints())
-        effective = self.overrides.layer.apply_update(snapshot, clock())
+        effective = self.overrides.layer.apply_update(snapshot, wall_clock())
         engine_config = EngineConfig(
             config.name,
             state,
--- a/message_sender/service/standalone_parts.py
+++ b/message_sender/service/standalone_parts.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -29,12 +29,13 @@
     """The machine that a sender runs on; tests replace it.
 
     Attributes:
-        clock: The wall clock.
+        clock: The clock of all parts; None for the wall clock of the system, where the engine uses the clock
+            of the state folder.
         disk: The disk for the sender's files; None for the system's file system.
         boot: The id of the machine's current boot; None for the system's boot id.
     """
 
-    clock: Clock = field(default_factory=Clock)
+    clock: Clock | None = None
     disk: Disk | None = None
     boot: str | None = None
 
@@ -64,9 +65,14 @@
         return False
 
 
-def open_recovery(config: SenderConfig, machine: HostMachine) -> "RecoveryStart":
+def open_recovery(config: SenderConfig, machine: HostMachine, clock: Callable[[], int]) -> "RecoveryStart":
     """Returns the recovery of a sender whose journal survives a crash of the machine.
 
+    Args:
+        config: The sender's configuration.
+        machine: The machine that the sender runs on.
+        clock: The clock of the state folder, in microseconds since the epoch.
+
     Raises:
         OSError: The extra `fleet` is not installed.
     """
@@ -75,7 +81,7 @@
     except ImportError as error:
         raise OSError(f"{error}; {FLEET_EXTRA_HINT}") from None
     return RecoveryStart(
-        config.settings, config.durability.sync_interval_s, machine.clock.now, machine.disk, machine.boot
+        config.settings, config.durability.sync_interval_s, clock, machine.disk, machine.boot
     )
 
 
--- a/tests/repeated_answers.py
+++ b/tests/repeated_answers.py
@@ -16,7 +16,13 @@
 from sender_processes import Platform as SenderHost
 
 from message_sender.policy.model import Effect
-from message_sender.testbed.history import History, MessageAdmitted, MessageCompleted, add_deliveries
+from message_sender.testbed.history import (
+    History,
+    MessageAdmitted,
+    MessageCompleted,
+    SenderRestarted,
+    add_deliveries,
+)
 from message_sender.testbed.history_checker import ClassRule, HistoryChecker, Rules, Violation
 from message_sender.testbed.http import HttpClient, HttpEndpoint
 from message_sender.testbed.script import EndpointBehavior, Script, ScriptedAnswer
@@ -119,6 +125,8 @@
         self.rng = random.Random(seed)
         self.copies = AnswerCopies(self.rng, delay_s)
         self.history = History()
+        self.script = Script(rule=answers_of(self.rng))
+        self.time_left_s = TIME_LEFT_S
         self.stack = AsyncExitStack()
         self.endpoints: list[HttpEndpoint] = []
 
@@ -126,10 +134,9 @@
     async def running(self) -> AsyncIterator["Load"]:
         """Starts endpoints, platform and sender."""
         async with self.stack as stack:
-            script = Script(rule=answers_of(self.rng))
             hosts = [host("127.0.0.1:9", "d", block=UNREACHABLE, health="draining")]
             for name, (zone, destination) in ENDPOINTS.items():
-                endpoint = RepeatingEndpoint(name, script, self.history, self.copies)
+                endpoint = RepeatingEndpoint(name, self.script, self.history, self.copies)
                 self.endpoints.append(await stack.enter_async_context(endpoint))
                 hosts.append(host(f"127.0.0.1:{endpoint.port}", name, site=zone, block=destination))
             discovery = await stack.enter_async_context(Discovery())
@@ -138,16 +145,27 @@
             state = self.folder / "state"
             state.mkdir()
             self.host = await stack.enter_async_context(SenderHost(state, self.config(discovery, hosts)))
-            self.sender = await self.host.start()
-            log = asyncio.create_task(self.read_log())
-            stack.callback(log.cancel)
+            await self.start_sender()
             yield self
 
+    async def start_sender(self, clock_step_s: float | None = None) -> None:
+        """Starts a process of the sender, whose wall clock may be stepped."""
+        self.sender = await self.host.start(clock_step_s=clock_step_s)
+        log = asyncio.create_task(self.read_log())
+        self.stack.callback(log.cancel)
+
+    async def kill_sender(self) -> None:
+        """Kills the process."""
+        self.sender.kill()
+        await self.sender.wait_for_exit()
+        self.history.record(SenderRestarted(self.history.clock()))
+
     async def read_log(self) -> None:
         """Reads the sender's log, so that the pipe never fills up."""
-        assert self.sender.process.stderr is not None
-        while line := await self.sender.process.stderr.readline():
-            self.sender.lines.append(line.decode())
+        sender = self.sender
+        assert sender.process.stderr is not None
+        while line := await sender.process.stderr.readline():
+            sender.lines.append(line.decode())
 
     def config(self, discovery: Discovery, hosts: list[dict[str, Any]]) -> dict[str, Any]:
         """Returns the configuration of the sender process."""
@@ -193,7 +211,7 @@
         fields = {
             "X-Correlation-Id": message,
             "X-Service-Class": service,
-            "X-Time-Left": str(TIME_LEFT_S),
+            "X-Time-Left": str(self.time_left_s),
             "X-Route-To": f"dest={destination}",
             "X-Session-Key": key,
             "Idempotency-Key": message,
@@ -201,14 +219,14 @@
         at = self.history.clock()
         status, _ = await client.post(f"/{service}", fields, b"x")
         if status == 202:
-            admitted = MessageAdmitted(at, message, service, destination, at + TIME_LEFT_S, key)
+            admitted = MessageAdmitted(at, message, service, destination, at + self.time_left_s, key)
             self.history.record(admitted)
 
     async def wait_for_completions(self) -> None:
         """Waits until each accepted message has ended, or is overdue."""
         accepted = {each.message for each in self.history.events if isinstance(each, MessageAdmitted)}
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(TIME_LEFT_S + 1.0):
+            async with asyncio.timeout(self.time_left_s + 1.0):
                 while not accepted <= completed_messages(self.history):
                     await asyncio.sleep(0.02)
 
--- a/tests/sender_processes.py
+++ b/tests/sender_processes.py
@@ -14,6 +14,7 @@
 
 ROOT = Path(__file__).parent.parent
 KILLED_SENDER = str(Path(__file__).parent / "killed_sender.py")
+STEPPED_SENDER = str(Path(__file__).parent / "stepped_sender.py")
 
 
 class Process:
@@ -64,13 +65,20 @@
                 await process.process.wait()
         self.listener.close()
 
-    async def start(self, wait_until_ready: bool = True, socket_fd: str = "", kill_step: str = "") -> Process:
+    async def start(
+        self,
+        wait_until_ready: bool = True,
+        socket_fd: str = "",
+        kill_step: str = "",
+        clock_step_s: float | None = None,
+    ) -> Process:
         """Starts a process.
 
         Args:
             wait_until_ready: Whether to wait until the process logs that it is ready.
             socket_fd: Value to pass instead of the number of the listening socket's descriptor.
             kill_step: Step of a handover at which the process kills itself; see killed_sender.py.
+            clock_step_s: Step of the process' wall clock; see stepped_sender.py.
         """
         with socket.create_server(("127.0.0.1", 0)) as unused_port:
             management = unused_port.getsockname()
@@ -83,6 +91,8 @@
             "BALANCER_SOCKET_FD": socket_fd or str(fd),
         }
         arguments = [KILLED_SENDER, kill_step] if kill_step else ["-m", "message_sender"]
+        if clock_step_s is not None:
+            arguments = [STEPPED_SENDER, str(clock_step_s)]
         subprocess = await asyncio.create_subprocess_exec(
             sys.executable,
             *arguments,
