Log attempts and messages that end without a delivery, with their ids

Change: `attempt ended` names message, attempt, endpoint, outcome and Retry-After; `message ended` names the state in which an accepted message ended. LineLimit bounds each kind to 20 lines in 10 s and counts the rest; it is the limit of ErrorReports, moved out of it. test_disconnects.py takes the two constants from their new module.

--- a/message_sender/core/attempts.py
+++ b/message_sender/core/attempts.py
@@ -13,12 +13,14 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine
 from functools import partial
 from typing import Any, Protocol
 
 from message_sender.core.event_loop_lag import STALE_AFTER_S
 from message_sender.core.hooks import EngineHooks
+from message_sender.core.line_limit import LineLimit
 from message_sender.core.message_table import MessageTable
 from message_sender.core.ports import AttemptResult, CompletionState, Directory, Transport
 from message_sender.journal.entries import AttemptRecord
@@ -30,6 +32,8 @@
 
 SETTLE_DELAY_S = 0.005  # after a late loop iteration: time for a transport with `reads_late` to receive
 
+log = logging.getLogger(__name__)
+
 AttemptKey = tuple[str, int]  # a message's id and the number of its attempt
 ResultReceiver = Callable[[str, int, AttemptResult], None]
 
@@ -106,6 +110,7 @@
         self.is_handed_over = False
         self._result_receiver: ResultReceiver | None = None
         self._kept_results: list[tuple[str, int, AttemptResult]] = []
+        self._line_limit = LineLimit(self._report_suppressed)
 
     # Before the first byte is sent.
 
@@ -272,6 +277,8 @@
     def record_result(self, message_id: str, number: int, result: AttemptResult) -> None:
         """Records the result, completes the message if it is finished, and informs the policy."""
         journal, withdrawn = self.table.journal, self.table.withdrawn
+        if result.outcome is not Outcome.OK:
+            self._log_result(message_id, number, result)
         if message_id in journal.entries:
             journal.record_outcome(message_id, number, result.outcome)
             # If the message was completed and its id used again, the entry is that of another message.
@@ -287,6 +294,23 @@
         )
         self.hooks.work_finished()
 
+    def _log_result(self, message_id: str, number: int, result: AttemptResult) -> None:
+        if not self._line_limit.admits_line():
+            return
+        entry = self.table.journal.entries.get(message_id)
+        attempt = entry.attempts.get(number) if entry else None
+        log.info(
+            "attempt ended: message=%s attempt=%d endpoint=%s outcome=%s retry_after_ms=%d",
+            message_id,
+            number,
+            attempt.endpoint if attempt else "",
+            result.outcome.value,
+            result.retry_after_us // 1000,
+        )
+
+    def _report_suppressed(self, count: int) -> None:
+        log.info("attempts ended without a delivery: unreported=%d", count)
+
     # Handover.
 
     def hold_results(self) -> None:
--- a/message_sender/core/engine.py
+++ b/message_sender/core/engine.py
@@ -17,6 +17,7 @@
 from message_sender.core.engine_config import EngineConfig, HandoverState
 from message_sender.core.event_loop_lag import EventLoopLag
 from message_sender.core.hooks import HookChain
+from message_sender.core.line_limit import LineLimit
 from message_sender.core.message_table import MessageTable
 from message_sender.core.ports import (
     AttemptResult,
@@ -126,6 +127,7 @@
         self.defect = ""
         self.stopped: asyncio.Future[int] = self.loop.create_future()
         self._stops_at_before_freeze = math.inf
+        self._line_limit = LineLimit(self._report_suppressed)
 
     # Start and stop.
 
@@ -398,8 +400,18 @@
             completion = Completion(CompletionState.REFUSED, action.retry_after_us)
         else:
             completion = Completion(CompletionState.FAILED)
+        if self._line_limit.admits_line():
+            log.info(
+                "message ended: message=%s state=%s retry_after_ms=%d",
+                action.message,
+                completion.state.value,
+                completion.retry_after_us // 1000,
+            )
         self.table.complete(action.message, completion)
 
+    def _report_suppressed(self, count: int) -> None:
+        log.info("messages ended without a delivery: unreported=%d", count)
+
     def _set_wake_timer(self, delay_us: int) -> None:
         """Replaces the timer: the policy requests another only for an earlier time, or once this one ran."""
         if self.wake_timer:
--- a/message_sender/core/socket_errors.py
+++ b/message_sender/core/socket_errors.py
@@ -14,15 +14,14 @@
 import asyncio
 import errno
 import logging
-import time
 import traceback
 from collections.abc import Callable
 from enum import Enum
 from pathlib import Path
 from typing import Any
 
-REPORTS_LIMIT = 20  # log lines per interval: bounds the log when many connections break
-REPORT_INTERVAL_S = 10.0
+from message_sender.core.line_limit import LineLimit, monotonic_now
+
 FRAMES_LIMIT = 4  # innermost stack frames in a defect's log line
 
 log = logging.getLogger(__name__)
@@ -106,23 +105,12 @@
     return f"{operation}: {type(error).__name__}: {text}{place}"
 
 
-def monotonic_now() -> float:
-    """The monotonic time in seconds; the clock is looked up at each call, since emulated time replaces it."""
-    return time.monotonic()
-
-
 class ErrorReports:
-    """Logs connections that ended on errors, at most `REPORTS_LIMIT` lines per `REPORT_INTERVAL_S`.
-
-    Suppressed lines are counted, and their number is logged with the first line of a later interval.
-    """
+    """Logs connections that ended on errors, as many as a `LineLimit` admits."""
 
     def __init__(self, clock: Callable[[], float] = monotonic_now) -> None:
         """Starts the first interval. `clock`: returns seconds."""
-        self.clock = clock
-        self.interval_start = self.clock()
-        self.line_count = 0
-        self.suppressed_count = 0
+        self._limit = LineLimit(self._report_suppressed, clock)
 
     def report(self, error: BaseException, operation: str) -> None:
         """Logs the error that ended a connection; a defect at level ERROR, other causes at level INFO.
@@ -131,10 +119,7 @@
             error: The exception.
             operation: What failed.
         """
-        self._begin_interval_if_due()
-        self.line_count += 1
-        if self.line_count > REPORTS_LIMIT:
-            self.suppressed_count += 1
+        if not self._limit.admits_line():
             return
         cause = cause_of(error)
         if cause is Cause.DEFECT:
@@ -142,15 +127,8 @@
         else:
             log.info("connection closed: cause=%s operation=%s error=%s", cause.value, operation, error)
 
-    def _begin_interval_if_due(self) -> None:
-        now = self.clock()
-        if now - self.interval_start < REPORT_INTERVAL_S:
-            return
-        if self.suppressed_count:
-            log.warning("connections closed on errors: unreported=%d", self.suppressed_count)
-        self.interval_start = now
-        self.line_count = 0
-        self.suppressed_count = 0
+    def _report_suppressed(self, count: int) -> None:
+        log.warning("connections closed on errors: unreported=%d", count)
 
 
 def transport_in(context: dict[str, Any]) -> asyncio.BaseTransport | None:
--- a/tests/test_disconnects.py
+++ b/tests/test_disconnects.py
@@ -31,14 +31,8 @@
 )
 from socket_faults import next_iteration, until
 
-from message_sender.core.socket_errors import (
-    REPORT_INTERVAL_S,
-    REPORTS_LIMIT,
-    Cause,
-    ErrorReports,
-    cause_of,
-    describe_defect,
-)
+from message_sender.core.line_limit import INTERVAL_S, LINES_LIMIT
+from message_sender.core.socket_errors import Cause, ErrorReports, cause_of, describe_defect
 from message_sender.http.client import HttpTransport as Transport
 from message_sender.http.common import Address
 from message_sender.http.server_connection import ServerConnection
@@ -486,13 +480,13 @@
     now = 0.0
     reports = ErrorReports(lambda: now)
     caplog.set_level("INFO")
-    for _ in range(10 * REPORTS_LIMIT):
+    for _ in range(10 * LINES_LIMIT):
         reports.report(ConnectionResetError(errno.ECONNRESET, "reset"), "reading")
-    assert len(caplog.records) == REPORTS_LIMIT
-    now = REPORT_INTERVAL_S
+    assert len(caplog.records) == LINES_LIMIT
+    now = INTERVAL_S
     reports.report(ConnectionResetError(errno.ECONNRESET, "reset"), "reading")
-    assert [each.getMessage() for each in caplog.records[REPORTS_LIMIT:]] == [
-        f"connections closed on errors: unreported={9 * REPORTS_LIMIT}",
+    assert [each.getMessage() for each in caplog.records[LINES_LIMIT:]] == [
+        f"connections closed on errors: unreported={9 * LINES_LIMIT}",
         "connection closed: cause=peer operation=reading error=[Errno 104] reset",
     ]
 
--- a/tests/test_log_events.py
+++ b/tests/test_log_events.py
@@ -7,9 +7,12 @@
 import re
 from collections.abc import Iterator
 from pathlib import Path
+from tempfile import TemporaryDirectory
 from typing import NamedTuple
 
 import pytest
+from peers import World, run_async_test
+from socket_faults import next_iteration
 
 ROOT = Path(__file__).parent.parent
 SOURCES = ROOT / "message_sender"
@@ -179,3 +182,24 @@
 @pytest.mark.parametrize("call", ["task.exception()", "leadership.info(1)", "log.isEnabledFor(10)"])
 def test_other_calls_are_no_events(call: str) -> None:
     assert not list(log_events(call, "p"))
+
+
+def test_an_attempt_and_a_message_that_end_without_a_delivery_are_logged_with_the_id(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    async def test(folder: Path) -> None:
+        async with World(folder) as world:
+            assert (await world.submit("m1", X_Time_Left="0.3")).status == 202
+            while world.sender.engine.journal.entries:
+                if not world.receiver.requests.empty():
+                    world.receiver.requests.get_nowait().answer(503)
+                await next_iteration()
+                if not world.platform.requests.empty():
+                    world.platform.requests.get_nowait().answer(204)
+
+    caplog.set_level("INFO")
+    with TemporaryDirectory() as folder:
+        run_async_test(test)(Path(folder))
+    messages = [each.getMessage() for each in caplog.records]
+    assert "attempt ended: message=m1 attempt=0 endpoint=r outcome=full retry_after_ms=0" in messages
+    assert any(each.startswith("message ended: message=m1 state=") for each in messages)
