--- a/message_sender/core/attempts.py
+++ b/message_sender/core/attempts.py
@@ -110,7 +110,7 @@
         self.is_handed_over = False
         self._result_receiver: ResultReceiver | None = None
         self._kept_results: list[tuple[str, int, AttemptResult]] = []
-        self._line_limit = LineLimit(self._report_suppressed)
+        self._line_limit = LineLimit(self._report_suppressed, self.loop.time)
 
     # Before the first byte is sent.
 
--- a/message_sender/core/engine.py
+++ b/message_sender/core/engine.py
@@ -127,7 +127,7 @@
         self.defect = ""
         self.stopped: asyncio.Future[int] = self.loop.create_future()
         self._stops_at_before_freeze = math.inf
-        self._line_limit = LineLimit(self._report_suppressed)
+        self._line_limit = LineLimit(self._report_suppressed, self.loop.time)
 
     # Start and stop.
 
