Put inherited calls into the order of their starts

Cause: a successor adopts calls in the order of their messages (StateImporter.adopt_call), but Breaker.on_time_calls is read oldest first and `process_overdue` stops at the first call that is not due. A retry is the newest call of an old message, so it hid the older calls behind it; the sequence numbers, by which overdue calls are cancelled, were in the wrong order too.

--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -48,6 +48,19 @@
         message.is_in_flight = True
         self.registry.destinations[message.destination].remove_pending(message)
 
+    def sort_by_start(self) -> None:
+        """Puts calls that were inherited in the order of their messages into the order of their starts."""
+        in_order = sorted(self.active, key=lambda call: (call.sent_at, call.sequence))
+        for call in in_order:
+            call.sequence = next(self.loop.sequence)
+        breakers = {call.breaker for call in in_order}
+        queues = [self.active, self.overdue]
+        queues += [queue for each in breakers for queue in (each.on_time_calls, each.overdue_calls)]
+        for queue in queues:
+            members = [call for call in in_order if call in queue]
+            queue.clear()
+            queue.update(dict.fromkeys(members))
+
     # Results.
 
     def settle(self, call: ActiveCall, ended: AttemptEnded) -> None:
--- a/message_sender/policy/state_transfer.py
+++ b/message_sender/policy/state_transfer.py
@@ -165,6 +165,7 @@
 
     def apply_inherited(self, state: InheritedState) -> None:
         """Imports the state of breakers, endpoints, keys, quotas and inactive destinations."""
+        self.inflight.sort_by_start()
         for number, route, values in state.breakers:
             by_route = self.registry.activate(number).breakers_by_route
             assert by_route is not None
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -166,11 +166,7 @@
 
 
 def test_calls_that_are_older_than_a_retry_become_overdue_in_time_after_a_handover() -> None:
-    """Known to be red: calls are inherited in the order of their messages, not of their starts.
-
-    The retry of m1 is the newest call, but the first one in the successor's queue of calls, so that m2 and m3
-    are not found to be overdue until it is.
-    """
+    """The retry of m1 is the newest call, although its message is the oldest."""
     world = World(endpoint("a"), endpoint("b"))
     run_steps(world, [*[("take", "safe", 1)] * 3, ("take", "safe", 40), ("answer", Outcome.RESET, 400)])
     world.step(WakeUp(), after=1)
