Do not count attempts that the sender itself holds back before their first byte

Cause: a call that EngineHooks.may_call holds back ended as not sent and counted as an attempt. The policy sent again 0.3 ms later, until max_attempts was reached.

Change: Attempts.may_send reports the withheld attempt to the policy, which leaves it out of the maximum (PendingMessage.counted_attempts), and the destination takes no call for the next 50 ms, so that the sender does not spin.

--- a/message_sender/core/attempts.py
+++ b/message_sender/core/attempts.py
@@ -30,6 +30,7 @@
 from message_sender.policy.events import AttemptEnded, EndpointsUpdated, PolicyEvent
 from message_sender.policy.model import Effect, EndpointState, ListingKind, Outcome
 
+WITHHELD_PAUSE_US = 50_000  # before another call to a destination whose call the hooks held back
 SETTLE_DELAY_S = 0.005  # after a late loop iteration: time for a transport with `reads_late` to receive
 
 log = logging.getLogger(__name__)
@@ -110,6 +111,7 @@
         self.is_handed_over = False
         self._result_receiver: ResultReceiver | None = None
         self._kept_results: list[tuple[str, int, AttemptResult]] = []
+        self._withheld: set[str] = set()  # ids of the messages whose call in flight was held back
         self._line_limit = LineLimit(self._report_suppressed, self.loop.time)
 
     # Before the first byte is sent.
@@ -173,6 +175,8 @@
         """Whether an attempt may be sent to the endpoint; called right before its first byte is sent."""
         self.poll_unread()
         if not self.hooks.may_call(endpoint):
+            self._withheld.add(message_id)
+            self.dispatcher.attempt_withheld(message_id)
             return False
         if endpoint in self.unavailable_endpoints:
             return False
@@ -277,7 +281,9 @@
     def record_result(self, message_id: str, number: int, result: AttemptResult) -> None:
         """Records the result, completes the message if it is finished, and informs the policy."""
         journal, withdrawn = self.table.journal, self.table.withdrawn
-        if result.outcome is not Outcome.OK:
+        is_withheld = message_id in self._withheld
+        self._withheld.discard(message_id)
+        if result.outcome is not Outcome.OK and not is_withheld:
             self._log_result(message_id, number, result)
         if message_id in journal.entries:
             journal.record_outcome(message_id, number, result.outcome)
@@ -289,9 +295,8 @@
             elif message_id in withdrawn:
                 self.table.remove_completed(message_id, CompletionState.WITHDRAWN)
         withdrawn.discard(message_id)
-        self.owner.post(
-            AttemptEnded(message_id, number, result.outcome, result.is_final, result.retry_after_us)
-        )
+        wait_us = WITHHELD_PAUSE_US if is_withheld else result.retry_after_us
+        self.owner.post(AttemptEnded(message_id, number, result.outcome, result.is_final, wait_us))
         self.hooks.work_finished()
 
     def _log_result(self, message_id: str, number: int, result: AttemptResult) -> None:
--- a/message_sender/emulator/policies.py
+++ b/message_sender/emulator/policies.py
@@ -137,6 +137,9 @@
     def retry_after_received(self, endpoint: str, until: int) -> None:
         """Ignores a Retry-After of an endpoint."""
 
+    def attempt_withheld(self, message_id: str) -> None:
+        """Ignores that the sender held an attempt back; it counts as one."""
+
     def may_start_call(self, endpoint: str, now: int, message: str = "") -> bool:
         """Whether the endpoint is still listed as ready."""
         return endpoint in self.endpoints
--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -81,6 +81,7 @@
         self.active_calls = self.inflight.active
         self.suggest_retry_after = self.pending.suggest_retry_after
         self.retry_after_received = self.inflight.retry_after_received
+        self.attempt_withheld = self.inflight.attempt_withheld
 
     def handle(self, now_us: int, events: Iterable[PolicyEvent]) -> list[PolicyAction]:
         """Processes the events of one iteration.
--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -130,6 +130,11 @@
             if endpoint.breaker is call.breaker and endpoint is not call.endpoint
         )
 
+    def attempt_withheld(self, message_id: str) -> None:
+        """Excludes the latest attempt of a message from its maximum: no byte of it was or will be sent."""
+        if message := self.pending.messages.get(message_id):
+            message.withheld += 1
+
     def retry_after_received(self, endpoint: str, until: int) -> None:
         """Applies a Retry-After at once, so that it also binds calls that start before the next iteration.
 
@@ -208,7 +213,7 @@
     def may_retry(self, call: ActiveCall) -> bool:
         """Whether all messages of the call may be sent again although the call may have run."""
         return all(
-            message.attempts < self.settings.max_attempts
+            message.counted_attempts() < self.settings.max_attempts
             and self.pending.may_repeat_at(self.loop.now, message, call.sent_at)
             for message in call.messages.values()
         )
--- a/message_sender/policy/pending.py
+++ b/message_sender/policy/pending.py
@@ -171,7 +171,7 @@
 
     def may_retry(self, message: PendingMessage) -> bool:
         """Whether another attempt is allowed and certain to have no second effect."""
-        has_attempts = message.attempts < self.settings.max_attempts
+        has_attempts = message.counted_attempts() < self.settings.max_attempts
         return has_attempts and self.may_repeat_at(self.loop.now, message, message.uncertain_since)
 
     def may_reject(self, message: PendingMessage) -> bool:
--- a/message_sender/policy/pending_message.py
+++ b/message_sender/policy/pending_message.py
@@ -13,6 +13,7 @@
         received_at: When this process accepted or restored it.
         weight_factor: Factor applied to the weight of its class; below 1 if its tenant is over quota.
         attempts: Number of attempts so far.
+        withheld: Number of those that the sender held back before their first byte.
         is_in_flight: Whether an attempt is in flight.
         is_completed: Whether it needs no further attempt.
         is_restored: Whether an earlier process accepted it.
@@ -36,6 +37,7 @@
         self.received_at = now
         self.weight_factor = weight_factor
         self.attempts = 0
+        self.withheld = 0
         self.is_in_flight = False
         self.is_completed = False
         self.is_restored = False
@@ -43,3 +45,7 @@
         self.uncertain_zone = ""
         self.sequence = 0
         self.is_ready = False
+
+    def counted_attempts(self) -> int:
+        """Returns the number of attempts that count against the maximum."""
+        return self.attempts - self.withheld
