--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -19,6 +19,7 @@
 DELAYS_S = [(0.001, 0.015), (0.03, 0.1), (0.1, 0.25)]
 LIMIT = 4  # connections
 ITERATIONS = 200
+COPIES_BEFORE_HANDOVER = 3
 
 
 @pytest.mark.parametrize("seed", range(2))
@@ -38,6 +39,22 @@
     test(tmp_path)
 
 
+def test_second_copies_break_no_rule_while_the_process_is_replaced(tmp_path: Path) -> None:
+    @run_async_test
+    async def test(folder: Path) -> None:
+        load = Load(folder, 0, (DELAYS_S[0][0], DELAYS_S[-1][1]))
+        async with load.running():
+            clients = asyncio.create_task(load.run_clients(clients=12, messages=20, pause_s=0.1))
+            while load.copies.copied < COPIES_BEFORE_HANDOVER:
+                await asyncio.sleep(0.01)
+            await load.start_sender()
+            await clients
+            await load.wait_for_completions()
+        assert load.violations() == []
+
+    test(tmp_path)
+
+
 @pytest.mark.parametrize("seed", range(2))
 def test_second_copies_of_the_platforms_answers_lose_no_notice(seed: int, tmp_path: Path) -> None:
     @run_async_test
