Replace a resting connection where a shared budget limits the number of connections

A call that got no unit of the budget waited inside the transport until a connection had rested. The policy counted from its decision, found the call overdue and cancelled it after it had been sent; the trace shows late-17 called at 12.013 s, its connection closed and the call repeated at 12.057 s, while the receiver, which serves for 50 ms, saw the end at 12.063 s.

Change: where a budget limits the number of open connections (max_age_s is finite), the call closes the longest idle one, whose unit it then uses, in place of waiting. A new connection needs no rest. The wait remains where only new connections are limited.

--- a/message_sender/http/call.py
+++ b/message_sender/http/call.py
@@ -56,8 +56,11 @@
     def take_idle(self, endpoint: str) -> ClientConnection | None:
         """Takes an idle connection that may carry a call out of the pool, if there is one."""
 
-    def next_rested_at(self, endpoint: str) -> float | None:
-        """When the next idle connection may carry a call, in seconds on the loop's clock; None: none will."""
+    def close_resting(self, endpoint: str) -> bool:
+        """Closes an idle connection to an endpoint whose connections are limited; returns whether it did."""
+
+    def rest_left_s(self, endpoint: str) -> list[float]:
+        """Seconds until each idle connection that may stay open may carry a call; the shortest first."""
 
     async def open_connection(self, address: Address, closed: Callable[[], None]) -> ClientConnection:
         """Opens a connection; `closed` is called when it has been closed."""
@@ -184,10 +187,12 @@
             if closed := self.owner.reserve_connection(self.endpoint, self.message.id):
                 self.connection = await self.owner.open_connection(address, closed)
                 return self.connection
-            rested_at = self.owner.next_rested_at(self.endpoint)
-            if rested_at is None:
+            if self.owner.close_resting(self.endpoint):
+                continue
+            rest_left_s = self.owner.rest_left_s(self.endpoint)
+            if not rest_left_s:
                 return None
-            await asyncio.sleep(rested_at - self.loop.time())
+            await asyncio.sleep(rest_left_s[0])
         return None
 
     def _headers(self) -> dict[str, str]:
--- a/message_sender/http/client.py
+++ b/message_sender/http/client.py
@@ -303,15 +303,26 @@
             self.close_idle_connection(connection)
         return None
 
-    def next_rested_at(self, endpoint: str) -> float | None:
-        """When the next idle connection may carry a call, in seconds on the loop's clock; None: none will."""
+    def rest_left_s(self, endpoint: str) -> list[float]:
+        """Seconds until each idle connection that may stay open may carry a call; the shortest first."""
         now = asyncio.get_running_loop().time()
-        times = (
-            self.reuse.rested_at(each.answered_at)
+        return sorted(
+            max(self.reuse.rested_at(each.answered_at) - now, 0.0)
             for each in self.pool.get(endpoint, ())
             if self.reuse.may_keep(endpoint, each.answered_at, now)
         )
-        return min(times, default=None)
+
+    def close_resting(self, endpoint: str) -> bool:
+        """Closes the longest idle connection to an endpoint if their number is limited, to open another.
+
+        Returns:
+            Whether there was such a connection.
+        """
+        idle_connections = self.pool.get(endpoint)
+        if not idle_connections or math.isinf(self.max_age_s(endpoint)):
+            return False
+        self.close_idle_connection(idle_connections[0])
+        return True
 
     def report_unsolicited(self, endpoint: str, connection: ClientConnection) -> None:
         """Reports bytes that an endpoint has sent on a connection on which no response was due, if any."""
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -180,6 +180,19 @@
         assert world.receiver.accepted == 1
 
 
+@run_async_test
+async def test_a_call_to_an_endpoint_with_limited_connections_replaces_a_resting_one(_: Path) -> None:
+    async with calls() as world:
+        transport = world.transport
+        transport.max_age_s = lambda endpoint: 10.0
+        transport.reserve_connection = lambda endpoint, message: (
+            None if transport.connections else lambda: None
+        )
+        for number in range(3):
+            assert (await world.answered(f"m{number}")).outcome is Outcome.OK
+        assert world.receiver.accepted == 3 and len(transport.connections) == 1
+
+
 @run_async_test
 async def test_a_call_that_may_open_no_connection_and_finds_none_is_not_sent(_: Path) -> None:
     async with calls() as world:
