--- a/message_sender/journal/process_journal.py
+++ b/message_sender/journal/process_journal.py
@@ -50,6 +50,7 @@
         size_bytes: Size of the file.
         live_bytes: Total size of the records of `entries`.
         file: Descriptor of the file; -1 once it is closed.
+        has_torn_record: The file ends in a part of a record whose write failed.
     """
 
     is_durable = False
@@ -66,6 +67,7 @@
         self.entries: dict[str, JournalEntry] = {}
         self.size_bytes = 0
         self.live_bytes = 0
+        self.has_torn_record = False
         self.file = self.open_file()
         self.replay()
 
@@ -200,9 +202,11 @@
             log.error("journal full: record_bytes=%d", len(record))
             return False
         try:
+            self.truncate_torn_record()
             written = os.write(self.file, record)
             if written < len(record):
-                os.ftruncate(self.file, self.size_bytes)
+                self.has_torn_record = True
+                self.truncate_torn_record()
                 raise OSError(f"short write: {written} of {len(record)} bytes")
         except OSError as error:
             log.error("journal write failed: reason=%s", error)
@@ -210,6 +214,16 @@
         self.size_bytes += len(record)
         return True
 
+    def truncate_torn_record(self) -> None:
+        """Removes a part of a record whose write failed: the next record would continue its line.
+
+        Raises:
+            OSError: The file could not be truncated; nothing may be appended.
+        """
+        if self.has_torn_record:
+            os.ftruncate(self.file, self.size_bytes)
+            self.has_torn_record = False
+
     # Disk space.
 
     def exceeds_limit(self, file_bytes: int, other_file_bytes: int = 0) -> bool:
@@ -250,5 +264,6 @@
             return False
         os.close(self.file)
         self.file = new_file
+        self.has_torn_record = False
         self.size_bytes = os.fstat(new_file).st_size
         return True
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,5 +1,7 @@
 """The process journal: replay, torn records, compaction and the size limit."""
 
+import errno
+import os
 from pathlib import Path
 
 import pytest
@@ -50,6 +52,29 @@
     assert list(Journal(tmp_path, LIMIT).entries) == ["a", "c"]
 
 
+@pytest.mark.parametrize("failed_truncations", [1, 3])
+def test_a_short_write_that_cannot_be_truncated_loses_no_later_record(
+    failed_truncations: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    write, truncate = os.write, os.ftruncate
+    failures = iter([True] * failed_truncations)
+
+    def truncate_after_failures(file: int, size: int) -> None:
+        if next(failures, False):
+            raise OSError(errno.EIO, "input/output error")
+        truncate(file, size)
+
+    journal = Journal(tmp_path, LIMIT)
+    assert journal.record_accepted(sample_message("a"))
+    monkeypatch.setattr(os, "ftruncate", truncate_after_failures)
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "write", lambda file, data: write(file, data[:10]))
+        assert not journal.record_accepted(sample_message("b"))
+    accepted = ["a", *(name for name in "cdef" if journal.record_accepted(sample_message(name)))]
+    assert len(accepted) == 6 - failed_truncations
+    assert list(Journal(tmp_path, LIMIT).entries) == accepted
+
+
 @pytest.mark.parametrize(
     "text", [b"[]\n", b"{}\n", b'{"sent":"unknown","at":1,"endpoint":"r","zone":"z","number":0}\n']
 )
