Begin a new line behind a torn one in the file of answers

What callers would have seen: an answer that nobody had waited for is missing after a restart, although its write succeeded, if the write before it was short (a full disk).

Cause: AnswerStore.append did not look at the number of bytes written, so the next answer continued the torn line, which the replay drops.

Change: a short write is logged as not written, and the next line begins behind a line end.

Evidence: of a, b (short write), c and d, the replay found a and d before; now a, c and d.

--- a/message_sender/journal/answer_store.py
+++ b/message_sender/journal/answer_store.py
@@ -34,6 +34,7 @@
         answers: Answers by message id, oldest first.
         lost_answers: Number of answers dropped because the store was full.
         line_count: Number of lines in the file.
+        has_torn_line: The file ends in a part of a line whose write was short.
     """
 
     def __init__(self, folder: Path, max_answers: int = 4096) -> None:
@@ -47,6 +48,7 @@
         self.answers: dict[str, Answer] = {}
         self.lost_answers = 0
         self.line_count = 0
+        self.has_torn_line = False
         (folder / NEW_ANSWERS_FILE).unlink(missing_ok=True)
         flags = os.O_RDWR | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC
         self.file = os.open(folder / ANSWERS_FILE, flags, 0o600)
@@ -113,8 +115,12 @@
 
     def append(self, content: Answer) -> None:
         """Appends a line; a failed write is logged."""
+        line = b"\n" * self.has_torn_line + _encode_line(content).encode()
         try:
-            os.write(self.file, _encode_line(content).encode())
+            written = os.write(self.file, line)
+            self.has_torn_line = written < len(line)
+            if self.has_torn_line:
+                raise OSError(f"short write: {written} of {len(line)} bytes")
             self.line_count += 1
         except OSError as error:
             log.error("answer not written: reason=%s", error)
@@ -132,4 +138,5 @@
             return
         os.close(self.file)
         self.file = new_file
+        self.has_torn_line = False
         self.line_count = len(self.answers)
