--- a/message_sender/journal/process_journal.py
+++ b/message_sender/journal/process_journal.py
@@ -89,7 +89,7 @@
     # Replay.
 
     def replay(self) -> None:
-        """Replays the file and truncates a record at its end that was torn by SIGKILL.
+        """Replays the file; a record at its end that was torn by SIGKILL is truncated before the next one.
 
         The sender never acted on a torn record.
         """
@@ -105,7 +105,7 @@
                     if not is_complete:
                         break
                 self.size_bytes += len(line)
-        os.ftruncate(self.file, self.size_bytes)
+        self.has_torn_record = os.fstat(self.file).st_size > self.size_bytes
         if self.size_bytes > self.live_bytes:
             self.compact()
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -52,6 +52,25 @@
     assert list(Journal(tmp_path, LIMIT).entries) == ["a", "c"]
 
 
+def test_a_start_succeeds_while_a_torn_record_cannot_be_truncated(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    def fail(file: int, size: int) -> None:
+        raise OSError(errno.EIO, "input/output error")
+
+    first = Journal(tmp_path, LIMIT)
+    first.record_accepted(sample_message("a"))
+    first.record_accepted(sample_message("b"))
+    file = tmp_path / module.JOURNAL_FILE
+    file.write_bytes(file.read_bytes()[:-5])
+    with monkeypatch.context() as patch:
+        patch.setattr(os, "ftruncate", fail)
+        second = Journal(tmp_path, LIMIT)
+        assert list(second.entries) == ["a"] and not second.record_accepted(sample_message("c"))
+    assert second.record_accepted(sample_message("d"))
+    assert list(Journal(tmp_path, LIMIT).entries) == ["a", "d"]
+
+
 @pytest.mark.parametrize("failed_truncations", [1, 3])
 def test_a_short_write_that_cannot_be_truncated_loses_no_later_record(
     failed_truncations: int, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
