--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -8,7 +8,7 @@
 from peers import sample_message
 
 from message_sender.journal import process_journal as module
-from message_sender.journal.entries import AttemptRecord
+from message_sender.journal.entries import AttemptRecord, RecordedCompletion
 from message_sender.journal.process_journal import Journal
 from message_sender.policy.model import Outcome
 
@@ -52,6 +52,14 @@
     assert list(Journal(tmp_path, LIMIT).entries) == ["a", "c"]
 
 
+def test_a_completion_that_may_have_been_reported_is_kept_over_a_kill(tmp_path: Path) -> None:
+    """Otherwise the next process sends a message whose end the platform has on record."""
+    first = Journal(tmp_path, LIMIT)
+    first.record_accepted(sample_message("a"))
+    first.record_completion("a", "refused", 500)
+    assert Journal(tmp_path, LIMIT).entries["a"].completion == RecordedCompletion("refused", 500)
+
+
 def test_a_start_succeeds_while_a_torn_record_cannot_be_truncated(
     tmp_path: Path, monkeypatch: pytest.MonkeyPatch
 ) -> None:
