Prepare the test of a stepped clock so that no slow start depends on the machine's load

Two rejections on record make the next process take the destination for down (RESTORED_REFUSALS_LIMIT) and start slowly, and four seconds are too short for twelve messages then. That is the policy's rule, with no part of the clock.

Change: the first message is rejected with a Retry-After of 1 s before the others are submitted, all to one destination, so exactly one rejection is on record. What is asserted stays: all twelve delivered, no rule broken, at each step.

--- a/tests/test_stepped_clock.py
+++ b/tests/test_stepped_clock.py
@@ -11,23 +11,35 @@
 from repeated_answers import WINDOW_S, Load
 
 from message_sender.journal.clock_record import CLOCK_FILE, FolderClock, wall_clock_base_ns
-from message_sender.testbed.history import AttemptStarted, MessageAdmitted, MessageCompleted, add_deliveries
+from message_sender.testbed.history import (
+    AttemptFinished,
+    AttemptStarted,
+    MessageAdmitted,
+    MessageCompleted,
+    add_deliveries,
+)
 from message_sender.testbed.http import HttpClient
 from message_sender.testbed.script import EndpointBehavior, ScriptedAnswer
 
 STEPS_S = [0.0, -1.0, -5.0, -3600.0, 1.0, 5.0, 3600.0]
 MESSAGES = 12
 TIME_LEFT_S = 4.0
-RETRY_AFTER_S = 0.3
+RETRY_AFTER_S = 1.0
 
 
 async def owe_messages(load: Load, service: str) -> None:
-    """Submits messages, of which none is delivered as all calls are rejected, and kills the sender."""
+    """Submits messages behind the rejection of the first one, and kills the sender before the next call.
+
+    A second rejection on record would make the next process start slowly, whatever its clock says.
+    """
     load.copies.share = 0.0
     load.time_left_s = TIME_LEFT_S
     load.script.rule = lambda message: ScriptedAnswer(EndpointBehavior.FULL, RETRY_AFTER_S)
     client = HttpClient(load.host.address)
-    for number in range(MESSAGES):
+    await load.submit(client, "m0", service, "")
+    while not any(isinstance(each, AttemptFinished) for each in load.history.events):
+        await asyncio.sleep(0.001)
+    for number in range(1, MESSAGES):
         await load.submit(client, f"m{number}", service, "")
     client.close()
     await load.kill_sender()
@@ -42,7 +54,7 @@
 def test_owed_messages_are_delivered_after_a_step_of_the_wall_clock(step_s: float, tmp_path: Path) -> None:
     @run_async_test
     async def test(folder: Path) -> None:
-        load = Load(folder, 0, (0.0, 0.0))
+        load = Load(folder, 0, (0.0, 0.0), destinations=(3,))
         async with load.running():
             await owe_messages(load, "safe")
             load.script.rule = lambda message: ScriptedAnswer(EndpointBehavior.SERVE)
@@ -60,7 +72,7 @@
 ) -> None:
     @run_async_test
     async def test(folder: Path) -> None:
-        load = Load(folder, 0, (0.0, 0.0))
+        load = Load(folder, 0, (0.0, 0.0), destinations=(3,))
         async with load.running():
             await owe_messages(load, "once")
             await load.start_sender(step_s)
@@ -76,7 +88,7 @@
 ) -> None:
     @run_async_test
     async def test(folder: Path) -> None:
-        load = Load(folder, 0, (0.0, 0.0))
+        load = Load(folder, 0, (0.0, 0.0), destinations=(3,))
         async with load.running():
             load.copies.share, load.time_left_s = 0.0, 3 * WINDOW_S
             load.script.rule = lambda message: ScriptedAnswer(EndpointBehavior.STALL)
