--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -57,7 +57,7 @@
         queues = [self.active, self.overdue]
         queues += [queue for each in breakers for queue in (each.on_time_calls, each.overdue_calls)]
         for queue in queues:
-            members = [call for call in in_order if call in queue]
+            members = sorted(queue, key=lambda call: call.sequence)
             queue.clear()
             queue.update(dict.fromkeys(members))
 
