Show that a killed sender sends messages that it had returned, in place of the late notices

A sender with more messages than it has room for is killed outright eight times; the next process sends messages whose `returned` notice the platform has answered.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""Bad clients send hundreds of requests at once; messages taken on must still get their end in time."""
+"""A sender under a burst is killed; messages that it has returned by notice must not be sent afterwards."""
 
 import asyncio
 import sys
@@ -8,71 +8,90 @@
 
 from lab import Call, Client, Lab, Receiver, Sent, run_case, service, settings, trouble
 
-BAD_CLIENTS = 10
-REQUESTS_AT_ONCE = 900  # "hundreds of requests at once"
-FLOOD_S = 7.0
-MESSAGES = 24
-FULL = 3  # the destination whose receivers are above their limit
+WAY_BACK_S = 0.04  # of the answer to a notice: "15 to 45 ms one way"
+BUSY = 3  # the destination that gets more than it takes
+DAY_S = 20.0
+KILLS_AT_S = tuple(2.5 + 2.2 * number for number in range(8))
+PAUSE_S = 0.2  # between two messages of a client; ten clients
+BACKOFF_S = 1.2  # until a client hands a returned message in again
 
 
 class Day:
-    """A flood of requests that cannot be read, while messages that were taken on run out of time."""
+    """A destination that gets more than it takes, and a sender that is killed outright a few times."""
 
     def __init__(self) -> None:
         """Creates the day's lab."""
-        self.lab = Lab(settings([service("session-command", "by_key", serial_by_key=True)]))
+        classes = [service("session-command", "once", aim=4_000_000, deadline=12_000_000)]
+        self.lab = Lab(settings(classes, max_open=20))
+        self.lab.platform.notice_plan = self.answer_notices
+        self.lab.on_notice = self.notice_came
+        self.repeats: dict[str, Sent] = {}  # by the id of the message that was returned
+
+    async def answer_notices(self, _body: bytes) -> bool:
+        """The platform answers at once; the answer is on its way for some time."""
+        await asyncio.sleep(WAY_BACK_S)
+        return True
+
+    def notice_came(self, message: Sent, state: str) -> None:
+        """A returned message is handed in again once, as a client does after a refusal."""
+        if state == "returned" and not message.idempotency_key and len(message.notices) == 1:
+            self.lab.clients.append(asyncio.create_task(self.repeat(message)))
+
+    async def repeat(self, message: Sent) -> None:
+        """Hands a returned message in again, under a new id and with its own key."""
+        await asyncio.sleep(BACKOFF_S)
+        if (time_left := message.until - self.lab.record.now()) > 1:
+            client = Client(self.lab)
+            self.repeats[message.id] = await self.lab.hand_in(
+                client, "session-command", message.dest, time_left, idempotency_key=message.id * 2
+            )
+            client.close()
 
     async def serve(self, call: Call) -> None:
         """Serves a call."""
-        await asyncio.sleep(0.12)
+        await asyncio.sleep(0.3 if call.receiver.dest == BUSY else 0.12)
         call.answer(200)
 
-    async def turn_away(self, call: Call) -> None:
-        """Turns a call away: above the limit, with and without the trouble."""
-        call.answer(503)
-
-    async def start_flood(self) -> asyncio.subprocess.Process:
-        """Starts the bad clients."""
-        self.lab.record.add("the bad clients begin")
-        arguments = [str(self.lab.port), str(BAD_CLIENTS), str(REQUESTS_AT_ONCE), str(FLOOD_S)]
-        program = str(Path(__file__).with_name("flood.py"))
-        return await asyncio.create_subprocess_exec(
-            sys.executable, "-B", program, *arguments, stdout=asyncio.subprocess.PIPE
-        )
+    async def client(self, number: int) -> None:
+        """A usual client with a steady stream of messages."""
+        client = Client(self.lab)
+        while self.lab.record.now() < DAY_S - 1:
+            dest = BUSY if number < 8 else number % 3
+            await self.lab.hand_in(client, "session-command", dest, 10.0)
+            await asyncio.sleep(PAUSE_S)
 
     async def run(self) -> list[str]:
         """Plays the day; returns what broke the rule."""
         lab = self.lab
         for number in range(8):
-            plan = self.turn_away if number % 4 == FULL else self.serve
-            receiver = Receiver(lab, f"s-{number}", number % 4, "hall-b", plan)
+            receiver = Receiver(lab, f"s-{number}", number % 4, "hall-b", self.serve)
             lab.receivers[receiver.name] = receiver
             await receiver.start()
         await lab.platform.start()
         await lab.start_sender()
-        clients = [Client(lab) for _ in range(6)]
-        for number in range(MESSAGES):  # their time is up from 1.5 s to 6 s after this
-            key, time_left = f"{number:016x}", 1.5 + 0.2 * number
-            await lab.hand_in(clients[number % 6], "session-command", FULL, time_left, key)
-        flood = await self.start_flood() if trouble() else None
-        count = 0
-        while lab.record.now() < FLOOD_S + 1:  # usual messages meanwhile, many of which are not taken on
-            count += 1
-            key = f"{100 + count % 6:016x}"
-            await lab.hand_in(clients[count % 6], "session-command", count % 3, 4.0, key)
-            await asyncio.sleep(0.1)
-        if flood:
-            output, _ = await flood.communicate()
-            lab.record.add(output.decode().strip())
-        await asyncio.sleep(5.5)
+        lab.clients += [asyncio.create_task(self.client(number)) for number in range(10)]
+        for kill_at in KILLS_AT_S if trouble() else ():
+            await asyncio.sleep(kill_at - lab.record.now())
+            await lab.restart()
+        await asyncio.sleep(DAY_S + 8 - lab.record.now())
         lab.check_ends()
-        return lab.faults + [self.describe(each) for each in lab.messages.values() if lab.lost(each)]
-
-    def describe(self, message: Sent) -> str:
-        """Describes a lost message in one line."""
-        late = ", ".join(f"{at - message.until:+.3f} s {state}" for at, state in message.notices) or "none"
-        reason = self.lab.lost(message)
-        return f"lost: {message.id}: {reason}: time up at {message.until:.3f}, notices: {late}"
+        return lab.faults + [line for each in lab.messages.values() for line in self.calls_after_end(each)]
+
+    def calls_after_end(self, message: Sent) -> list[str]:
+        """The calls of a message after the platform had answered the notice that returned it."""
+        ends = [at for at, state in message.notices if state == "returned"]
+        if not ends:
+            return []
+        repeat = self.repeats.get(message.id)
+        came_again = (
+            f"handed in again as {repeat.id}, delivered at {repeat.delivered_at}" if repeat else "not"
+        )
+        return [
+            f"ended: {message.id} returned at {ends[0]:.3f}, called at {call['at']:.3f}:"
+            f" {call['receiver']} {call['outcome']}; {came_again}"
+            for call in message.calls
+            if call["at"] > ends[0] + 0.05
+        ]
 
 
 async def case() -> tuple[Lab, list[str]]:
--- a/review/lab.py
+++ b/review/lab.py
@@ -50,6 +50,7 @@
         calls: Its calls: when the last byte came, the receiver, the zone and what came back.
         delivered_at: When a first line with 200 was written for it; None if it was not.
         notices: Its notices: when and which state.
+        idempotency_key: Its key for repeats, kept when it is handed in again; empty: made from its id.
     """
 
     id: str
@@ -63,6 +64,7 @@
     calls: list[dict[str, Any]] = field(default_factory=list)
     delivered_at: float | None = None
     notices: list[tuple[float, str]] = field(default_factory=list)
+    idempotency_key: str = ""
 
 
 class Record:
@@ -329,6 +331,7 @@
         self.listener: socket.socket | None = None
         self.management = 0
         self.starts = 0
+        self.on_notice: Callable[[Sent, str], None] = lambda _message, _state: None
 
     # What came in.
 
@@ -350,6 +353,7 @@
         self.record.add(f"notice {message_id} {state}")
         if message := self.messages.get(message_id):
             message.notices.append((self.record.now(), state))
+            self.on_notice(message, state)
 
     # The sender.
 
@@ -455,18 +459,27 @@
         lines = [
             f"POST /{sent.message_class} HTTP/1.1", "Host: app.svc", f"X-Correlation-Id: {sent.id}",
             f"X-Service-Class: {sent.message_class}", "X-Account: rhone-fleet",
-            f"X-Time-Left: {time_left:.3f}", f"Idempotency-Key: {sent.id * 2}",
+            f"X-Time-Left: {time_left:.3f}", f"Idempotency-Key: {sent.idempotency_key or sent.id * 2}",
             f"Content-Length: {len(body)}", f"X-Route-To: dest={sent.dest}",
         ]  # fmt: skip
         if sent.key:
             lines.append(f"X-Session-Key: {sent.key}")
+        if sent.idempotency_key:
+            lines.append("X-Repeat: 1")
         return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
     async def hand_in(
-        self, client: "Client", message_class: str, dest: int, time_left: float, key: str = ""
+        self,
+        client: "Client",
+        message_class: str,
+        dest: int,
+        time_left: float,
+        key: str = "",
+        idempotency_key: str = "",
     ) -> Sent:
         """Hands a message in on a client's connection, and waits for its answer as a client does."""
         sent = self.add_message(message_class, dest, time_left, key)
+        sent.idempotency_key = idempotency_key
         data = self.request_of(sent, time_left)
         self.record.add(
             f"handed in {sent.id} class={message_class} dest={dest} left={time_left:.3f} key={key}"
