Bound what all client connections hold together by the memory limit

Cause: nothing knew memory_mb. RequestReader kept every byte that it passed to h11 until the answer (`raw`, for a hand-over), so the framing of chunks counted nowhere; a connection went on being read while it waited to be parsed; h11 kept thousands of parsed fields, whose limit counted names and values alone; an idle connection kept its last body; a hand-over built the base64 packets of all clients at once, and the receiver dropped a packet over 192 KiB with its client.

`raw` alone does not explain it: the fields never reach it.

Change: chunks are decoded as they arrive (http/chunked_body.py, the grammar of h11, compared with it by property tests); h11 sees heads and ends alone. Reading pauses while 16 KiB wait to be parsed; a connection holds 128 KiB at most; a head has 128 lines at most. admission/read_budget.py sums all connections against memory_mb and names whose unfinished request is answered 503: unproven clients first, then large ones, then the oldest. A turn parses one request or 128 chunks, so that no body delays other connections; h11 took half a second for a full body in one-byte chunks. A hand-over passes the decoded part, builds each packet when the link can send it, and a client that submitted messages stays proven.

--- a/message_sender/handover/link.py
+++ b/message_sender/handover/link.py
@@ -33,12 +33,29 @@
 
 @dataclass(frozen=True, slots=True)
 class OutgoingPacket:
-    """A queued packet, with a callback for when the system has accepted it."""
+    """A packet to send, with a callback for when the system has accepted it."""
 
     data: bytes
-    descriptors: list[int]
+    descriptors: tuple[int, ...]
     on_sent: Callable[[], None]
 
+    @classmethod
+    def encode(
+        cls, packet: Packet, descriptors: tuple[int, ...] = (), on_sent: Callable[[], None] = do_nothing
+    ) -> "OutgoingPacket":
+        """Encodes a packet.
+
+        Args:
+            packet: Content of the packet.
+            descriptors: File descriptors to send with it.
+            on_sent: Called once the system has accepted the packet with its descriptors.
+        """
+        return cls(json.dumps(packet, separators=(",", ":")).encode(), descriptors, on_sent)
+
+
+#: Builds a packet when the link can send it; returns None if there is nothing to send any more.
+PacketSource = Callable[[], OutgoingPacket | None]
+
 
 @contextlib.contextmanager
 def socket_path(folder: Path) -> Iterator[str]:
@@ -96,7 +113,8 @@
         sock: The socket.
         on_packet: Called with each packet and its descriptors, whose ownership it takes.
         on_closed: Called once, when the link is closed by either side.
-        outbox: Packets that wait to be sent.
+        outbox: The sources of the packets that wait to be sent.
+        unsent: The packet that is next, if the system has not accepted it yet.
         is_closed: Whether the link is closed.
     """
 
@@ -106,26 +124,23 @@
         self.on_packet = on_packet
         self.on_closed = on_closed
         self.loop = asyncio.get_running_loop()
-        self.outbox: deque[OutgoingPacket] = deque()
+        self.outbox: deque[PacketSource] = deque()
+        self.unsent: OutgoingPacket | None = None
         self.is_closed = False
         sock.setblocking(False)
         self.loop.add_reader(sock, self.read_packets)
 
-    def send(
-        self, packet: Packet, descriptors: tuple[int, ...] = (), on_sent: Callable[[], None] = do_nothing
-    ) -> None:
-        """Sends a packet.
+    def send(self, packet: Packet) -> None:
+        """Sends a packet without descriptors."""
+        encoded = OutgoingPacket.encode(packet)
+        self.send_later(lambda: encoded)
 
-        Args:
-            packet: Content of the packet.
-            descriptors: File descriptors to send with it.
-            on_sent: Called once the system has accepted the packet with its descriptors.
-        """
+    def send_later(self, source: PacketSource) -> None:
+        """Sends the packet that `source` returns, which is called once all earlier packets have been sent."""
         if self.is_closed:
             return
-        data = json.dumps(packet, separators=(",", ":")).encode()
-        self.outbox.append(OutgoingPacket(data, list(descriptors), on_sent))
-        if len(self.outbox) == 1:
+        self.outbox.append(source)
+        if len(self.outbox) == 1 and not self.unsent:
             self.write_packets()
 
     def send_text(self, kind: str, text: str) -> None:
@@ -136,8 +151,7 @@
     def write_packets(self) -> None:
         """Writes queued packets until the system accepts no more."""
         self.loop.remove_writer(self.sock)
-        while self.outbox and not self.is_closed:
-            packet = self.outbox[0]
+        while not self.is_closed and (packet := self._next_packet()):
             try:
                 socket.send_fds(self.sock, [packet.data], packet.descriptors)
             except (BlockingIOError, InterruptedError):
@@ -149,9 +163,15 @@
                     return
                 self.close()
                 return
-            self.outbox.popleft()
+            self.unsent = None
             packet.on_sent()
 
+    def _next_packet(self) -> OutgoingPacket | None:
+        """Returns the packet that is next; None if none waits."""
+        while self.unsent is None and self.outbox:
+            self.unsent = self.outbox.popleft()()
+        return self.unsent
+
     def retry_write(self) -> None:
         """Writes queued packets, unless the link was closed meanwhile."""
         if not self.is_closed:
--- a/message_sender/http/connection_owner.py
+++ b/message_sender/http/connection_owner.py
@@ -58,6 +58,9 @@
     def queue_for_reading(self, connection: Entry) -> None:
         """Queues a connection whose received bytes wait to be parsed."""
 
+    def count_held(self, connection: Entry) -> None:
+        """Counts the bytes that a connection holds; ends unfinished requests if all hold too many."""
+
     def rejected_unread(self, data: memoryview) -> FastRequest | None:
         """Returns the request in these bytes if it is to be rejected unread; otherwise None."""
 
--- a/message_sender/http/connection_state.py
+++ b/message_sender/http/connection_state.py
@@ -19,7 +19,8 @@
    process ends, with a status saying that the request can be resubmitted safely.
 6. Capacity is freed at once, by closing lingering connections and those silent or idle connections that have
    nothing unread or unwritten.
-7. A connection that broke has ended, and so has one whose client has closed its sending side, once pending
+7. Memory is freed at once, by rejecting requests that are still being received. Complete ones are answered.
+8. A connection that broke has ended, and so has one whose client has closed its sending side, once pending
    writes are done (which asyncio ensures): TCP does not distinguish a half-close from a close.
 
 Times are in seconds.
@@ -48,6 +49,7 @@
 
     TIMED_OUT = "the time limit of the state has passed"
     CAPACITY_NEEDED = "its descriptor is needed for another connection"
+    MEMORY_NEEDED = "its memory is needed for other requests"
     PROCESS_EXIT = "the process ends"
     DISCONNECTED = "the connection broke"
 
@@ -90,6 +92,8 @@
     """
     if event is ConnectionEvent.DISCONNECTED:
         return ConnectionAction.CLOSE
+    if event is ConnectionEvent.MEMORY_NEEDED:
+        return ConnectionAction.REJECT if state is ConnectionState.READING else ConnectionAction.KEEP
     if state is ConnectionState.LINGERING:
         return ConnectionAction.KEEP if event is ConnectionEvent.PROCESS_EXIT else ConnectionAction.CLOSE
     if state is ConnectionState.READING and event is not ConnectionEvent.CAPACITY_NEEDED:
--- a/message_sender/http/read_queue.py
+++ b/message_sender/http/read_queue.py
@@ -10,12 +10,17 @@
 
 
 class ReadQueue:
-    """Serves connections whose last request was valid first, but at least one of the others per iteration.
+    """Serves connections whose last request was valid first, and those that continue a request last.
+
+    Requests that need many steps thereby do not delay those that need one. Each iteration serves at least one
+    connection of the first kind that waits, and one of each other kind.
 
     Attributes:
         is_frozen: Nothing is parsed.
         proven: Queued connections whose last request was valid.
-        others: Other queued connections.
+        others: Other queued connections that begin a request.
+        continuing: Other queued connections of whose request a part has been parsed. They are not counted in
+            the backlog, whose requests wait for their first step.
     """
 
     def __init__(self, loop: asyncio.AbstractEventLoop, backlog: Backlog) -> None:
@@ -25,10 +30,11 @@
         self.is_frozen = False
         self.proven: deque[ServerConnection] = deque()
         self.others: deque[ServerConnection] = deque()
+        self.continuing: deque[ServerConnection] = deque()
 
     def __len__(self) -> int:
         """Returns the number of queued connections."""
-        return len(self.proven) + len(self.others)
+        return len(self.proven) + len(self.others) + len(self.continuing)
 
     def add(self, connection: ServerConnection) -> None:
         """Queues a connection whose received bytes wait to be parsed."""
@@ -37,29 +43,38 @@
         connection.is_queued = True
         if not len(self):
             self.loop.call_soon(self.run)
-        self.backlog.request_arrived(self.loop.time())
-        (self.proven if connection.is_proven else self.others).append(connection)
+        if connection.is_proven:
+            queue = self.proven
+        else:
+            queue = self.continuing if connection.reader.has_begun() else self.others
+        if queue is not self.continuing:
+            self.backlog.request_arrived(self.loop.time())
+        queue.append(connection)
 
     def run(self) -> None:
         """Parses requests for at most READ_BUDGET_S, so that a flood of requests does not delay calls."""
         if self.is_frozen:
             return
         deadline = self.loop.time() + READ_BUDGET_S
-        while self.proven or self.others:
-            self._read_first(self.proven or self.others)
+        while queue := self.proven or self.others or self.continuing:
+            self._read_first(queue)
             if self.loop.time() >= deadline:
                 break
         else:
             return
+        has_preferred = bool(self.proven or self.others)
         if self.proven and self.others:
             self._read_first(self.others)
+        if has_preferred and self.continuing:
+            self._read_first(self.continuing)
         if len(self):
             self.loop.call_soon(self.run)
 
     def _read_first(self, queue: deque[ServerConnection]) -> None:
         connection = queue.popleft()
         connection.is_queued = False
-        self.backlog.request_read(self.loop.time())
+        if queue is not self.continuing:
+            self.backlog.request_read(self.loop.time())
         connection.advance()
 
     def freeze(self) -> None:
--- a/message_sender/http/responses.py
+++ b/message_sender/http/responses.py
@@ -7,6 +7,8 @@
 
 from message_sender.http.request_reader import RequestReader
 
+MAX_TEXT_CHARS = 200  # of an error's text, which may quote what the client has sent
+
 
 @dataclass(frozen=True, slots=True)
 class ResponseContent:
@@ -25,8 +27,8 @@
     is_last: bool = False
 
     def body(self) -> bytes:
-        """Returns the body as JSON; empty without a text."""
-        return json.dumps({"error": self.text}).encode() + b"\n" if self.text else b""
+        """Returns the body as JSON, with the beginning of a long text; empty without a text."""
+        return json.dumps({"error": self.text[:MAX_TEXT_CHARS]}).encode() + b"\n" if self.text else b""
 
     def headers(self) -> list[tuple[str, str]]:
         """Returns the headers, beginning with the one that frames the body."""
--- a/message_sender/http/server.py
+++ b/message_sender/http/server.py
@@ -8,12 +8,14 @@
 from typing import Any
 
 from message_sender.admission.backlog import Backlog
+from message_sender.admission.read_budget import limit_for
 from message_sender.core.socket_errors import Cause, ErrorReports, cause_of
 from message_sender.core.traffic_observer import TrafficObserver
 from message_sender.http import fast_path
 from message_sender.http.common import BODY_LIMIT, READ_SIZE, Address, close, header
 from message_sender.http.connection_state import ConnectionEvent
 from message_sender.http.connection_table import ConnectionTable
+from message_sender.http.memory_guard import MemoryGuard
 from message_sender.http.read_queue import ReadQueue
 from message_sender.http.server_connection import ServerConnection
 from message_sender.message import Message
@@ -23,11 +25,12 @@
 MAX_WAITING_FRACTION = 1 / 4  # of the connection limit; with more waiting requests, rejection starts sooner
 MAX_ACCEPTS_PER_ITERATION = 16  # connections accepted per loop iteration, so that open ones are served too
 MAX_ACCEPTS_WITH_CAPACITY = 64  # the same while no connection has to be closed to accept others
+DEFAULT_MEMORY_BYTES = 192_000_000
 ACCEPT_RETRY_S = 0.05  # after accepting failed, for example because no descriptor was left
 
 Submit = Callable[[Message, ServerConnection], None]
-#: Takes a connection, the bytes read of its current request, and the callback to call after the transfer.
-TransferConnection = Callable[[ServerConnection, bytes, Callable[[], None]], None]
+#: Transfers a connection to another process, and closes it here afterwards.
+TransferConnection = Callable[[ServerConnection], None]
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +73,7 @@
         named: Callable[[int], bool] = knows_any_destination,
         known: Callable[[str], bool] = knows_no_message,
         max_retry_after_us: int = 0,
+        memory_bytes: int = DEFAULT_MEMORY_BYTES,
     ) -> None:
         """Creates a server that does not listen yet.
 
@@ -82,6 +86,7 @@
             named: Whether a destination has ever been listed.
             known: Whether a message with this id has been accepted.
             max_retry_after_us: Maximum Retry-After of rejections in microseconds; 0 to state none.
+            memory_bytes: Memory limit of the process in bytes.
         """
         self.classes = classes
         self.submit = submit
@@ -97,6 +102,7 @@
         self.table: ConnectionTable[ServerConnection] = ConnectionTable()
         self.backlog = Backlog(self.loop.time(), max(int(connection_limit * MAX_WAITING_FRACTION), 1))
         self.read_queue = ReadQueue(self.loop, self.backlog)
+        self.memory_guard = MemoryGuard(self.loop, limit_for(memory_bytes))
         self.is_ready = False
         self.is_stopping = False
         self.is_frozen = False
@@ -198,8 +204,9 @@
         connection = ServerConnection(self, sock)
         connection.stashed = read
         connection.began = began if read else None
-        connection.has_submitted = has_submitted
+        connection.has_submitted = connection.is_proven = has_submitted
         self._register(connection)
+        self.count_held(connection)
         if read or has_submitted:
             self.table.silent.pop(connection, None)
         if has_submitted and not read:
@@ -244,6 +251,7 @@
     def forget(self, connection: ServerConnection) -> None:
         """Removes a connection that has ended."""
         self.table.forget(connection)
+        self.memory_guard.forget(connection)
         if not self.connections:
             self.empty.set()
 
@@ -261,6 +269,11 @@
         """Queues a connection whose received bytes wait to be parsed."""
         self.read_queue.add(connection)
 
+    def count_held(self, connection: ServerConnection) -> None:
+        """Counts the bytes that a connection holds; ends unfinished requests if all hold too many."""
+        if connection in self.connections:
+            self.memory_guard.count(connection)
+
     def rejected_unread(self, data: memoryview) -> fast_path.FastRequest | None:
         """Returns the request in these bytes if the backlog is so long that it is to be rejected unread.
 
@@ -283,7 +296,7 @@
 
     def freeze(self) -> None:
         """Stops accepting and reading until `thaw`; requests that were read but not answered stay pending."""
-        self.is_frozen = True
+        self.is_frozen = self.memory_guard.is_frozen = True
         self.read_queue.freeze()
         if self.listener:
             self.loop.remove_reader(self.listener)
@@ -293,14 +306,15 @@
 
     def thaw(self) -> None:
         """Resumes accepting and reading after `freeze`."""
-        self.is_frozen = False
+        self.is_frozen = self.memory_guard.is_frozen = False
         if self.listener:
             self.loop.add_reader(self.listener, self.accept)
         self.read_queue.thaw()
         for connection in list(self.connections):
-            if connection.transport and not connection.is_answering:
-                connection.transport.resume_reading()
-                connection.unstash()
+            if connection.transport:
+                connection.update_reading()
+                if not connection.is_answering:
+                    connection.unstash()
 
     def release(self, transfer: TransferConnection) -> None:
         """Hands the listener and the connections of a frozen server over to another process.
@@ -312,8 +326,8 @@
             close(self.listener)
             self.listener = None
         for connection in list(self.connections):
-            if (unprocessed := connection.handed_over_bytes()) is not None:
-                transfer(connection, unprocessed, connection.close)
+            if connection.can_be_handed_over():
+                transfer(connection)
 
     # Draining and shutdown.
 
--- a/message_sender/http/server_connection.py
+++ b/message_sender/http/server_connection.py
@@ -13,7 +13,7 @@
     ObservedConnection,
 )
 from message_sender.http import fast_path
-from message_sender.http.common import header
+from message_sender.http.common import READ_SIZE, header
 from message_sender.http.connection_owner import ConnectionOwner
 from message_sender.http.connection_state import (
     ConnectionAction,
@@ -24,12 +24,14 @@
 )
 from message_sender.http.observed_transport import ObservedTransport
 from message_sender.http.request_parsing import BadRequestError, read_message
-from message_sender.http.request_reader import RequestReader
+from message_sender.http.request_reader import ReadResult, RequestReader
 from message_sender.http.responses import ResponseContent, encode
 
 READY_PATH = "/health/ready"
 DRAINED_BYTES_LIMIT = 1024 * 1024  # read and dropped after the last response; then reading is paused
-UNREAD_ANSWERS_LIMIT = 64 * 1024  # bytes of responses that a client may leave unread before it is cut off
+UNREAD_ANSWERS_LIMIT = 16 * 1024  # bytes of responses that a client may leave unread before it is cut off
+HELD_LIMIT = 128 * 1024  # bytes that a connection may hold; a packet of a handover has room for them
+READ_AHEAD_LIMIT = 16 * 1024  # received bytes that wait to be parsed; from then on reading is paused
 
 ACCEPTED, REQUEST_TIMEOUT, TOO_MANY_REQUESTS, UNAVAILABLE = 202, 408, 429, 503  # HTTP statuses
 
@@ -50,6 +52,7 @@
         is_proven: The last request was valid; its response had no error status except 429 or 503.
         is_queued: The connection is in the server's read queue.
         has_submitted: The client has submitted messages on the connection.
+        submitted_bytes: Size of the body of the message that waits for its acceptance.
         observed: Observes the traffic of the connection; None if it is not observed.
     """
 
@@ -69,6 +72,7 @@
         self.is_proven = False
         self.is_queued = False
         self.has_submitted = False
+        self.submitted_bytes = 0
         self.observed: ObservedConnection | None = None
 
     # Callbacks of the loop.
@@ -96,9 +100,10 @@
             self.observed.report_closed(CLIENT_SIDE, reset=error is not None)
         self.server.forget(self)
 
-    def get_buffer(self, sizehint: int) -> bytearray:
-        """Callback of the loop: returns the buffer to receive into."""
-        return self.server.buffer
+    def get_buffer(self, sizehint: int) -> bytearray | memoryview:
+        """Callback of the loop: returns the buffer to receive into, as far as the connection may hold it."""
+        free = HELD_LIMIT - self.reader.held_bytes()
+        return self.server.buffer if free >= READ_SIZE else memoryview(self.server.buffer)[: max(free, 1)]
 
     def buffer_updated(self, size: int) -> None:
         """Callback of the loop: bytes were received. An exception ends only this connection."""
@@ -120,25 +125,43 @@
             self.observed.report_data(CLIENT_SIDE, bytes(data))
         if self.server.is_frozen and not self.is_discarding:
             self.stashed += bytes(data)
+            self.server.count_held(self)
             return
         if self.is_discarding:
             self.dropped += len(data)
-            if self.dropped > DRAINED_BYTES_LIMIT:
-                self.transport.pause_reading()
+            self.update_reading()
             return
         if self.began is None and not self.is_answering and (request := self.server.rejected_unread(data)):
             self.reject_unread(request)
             return
         if self.began is None:
             self._begin_request()
-        if not self.is_answering and self.reader.is_fresh():
-            self.reader.pending = bytes(data)
+        self.reader.receive(data)
+        if not self.is_answering:
+            self.server.queue_for_reading(self)
+        self.update_reading()
+        self.server.count_held(self)
+
+    def held_bytes(self) -> int:
+        """Returns how many bytes the connection holds: received ones, and responses that were not read."""
+        unread_answers = self.transport.get_write_buffer_size() if self.transport else 0
+        return self.reader.held_bytes() + len(self.stashed) + self.submitted_bytes + unread_answers
+
+    def update_reading(self) -> None:
+        """Pauses or resumes reading, so that received bytes do not pile up faster than they are processed."""
+        if self._can_read():
+            self.transport.resume_reading()
         else:
-            self.reader.feed_codec(bytes(data))
+            self.transport.pause_reading()
+
+    def _can_read(self) -> bool:
+        if self.is_discarding:
+            return self.dropped <= DRAINED_BYTES_LIMIT
+        if self.server.is_frozen:
+            return False
         if self.is_answering:
-            self.transport.pause_reading()  # limits the pipelined requests that are buffered
-        else:
-            self.server.queue_for_reading(self)
+            return not self.reader.has_unread()
+        return not (self.is_queued and len(self.reader.received) >= READ_AHEAD_LIMIT)
 
     def _begin_request(self) -> None:
         self.began = self.server.now()
@@ -147,14 +170,16 @@
         self.server.table.mark_busy(self)
 
     def advance(self) -> None:
-        """Parses received bytes. Any input leads to a response, never to an exception raised to the loop."""
+        """Parses received bytes, at most one request and for a limited time.
+
+        Any input leads to a response, never to an exception raised to the loop.
+        """
+        if self.is_answering or self.is_discarding or self.transport.is_closing():
+            return
         try:
-            if self.reader.take_fast_request():
-                self.is_answering = True
-                self._act()
-            while not (self.is_answering or self.is_discarding or self.transport.is_closing()):
-                if not self._advance_by_event():
-                    return
+            self._advance()
+            self.update_reading()
+            self.server.count_held(self)
         except BadRequestError as error:
             self.reject_and_close(error.status, str(error))
         except h11.RemoteProtocolError as error:
@@ -162,20 +187,15 @@
         except Exception as error:
             self.fail(error, "handling a request")
 
-    def _advance_by_event(self) -> bool:
-        """Handles the codec's next event; False if more bytes are needed."""
-        codec = self.reader.codec
-        event = codec.next_event()
-        if event is h11.NEED_DATA or event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
-            if codec.they_are_waiting_for_100_continue:
-                self._write(h11.InformationalResponse(status_code=100, headers=[]))
-            self.transport.resume_reading()
-            return False
-        assert isinstance(event, h11.Event)
-        if self.reader.take_event(event):
+    def _advance(self) -> None:
+        result = self.reader.parse()
+        if result is ReadResult.COMPLETE:
             self.is_answering = True
             self._act()
-        return True
+        elif result is ReadResult.UNFINISHED:
+            self.server.queue_for_reading(self)
+        elif self.reader.is_awaited():
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
 
     def _act(self) -> None:
         """Handles a complete request: answers it, or submits its message."""
@@ -193,8 +213,10 @@
     def _submit(self) -> None:
         request = self.reader.request
         assert request is not None and self.began is not None
+        body = self.reader.release_body()
+        self.submitted_bytes = len(body)
         try:
-            message = read_message(request, bytes(self.reader.body), self.began, self.server.classes)
+            message = read_message(request, body, self.began, self.server.classes)
             if not self.server.knows_destination(message.destination):
                 raise BadRequestError(404, f"no destination {message.destination}")
         except BadRequestError as error:
@@ -265,19 +287,20 @@
         self.reader.begin_next()
         self.began = None
         self.is_answering = False
+        self.submitted_bytes = 0
         self.since = self.server.loop.time()
         if self.reader.has_unread():
             self.began = self.server.now()
             self.server.queue_for_reading(self)
         else:
             self.server.table.mark_idle(self, self.has_submitted)
-            self.transport.resume_reading()
+        self.update_reading()
+        self.server.count_held(self)
 
     def reject_and_close(self, status: int, text: str = "") -> None:
         """Answers a request that is not read to its end, and shuts the connection down. Never raises."""
         self.is_proven = False
         try:
-            self.reader.feed_codec()
             if self.reader.codec.our_state in (h11.IDLE, h11.SEND_RESPONSE):
                 self._respond(ResponseContent(status, text=text, is_last=True))
             self.start_linger()
@@ -292,12 +315,15 @@
         Closing a socket with unread bytes would reset the connection, and the client might lose the response.
         """
         self.is_discarding = True
+        self.reader.discard()
+        self.submitted_bytes = 0
         self.since = self.server.loop.time()
         self.server.table.mark_busy(self)
+        self.server.count_held(self)
         if not self.transport.is_closing():
             self.server.table.mark_closing(self)
             self.transport.write_eof()  # raises if the client closed before the response reached it
-            self.transport.resume_reading()
+            self.update_reading()
 
     def state(self) -> ConnectionState:
         """Returns the state on which `connection_state.decide` bases how the connection ends."""
@@ -371,18 +397,19 @@
         if stashed:
             self.receive(memoryview(stashed))
 
-    def handed_over_bytes(self) -> bytes | None:
-        """Returns the bytes read of the current request if another process can continue the connection.
+    def can_be_handed_over(self) -> bool:
+        """Whether another process can continue the connection.
 
-        Returns:
-            The bytes; None if the connection has to end in this process, because a response is pending or
-            being written, or because it is closing.
+        Otherwise it has to end in this process, because a response is pending or being written, or because it
+        is closing.
         """
         if self.transport is None or self.transport.is_closing() or self.is_discarding or self.is_answering:
-            return None
-        if self.transport.get_write_buffer_size():
-            return None
-        return bytes(self.reader.raw) + self.reader.pending + self.stashed
+            return False
+        return not self.transport.get_write_buffer_size()
+
+    def unfinished_request(self) -> bytes:
+        """Returns bytes from which another process can read the unfinished request."""
+        return self.reader.unfinished_request() + self.stashed
 
     # Caller of the engine: the client is informed of the acceptance, and the platform of the completion.
 
--- a/message_sender/service/daemon.py
+++ b/message_sender/service/daemon.py
@@ -29,7 +29,7 @@
     Discovery,
     EndpointList,
 )
-from message_sender.http.server import MAX_ACCEPTS_PER_ITERATION, Server
+from message_sender.http.server import DEFAULT_MEMORY_BYTES, MAX_ACCEPTS_PER_ITERATION, Server
 from message_sender.journal.clock_record import CLOCK_SPACE_BYTES, FolderClock
 from message_sender.management import server as management
 from message_sender.policy.events import EndpointsUpdated, Stopping
@@ -59,6 +59,7 @@
         seed: The seed of the policy's random choices.
         disk_bytes: The maximum size of the state folder, in bytes.
         sockets: The number of file descriptors that the process may open.
+        memory_bytes: The memory limit of the process, in bytes.
         known: The endpoint list at the start.
         settings: The policy's settings.
         management: The address of the management API; None if there is none.
@@ -71,6 +72,7 @@
     seed: int
     disk_bytes: int
     sockets: int
+    memory_bytes: int
     known: EndpointList
     settings: Settings
     management: Address | None = None
@@ -119,24 +121,27 @@
 
     inherited_listener: socket.socket | None = None
 
-    def __init__(self, engine: Engine, listen: Address, sockets: int) -> None:
+    def __init__(
+        self, engine: Engine, listen: Address, sockets: int, memory_bytes: int = DEFAULT_MEMORY_BYTES
+    ) -> None:
         """Builds server and transport.
 
         Args:
             engine: Makes the decisions about messages.
             listen: The address that clients connect to.
             sockets: The number of file descriptors that the process may open.
+            memory_bytes: The memory limit of the process, in bytes.
         """
         self.engine = engine
         self.listen = listen
         self.drain = Drain()
         descriptors = DescriptorBudget.divide(sockets, engine.settings.slots)
-        self.server = self._build_server(descriptors)
+        self.server = self._build_server(descriptors, memory_bytes)
         self.transport = self._build_transport(descriptors)
         engine.periodic_tasks += [self.server.expire, self.stop_if_drained]
         engine.hooks.add(self)
 
-    def _build_server(self, descriptors: DescriptorBudget) -> Server:
+    def _build_server(self, descriptors: DescriptorBudget, memory_bytes: int) -> Server:
         engine = self.engine
         server = Server(
             {each.name: each for each in engine.settings.classes},
@@ -147,6 +152,7 @@
             self.knows_destination,
             engine.is_known,
             engine.settings.max_retry_after,
+            memory_bytes,
         )
         server.count_rejected = self._count_rejected_unread
         return server
@@ -314,7 +320,7 @@
         engine = self._build_engine(endpoint_list)
         self.discovery = self._build_discovery(engine, endpoint_list)
         management_sockets = management.MAX_DESCRIPTORS if config.management else 0
-        super().__init__(engine, config.listen, config.sockets - management_sockets)
+        super().__init__(engine, config.listen, config.sockets - management_sockets, config.memory_bytes)
         engine.periodic_tasks.append(self.folder_clock.save_if_needed)
         self.set_ports(self.discovery, self.discovery)
         self.management_server = self._use_management_server(management_server)
--- a/message_sender/service/process_handover.py
+++ b/message_sender/service/process_handover.py
@@ -11,11 +11,11 @@
 import logging
 import os
 import socket
-from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 from message_sender.core.ports import AttemptResult
-from message_sender.handover.link import Packet
+from message_sender.handover.link import OutgoingPacket, Packet
 from message_sender.handover.takeover import OwnershipHandover
 from message_sender.http.server_connection import ServerConnection
 from message_sender.policy.model import Outcome
@@ -150,22 +150,26 @@
         sender.transport.close_all_idle()
         asyncio.get_running_loop().call_later(RELEASED_PROCESS_END_S, sender.terminate)
 
-    def send_client(self, connection: ServerConnection, unread: bytes, on_sent: Callable[[], None]) -> None:
-        """Sends a client's connection to the successor.
+    def send_client(self, connection: ServerConnection) -> None:
+        """Sends a client's connection to the successor, and closes it here once the system has accepted it.
 
-        Args:
-            connection: The client's connection.
-            unread: The received part of a request that is not accepted yet.
-            on_sent: Called once the descriptor has been sent to the successor.
+        The packet is built only when the link can send it: the encoded requests of all clients at once would
+        take more memory than the requests themselves.
         """
         assert self.ownership.successor_link is not None
+        self.ownership.successor_link.send_later(partial(self._client_packet, connection))
+
+    def _client_packet(self, connection: ServerConnection) -> OutgoingPacket | None:
+        """Returns the packet that passes a client's connection; None if it has ended meanwhile."""
+        if not connection.can_be_handed_over():
+            return None
         packet = {
             "do": CLIENT_PACKET,
-            "read": base64.b64encode(unread).decode(),
+            "read": base64.b64encode(connection.unfinished_request()).decode(),
             "began": connection.began,
             "handed_in": connection.has_submitted,
         }
-        self.ownership.successor_link.send(packet, (connection.sock.fileno(),), on_sent)
+        return OutgoingPacket.encode(packet, (connection.sock.fileno(),), connection.close)
 
     def send_result(self, message_id: str, number: int, result: AttemptResult) -> None:
         """Sends the result of a call that was in flight to the successor."""
--- a/message_sender/start.py
+++ b/message_sender/start.py
@@ -22,6 +22,7 @@
 from message_sender.service.handover_state import decode_state
 
 BYTES_PER_MB = 1_000_000
+DEFAULT_MEMORY_MB = 192
 
 # Environment variables that the platform sets.
 CONFIG_VARIABLE = "BALANCER_CONFIG"  # path of the configuration file
@@ -75,6 +76,7 @@
             seed=int(values["seed"], 16),
             disk_bytes=int(limits["disk_mb"] * BYTES_PER_MB),
             sockets=int(limits["sockets"]),
+            memory_bytes=int(limits.get("memory_mb", DEFAULT_MEMORY_MB) * BYTES_PER_MB),
             known=EndpointList(values["known"]),
             settings=decode_settings(values["settings"], on_sockets=True),
             management=decode_management_address(values),
--- a/tests/test_connection_states.py
+++ b/tests/test_connection_states.py
@@ -34,6 +34,10 @@
 ) -> None:
     """Checks the numbered rules of connection_state for every combination."""
     action = decide(state, event, busy)
+    if event is ConnectionEvent.MEMORY_NEEDED:
+        is_unfinished = state is ConnectionState.READING
+        assert action is (ConnectionAction.REJECT if is_unfinished else ConnectionAction.KEEP)  # 7
+        return
     open_to_requests = state in (ConnectionState.SILENT, ConnectionState.IDLE)
     if event is ConnectionEvent.DISCONNECTED:
         assert action is ConnectionAction.CLOSE
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -238,7 +238,7 @@
             connection.since -= READ_TIMEOUT_S + 0.1
         (partial_request,) = [each for each in server.connections if each.began]
         partial.writer.write(message("m")[30:40])
-        while len(partial_request.reader.codec.trailing_data[0]) < 40:
+        while len(partial_request.reader.received) < 40:
             await next_iteration()
         server.expire()
         assert (await read_reply(partial.reader)).status == 408
@@ -291,7 +291,7 @@
         held.writer.write(message("n", b"x" * 60_000) * 200)
         while connection.transport.is_reading():
             await next_iteration()
-        assert len(connection.reader.codec.trailing_data[0]) <= 1024 * 1024
+        assert connection.held_bytes() <= 1024 * 1024
         server.submit = lambda _, connection: connection.answer(202)
         connection.answer(202)
         for _n in range(201):
