Keep bad clients' waiting requests from delaying or rejecting usual ones

What callers saw, trials beside 200 bad clients: usual clients on kept connections got 503 for up to half of their requests while the sender had time for them, and with pipelined requests no answer within 0.4 s for seconds.

Cause, two in the read queue. One backlog measured the wait of all requests, although those of proven clients are read first: when the others waited 0.12 s, everybody was rejected unread. And `add` scheduled a run whenever the queue was empty, also from within a run: one pipelining connection added a run for each request, and each run added more; one loop iteration then held a hundred runs of 3 ms each (377 ms measured, 113 ready handles, no single slow callback, which ruled out the parser).

Change: a run is scheduled once. Proven clients' requests have a backlog of their own; others wait for both. A client whose last request was not valid is read after new ones, like one that continues a request.

The test of the runs fails with the old condition.

--- a/message_sender/http/connection_owner.py
+++ b/message_sender/http/connection_owner.py
@@ -3,7 +3,6 @@
 import asyncio
 from typing import Protocol, TypeVar
 
-from message_sender.admission.backlog import Backlog
 from message_sender.core.socket_errors import ErrorReports
 from message_sender.core.traffic_observer import TrafficObserver
 from message_sender.http.connection_table import ConnectionTable, TableEntry
@@ -24,7 +23,6 @@
         connection_limit: Number of connections that are served. Further ones only get a response that they
             are rejected.
         classes: Message classes by name.
-        backlog: Counts the requests that wait to be read.
         reports: Logs errors of connections at a limited rate.
         observer: Observes the traffic of new connections; None if none does.
         is_ready: Clients may submit messages.
@@ -38,7 +36,6 @@
     buffer: bytearray
     connection_limit: int
     classes: dict[str, MessageClass]
-    backlog: Backlog
     reports: ErrorReports
     observer: TrafficObserver | None
     is_ready: bool
@@ -61,14 +58,19 @@
     def count_held(self, connection: Entry) -> None:
         """Counts the bytes that a connection holds; ends unfinished requests if all hold too many."""
 
-    def rejected_unread(self, data: memoryview) -> FastRequest | None:
-        """Returns the request in these bytes if it is to be rejected unread; otherwise None."""
+    def rejected_unread(self, data: memoryview, is_proven: bool) -> FastRequest | None:
+        """Returns the request in these bytes if it is to be rejected unread; otherwise None.
+
+        Args:
+            data: The received bytes.
+            is_proven: The last request of the connection was valid.
+        """
 
     def count_rejected(self, message_class: str) -> None:
         """Counts a request of this message class that was rejected unread."""
 
-    def unread_answer(self) -> bytes:
-        """Returns the encoded response to a request that is rejected unread."""
+    def unread_answer(self, is_proven: bool) -> bytes:
+        """Counts a request that is rejected unread, and returns the encoded response."""
 
     def forget(self, connection: Entry) -> None:
         """Removes a connection that has ended."""
--- a/message_sender/http/read_queue.py
+++ b/message_sender/http/read_queue.py
@@ -10,71 +10,92 @@
 
 
 class ReadQueue:
-    """Serves connections whose last request was valid first, and those that continue a request last.
+    """Serves connections whose last request was valid first, then new ones, and all others last.
 
-    Requests that need many steps thereby do not delay those that need one. Each iteration serves at least one
-    connection of the first kind that waits, and one of each other kind.
+    Requests that need many steps, and clients that send one invalid request after another, thereby do not
+    delay others. Each iteration serves at least one connection of the first kind that waits, and one of each
+    other kind.
 
     Attributes:
         is_frozen: Nothing is parsed.
+        is_scheduled: The loop is about to call `run`, or is in it.
         proven: Queued connections whose last request was valid.
-        others: Other queued connections that begin a request.
-        continuing: Other queued connections of whose request a part has been parsed. They are not counted in
-            the backlog, whose requests wait for their first step.
+        others: Queued connections that begin their first request.
+        deferred: Queued connections of whose request a part has been parsed, or whose last request was not
+            valid. They are in no backlog.
     """
 
-    def __init__(self, loop: asyncio.AbstractEventLoop, backlog: Backlog) -> None:
-        """Creates an empty queue; `backlog` counts the waiting requests."""
+    def __init__(self, loop: asyncio.AbstractEventLoop, backlog: Backlog, unproven_backlog: Backlog) -> None:
+        """Creates an empty queue.
+
+        Args:
+            loop: The event loop.
+            backlog: Counts the waiting requests of connections whose last request was valid.
+            unproven_backlog: Counts the waiting requests of other connections.
+        """
         self.loop = loop
         self.backlog = backlog
+        self.unproven_backlog = unproven_backlog
         self.is_frozen = False
+        self.is_scheduled = False
         self.proven: deque[ServerConnection] = deque()
         self.others: deque[ServerConnection] = deque()
-        self.continuing: deque[ServerConnection] = deque()
+        self.deferred: deque[ServerConnection] = deque()
 
     def __len__(self) -> int:
         """Returns the number of queued connections."""
-        return len(self.proven) + len(self.others) + len(self.continuing)
+        return len(self.proven) + len(self.others) + len(self.deferred)
 
     def add(self, connection: ServerConnection) -> None:
         """Queues a connection whose received bytes wait to be parsed."""
         if connection.is_queued:
             return
         connection.is_queued = True
-        if not len(self):
-            self.loop.call_soon(self.run)
         if connection.is_proven:
-            queue = self.proven
-        else:
-            queue = self.continuing if connection.reader.has_begun() else self.others
-        if queue is not self.continuing:
             self.backlog.request_arrived(self.loop.time())
-        queue.append(connection)
+            self.proven.append(connection)
+        elif connection.reader.has_begun() or connection.has_failed:
+            self.deferred.append(connection)
+        else:
+            self.unproven_backlog.request_arrived(self.loop.time())
+            self.others.append(connection)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        """Makes the loop call `run` in its next iteration, once."""
+        if len(self) and not self.is_scheduled:
+            self.is_scheduled = True
+            self.loop.call_soon(self.run)
 
     def run(self) -> None:
         """Parses requests for at most READ_BUDGET_S, so that a flood of requests does not delay calls."""
         if self.is_frozen:
+            self.is_scheduled = False
             return
+        self.is_scheduled = True  # connections that are queued meanwhile are served below, or in the next run
+        self._run()
+        self.is_scheduled = False
+        self._schedule()
+
+    def _run(self) -> None:
         deadline = self.loop.time() + READ_BUDGET_S
-        while queue := self.proven or self.others or self.continuing:
+        while queue := self.proven or self.others or self.deferred:
             self._read_first(queue)
             if self.loop.time() >= deadline:
                 break
-        else:
-            return
         has_preferred = bool(self.proven or self.others)
         if self.proven and self.others:
             self._read_first(self.others)
-        if has_preferred and self.continuing:
-            self._read_first(self.continuing)
-        if len(self):
-            self.loop.call_soon(self.run)
+        if has_preferred and self.deferred:
+            self._read_first(self.deferred)
 
     def _read_first(self, queue: deque[ServerConnection]) -> None:
         connection = queue.popleft()
         connection.is_queued = False
-        if queue is not self.continuing:
+        if queue is self.proven:
             self.backlog.request_read(self.loop.time())
+        elif queue is self.others:
+            self.unproven_backlog.request_read(self.loop.time())
         connection.advance()
 
     def freeze(self) -> None:
@@ -84,5 +105,4 @@
     def thaw(self) -> None:
         """Resumes parsing."""
         self.is_frozen = False
-        if len(self):
-            self.loop.call_soon(self.run)
+        self._schedule()
--- a/message_sender/http/server.py
+++ b/message_sender/http/server.py
@@ -100,8 +100,10 @@
         self.empty = asyncio.Event()
         self.buffer = bytearray(READ_SIZE)
         self.table: ConnectionTable[ServerConnection] = ConnectionTable()
-        self.backlog = Backlog(self.loop.time(), max(int(connection_limit * MAX_WAITING_FRACTION), 1))
-        self.read_queue = ReadQueue(self.loop, self.backlog)
+        crowded_length = max(int(connection_limit * MAX_WAITING_FRACTION), 1)
+        self.backlog = Backlog(self.loop.time(), crowded_length)
+        self.unproven_backlog = Backlog(self.loop.time(), crowded_length)
+        self.read_queue = ReadQueue(self.loop, self.backlog, self.unproven_backlog)
         self.memory_guard = MemoryGuard(self.loop, limit_for(memory_bytes))
         self.is_ready = False
         self.is_stopping = False
@@ -274,21 +276,34 @@
         if connection in self.connections:
             self.memory_guard.count(connection)
 
-    def rejected_unread(self, data: memoryview) -> fast_path.FastRequest | None:
+    def _shedding_backlog(self, is_proven: bool) -> Backlog | None:
+        """Returns the backlog in which a connection's request would wait too long; None if it would not.
+
+        Requests of proven connections are read first: they wait for each other alone, others for both kinds.
+        """
+        now = self.loop.time()
+        for backlog in (self.backlog,) if is_proven else (self.backlog, self.unproven_backlog):
+            if backlog.should_reject(now):
+                return backlog
+        return None
+
+    def rejected_unread(self, data: memoryview, is_proven: bool) -> fast_path.FastRequest | None:
         """Returns the request in these bytes if the backlog is so long that it is to be rejected unread.
 
         A message that has already been accepted is not rejected, because its client might then submit it to
         another sender.
         """
-        if not (self.is_ready and self.backlog.should_reject(self.loop.time())):
+        if not (self.is_ready and self._shedding_backlog(is_proven)):
             return None
         request = fast_path.request(bytes(data), BODY_LIMIT)
         message_id = header(request.headers, b"x-correlation-id") if request else None
         return request if message_id and not self.knows_message(message_id) else None
 
-    def unread_answer(self) -> bytes:
-        """Returns the encoded response to a request that is rejected unread."""
-        retry_after_s = self.backlog.retry_after_s(self.max_retry_after_us / 1e6)
+    def unread_answer(self, is_proven: bool) -> bytes:
+        """Counts a request that is rejected unread, and returns the encoded response."""
+        backlog = self._shedding_backlog(is_proven) or self.backlog
+        backlog.request_rejected(self.loop.time())
+        retry_after_s = backlog.retry_after_s(self.max_retry_after_us / 1e6)
         line = f"Retry-After: {retry_after_s:.3f}\r\n" if retry_after_s else ""
         return f"HTTP/1.1 503 \r\nContent-Length: 0\r\n{line}\r\n".encode()
 
--- a/message_sender/http/server_connection.py
+++ b/message_sender/http/server_connection.py
@@ -50,6 +50,7 @@
         is_answering: A complete request waits for its response.
         is_discarding: The last response has been written; bytes that still arrive are dropped.
         is_proven: The last request was valid; its response had no error status except 429 or 503.
+        has_failed: The last request was not valid.
         is_queued: The connection is in the server's read queue.
         has_submitted: The client has submitted messages on the connection.
         submitted_bytes: Size of the body of the message that waits for its acceptance.
@@ -70,6 +71,7 @@
         self.is_answering = False
         self.is_discarding = False
         self.is_proven = False
+        self.has_failed = False
         self.is_queued = False
         self.has_submitted = False
         self.submitted_bytes = 0
@@ -131,7 +133,8 @@
             self.dropped += len(data)
             self.update_reading()
             return
-        if self.began is None and not self.is_answering and (request := self.server.rejected_unread(data)):
+        is_new = self.began is None and not self.is_answering
+        if is_new and (request := self.server.rejected_unread(data, self.is_proven)):
             self.reject_unread(request)
             return
         if self.began is None:
@@ -228,14 +231,14 @@
     def reject_unread(self, request: fast_path.FastRequest) -> None:
         """Rejects a request that was not passed to the codec; the connection remains between requests."""
         server = self.server
+        answer = server.unread_answer(self.is_proven)
         self.has_submitted = self.is_proven = True
         self.since = server.loop.time()
         server.table.mark_busy(self)
         server.table.mark_idle(self, has_submitted=True)
-        server.backlog.request_rejected(self.since)
         server.count_rejected(header(request.headers, b"x-service-class") or "")
         try:
-            self.transport.write(server.unread_answer())
+            self.transport.write(answer)
             if self.transport.get_write_buffer_size() > UNREAD_ANSWERS_LIMIT:
                 self.transport.abort()
         except Exception as error:
@@ -267,6 +270,7 @@
 
     def _answer(self, status: int, retry_after_us: int | None, text: str) -> None:
         self.is_proven = status < 400 or status in (TOO_MANY_REQUESTS, UNAVAILABLE)
+        self.has_failed = not self.is_proven
         if self.transport.is_closing():
             return
         self._respond(ResponseContent(status, retry_after_us, text, self.server.is_stopping))
--- a/tests/test_backlog.py
+++ b/tests/test_backlog.py
@@ -196,3 +196,20 @@
             for each in sockets:
                 each.close()
             await until(lambda: server.accepted == before + len(sockets))  # noqa: B023
+
+
+@run_async_test
+async def test_requests_of_unproven_clients_that_wait_long_reject_no_request_of_a_proven_one(
+    state: Path,
+) -> None:
+    """Guards against bad clients' requests, which are read last, that make usual clients get 503."""
+    async with World(state) as world:
+        server = world.sender.server
+        client = await HeldConnection.open(server, message("before"))
+        assert (await read_reply(client.reader)).status == 202
+        server.unproven_backlog.request_arrived(server.loop.time() - 2 * MAX_QUEUE_DELAY_S)
+        assert (await world.submit("unproven")).status == 503
+        client.writer.write(message("proven"))
+        assert (await read_reply(client.reader)).status == 202
+        assert server.backlog.rejected_total == 0 and server.unproven_backlog.rejected_total == 1
+        client.writer.close()
--- a/tests/test_server.py
+++ b/tests/test_server.py
@@ -321,6 +321,74 @@
         normal.writer.close()
 
 
+@run_async_test
+async def test_a_first_request_is_read_before_those_of_clients_whose_last_one_was_not_valid(_: Path) -> None:
+    """Guards against clients that send invalid requests without a pause and keep new clients waiting."""
+    async with serving(connection_limit=40) as (server, accepted):
+        bad = [await HeldConnection.open(server, message("x", X_Service_Class="other")) for _ in range(10)]
+        for each in bad:
+            assert (await read_reply(each.reader)).status == 404
+        read_available, server.read_queue.run = server.read_queue.run, lambda: None  # type: ignore[method-assign]
+        for each in bad:
+            each.writer.write(message("x", X_Service_Class="other"))
+        while len(server.read_queue) < 10:
+            await next_iteration()
+        new = await HeldConnection.open(server, message("a"))
+        while len(server.read_queue) < 11:
+            await next_iteration()
+        server.read_queue.run, clock = read_available, server.loop.time  # type: ignore[method-assign]
+        server.loop.time = lambda: clock() + len(accepted)  # type: ignore[method-assign]  # each takes a second
+        read_available()
+        assert [each.id for each in accepted] == ["a"] and len(server.read_queue) >= 9
+        server.loop.time = clock  # type: ignore[method-assign]
+        for each in [new, *bad]:
+            await read_reply(each.reader)
+            each.writer.close()
+
+
+@run_async_test
+async def test_one_turn_answers_one_of_many_pipelined_requests(_: Path) -> None:
+    """Guards against a client whose many invalid requests at once keep the loop from its other work."""
+    async with serving() as (server, _taken):
+        read_available, server.read_queue.run = server.read_queue.run, lambda: None  # type: ignore[method-assign]
+        held = await HeldConnection.open(server, message("x", X_Service_Class="other") * 50)
+        while not len(server.read_queue):
+            await next_iteration()
+        (connection,) = server.connections
+        before = len(connection.reader.received)
+        server.read_queue._read_first(server.read_queue.others)
+        assert before * 48 // 50 <= len(connection.reader.received) < before
+        server.read_queue.run = read_available  # type: ignore[method-assign]
+        read_available()
+        for _n in range(50):
+            assert (await read_reply(held.reader)).status == 404
+        held.writer.close()
+
+
+@run_async_test
+async def test_the_read_queue_is_run_once_per_iteration_while_one_client_pipelines_requests(_: Path) -> None:
+    """Guards against runs that each schedule several others, until an iteration takes a third of a second."""
+    async with serving() as (server, _taken):
+        run, runs = server.read_queue.run, 0
+
+        def count_run() -> None:
+            nonlocal runs
+            runs += 1
+            run()
+
+        server.read_queue.run = count_run  # type: ignore[method-assign]
+        held = await HeldConnection.open(server, message("x", X_Service_Class="other") * 300)
+        answers, most = 0, 0
+        while answers < 300:
+            before = runs
+            await next_iteration()
+            most = max(most, runs - before)
+            answers += held.reader._buffer.count(b"HTTP/1.1 404")  # type: ignore[attr-defined]
+            held.reader._buffer.clear()  # type: ignore[attr-defined]
+        assert most <= 2  # the test resumes in every other iteration
+        held.writer.close()
+
+
 @run_async_test
 async def test_a_message_for_a_destination_that_was_never_listed_is_rejected(_: Path) -> None:
     async with serving() as (server, accepted):
