Hold a limited number of fields of a receiver's response

A head below 16 KiB may have thousands of short fields, and h11 counts none of their objects; a response held them until its call ended.

Change: 128 fields are held, more than any report needs; the status counts as before. The new test sends 3,000 fields; before, all of them were held.

--- a/message_sender/http/client_connection.py
+++ b/message_sender/http/client_connection.py
@@ -23,6 +23,7 @@
 )
 
 HEAD_TIMEOUT_S = 1.0  # from the first bytes of a response to the end of its head
+FIELDS_LIMIT = 128  # fields of a response that are held; a field takes far more memory than a short line
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before a final one
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 STATUS_LINE_PREFIX = b"HTTP/1."
@@ -342,7 +343,7 @@
                 return None
             if isinstance(event, h11.Response):
                 self.body_size = 0
-                return fast_path.ResponseHead(event.status_code, list(event.headers))
+                return fast_path.ResponseHead(event.status_code, list(event.headers)[:FIELDS_LIMIT])
             self.interim_responses += 1
         raise MalformedMessageError(0, f"{MAX_INTERIM_RESPONSES} interim responses before a final one")
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -540,3 +540,15 @@
         second = call(client, receiver.address)
         (await receiver.next()).answer(200)
         assert (await with_timeout(second)).outcome is Outcome.OK and receiver.accepted == 2
+
+
+@run_async_test
+async def test_of_a_response_with_very_many_fields_only_some_are_held(_: Path) -> None:
+    """Guards against heads below the size limit whose parsed fields take a hundred times their size."""
+    async with Peer() as peer:
+        connection = await ClientConnection.open(peer.address)
+        await connection.send("POST", "/hook", {"Content-Length": "0"})
+        (await peer.next()).write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n" + "a:\r\n" * 3000 + "\r\n")
+        head = await connection.response()
+        assert head.status_code == 200 and len(head.headers) == http.FIELDS_LIMIT
+        connection.close()
