--- a/message_sender/http/server_connection.py
+++ b/message_sender/http/server_connection.py
@@ -1,19 +1,18 @@
 """A client connection of the server: handles one request at a time, from its bytes to its response."""
 
 import asyncio
-import select
 import socket
 from typing import cast
 
 import h11
 
-from message_sender.core.ports import Completion, Rejected, RejectReason
 from message_sender.core.traffic_observer import (
     CLIENT_SIDE,
     ObservedConnection,
 )
 from message_sender.http import fast_path
 from message_sender.http.common import READ_SIZE, header
+from message_sender.http.connection_caller import TOO_MANY_REQUESTS, UNAVAILABLE, ConnectionCaller
 from message_sender.http.connection_owner import ConnectionOwner
 from message_sender.http.connection_state import (
     ConnectionAction,
@@ -33,10 +32,10 @@
 HELD_LIMIT = 128 * 1024  # bytes that a connection may hold; a packet of a handover has room for them
 READ_AHEAD_LIMIT = 16 * 1024  # received bytes that wait to be parsed; from then on reading is paused
 
-ACCEPTED, REQUEST_TIMEOUT, TOO_MANY_REQUESTS, UNAVAILABLE = 202, 408, 429, 503  # HTTP statuses
+REQUEST_TIMEOUT = 408  # HTTP status
 
 
-class ServerConnection(asyncio.BufferedProtocol):
+class ServerConnection(asyncio.BufferedProtocol, ConnectionCaller):
     """A client connection, and the caller of the messages submitted on it.
 
     Attributes:
@@ -364,18 +363,13 @@
         else:
             self.reject_and_close(UNAVAILABLE)
 
-    def _has_unread(self, events: int = select.POLLIN) -> bool:
-        poll = select.poll()
-        poll.register(self.sock.fileno(), events)
-        return bool(poll.poll(0))
-
     def is_busy(self) -> bool:
         """Whether closing would lose data: an unread request, or a response that waits to be written.
 
         Never raises; a connection whose socket cannot be polled is not busy.
         """
         try:
-            return self._has_unread() or bool(self.transport and self.transport.get_write_buffer_size())
+            return self.has_unread() or bool(self.transport and self.transport.get_write_buffer_size())
         except (OSError, ValueError):
             return False
 
@@ -414,33 +408,3 @@
     def unfinished_request(self) -> bytes:
         """Returns bytes from which another process can read the unfinished request."""
         return self.reader.unfinished_request() + self.stashed
-
-    # Caller of the engine: the client is informed of the acceptance, and the platform of the completion.
-
-    def accepted(self) -> bool:
-        """Answers 202 and returns False, since the connection does not wait for the completion."""
-        self.answer(ACCEPTED)
-        return False
-
-    def rejected(self, rejection: Rejected) -> None:
-        """Answers with the reason and, if stated, the time to wait before a retry."""
-        text = "this id is another message's" if rejection.reason is RejectReason.ID_CONFLICT else ""
-        is_refused = rejection.reason is RejectReason.REFUSED
-        self.answer(TOO_MANY_REQUESTS if is_refused else UNAVAILABLE, rejection.retry_after_us, text)
-
-    def withdrawn(self) -> None:
-        """Closes the connection, since the client has gone before its message was accepted."""
-        self.transport.close()
-
-    def completed(self, completion: Completion) -> None:
-        """Does nothing: the connection does not wait for completions, as `accepted` returns."""
-
-    def is_gone(self) -> bool:
-        """Whether the client has closed the connection, even if the loop has not processed that yet.
-
-        Never raises; a connection whose socket cannot be polled is treated as open.
-        """
-        try:
-            return self.transport.is_closing() or self._has_unread(select.POLLRDHUP)
-        except (OSError, ValueError):
-            return False
