--- a/tests/killed_sender.py
+++ b/tests/killed_sender.py
@@ -4,28 +4,38 @@
 process, `after owned` once the system has accepted that packet.
 """
 
+import json
 import os
 import runpy
 import signal
 import sys
+from dataclasses import replace
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).parent.parent))
 
-from message_sender.handover.link import HandoverLink, Packet
+from message_sender.handover.link import HandoverLink, OutgoingPacket, PacketSource
 
 KILL_MOMENT, _, PACKET_KIND = sys.argv[1].partition(" ")
-send = HandoverLink.send
+send_later = HandoverLink.send_later
 
 
-def send_or_kill(self: HandoverLink, packet: Packet, *rest: object) -> None:
-    for moment in ("before", "after"):
-        if (moment, packet["do"]) == (KILL_MOMENT, PACKET_KIND):
-            os.kill(os.getpid(), signal.SIGKILL)
-        if moment == "before":
-            send(self, packet, *rest)  # type: ignore[arg-type]
+def kill_self() -> None:
+    os.kill(os.getpid(), signal.SIGKILL)
 
 
-HandoverLink.send = send_or_kill  # type: ignore[method-assign]
+def send_later_or_kill(self: HandoverLink, source: PacketSource) -> None:
+    def build() -> OutgoingPacket | None:
+        packet = source()
+        if packet is None or json.loads(packet.data)["do"] != PACKET_KIND:
+            return packet
+        if KILL_MOMENT == "before":
+            kill_self()
+        return replace(packet, on_sent=kill_self)
+
+    send_later(self, build)
+
+
+HandoverLink.send_later = send_later_or_kill  # type: ignore[method-assign]
 sys.argv = ["message_sender"]
 runpy.run_module("message_sender", run_name="__main__")
