Record a completion before anyone learns of it

What callers saw: a client was told by notice that its message had not run, submitted it again, and both ran; or the platform got a second notice that contradicted the first.

Change: both journals record the completion before the notice, the caller or the answer store gets it (core/completion_recorder.py). A restart notifies it again with the same outcome and gives the policy the message as completed, so that its key waits for the acknowledgement. While the record cannot be written nobody is told; the write is repeated until the message's deadline, from which on no process calls it. A compaction and a hand-over keep completions; attempts leave room for them. Older folders are read as before; an older version drops the new records with a warning.

The sample platform_journal recorded a completion call that wrote nothing. Its recorded bytes are unchanged; its maker no longer makes that call, and two new samples hold the new record.

Why it works: whatever anyone can learn is on record first, and a later process only repeats it.

--- a/message_sender/core/engine.py
+++ b/message_sender/core/engine.py
@@ -190,6 +190,7 @@
                 task.cancel()
             if self.wake_timer:
                 self.wake_timer.cancel()
+            self.table.recorder.close()
             self.transport.close()
         finally:
             self.journal.close()
@@ -221,6 +222,10 @@
 
     # Handover to the successor process.
 
+    def may_not_record(self) -> bool:
+        """Whether nothing may be recorded, since a successor is taking over or this engine is closed."""
+        return self.is_closed or self.is_handed_over
+
     @property
     def is_handed_over(self) -> bool:
         """Whether a successor process is taking over, or has: this engine decides nothing."""
--- a/message_sender/core/message_table.py
+++ b/message_sender/core/message_table.py
@@ -4,19 +4,22 @@
 
 - Each accepted message has exactly one completion. It is given to the caller that waits for it or, without a
   waiting caller, to the completion listener.
-- The journal removes a message before its caller receives the completion, since a crash between the two also
-  ends the caller's connection. A durable journal, which survives a failure of the machine, first records the
-  completion, so that the same completion is given again after a restart.
+- A completion without a delivery is recorded before anyone learns of it (completion_recorder.py), so that the
+  same completion is given again after a restart until it is acknowledged.
+- A delivery is on record with the outcome of its attempt.
+- A journal that is not durable removes a message before its caller receives the completion, since a crash
+  between the two also ends the caller's connection.
 - Ids of completed messages stay known for a while, so that a message that is submitted again is not delivered
   again.
 """
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from functools import partial
 from typing import Protocol
 
 from message_sender.core.completion_counts import CompletionCounts
+from message_sender.core.completion_recorder import CompletionRecorder
 from message_sender.core.hooks import EngineHooks
 from message_sender.core.ports import (
     AttemptResult,
@@ -27,6 +30,7 @@
     Rejected,
     RejectReason,
 )
+from message_sender.journal.entries import RecordedCompletion
 from message_sender.journal.process_journal import Journal
 from message_sender.message import Message
 from message_sender.policy.events import CompletionAcknowledged, MessageWithdrawn, PolicyEvent
@@ -67,6 +71,19 @@
         """Queues an event for the next iteration."""
 
 
+class TableOwner(EventSink, Protocol):
+    """The part of the engine that `MessageTable` uses.
+
+    Attributes:
+        now: Returns the time in microseconds since the epoch.
+    """
+
+    now: Callable[[], int]
+
+    def may_not_record(self) -> bool:
+        """Whether nothing may be recorded, since a successor is taking over or the engine is closed."""
+
+
 class MessageTable:
     """Accepted and recently completed messages, in addition to the journal, which owns accepted messages.
 
@@ -76,6 +93,7 @@
         withdrawn: Ids of messages that their callers withdrew while an attempt was in flight.
         completed: Content hashes of completed messages by id, the oldest first.
         pending_completions: Completions that are not acknowledged yet, by message id.
+        recorder: Records completions before they are delivered.
         counts: Counters of completions by class, for operators.
         completion_listener: Receives completions that no caller waits for; set by the engine's `set_ports`.
     """
@@ -83,18 +101,18 @@
     completion_listener: CompletionListener
 
     def __init__(
-        self, journal: Journal, classes: Iterable[str], events: EventSink, hooks: EngineHooks
+        self, journal: Journal, classes: Iterable[str], owner: TableOwner, hooks: EngineHooks
     ) -> None:
         """Creates the table; messages of the journal are known at once.
 
         Args:
             journal: The engine's journal.
             classes: Names of the message classes.
-            events: Accepts events for the policy.
+            owner: The engine.
             hooks: The hooks of the sender's optional parts.
         """
         self.journal = journal
-        self.events = events
+        self.events: EventSink = owner
         self.hooks = hooks
         self.counts = CompletionCounts(classes)
         self.arrivals: dict[str, tuple[Message, Caller]] = {}
@@ -102,6 +120,9 @@
         self.withdrawn: set[str] = set()
         self.completed: dict[str, int] = {}
         self.pending_completions: dict[str, Completion] = {}
+        self.recorder = CompletionRecorder(
+            journal, owner.now, owner.may_not_record, self.deliver_completion, self.discard_completion
+        )
 
     # Which messages are known.
 
@@ -154,15 +175,11 @@
     def complete(self, message_id: str, completion: Completion) -> None:
         """Records the policy's completion of an accepted message and delivers it."""
         self.pending_completions[message_id] = completion
-        self.journal.record_completion(message_id, completion.state.value, completion.retry_after_us)
-        self.journal.when_durable(partial(self.deliver_completion, message_id, completion))
+        self.recorder.record(message_id, completion)
 
-    def deliver_completion(self, message_id: str, completion: Completion, is_durable: bool) -> None:
+    def deliver_completion(self, message_id: str, completion: Completion) -> None:
         """Gives the completion to the waiting caller or to the listener, once it is recorded."""
-        if not is_durable and completion.state is CompletionState.REFUSED:
-            # After a crash, a later process may find the message still accepted and send it: FAILED promises
-            # nothing about the effect.
-            completion = self.pending_completions[message_id] = Completion(CompletionState.FAILED)
+        self.pending_completions[message_id] = completion
         caller = self.take_caller(message_id)
         if caller is None and self.completion_listener.notify(message_id, completion):
             return
@@ -180,13 +197,24 @@
         self.events.post(CompletionAcknowledged(message_id))
         self.hooks.work_finished()
 
-    def notify_again(self, message_id: str, state: str, retry_after_us: int) -> None:
-        """Notifies the listener again of a completion that an earlier process recorded."""
-        completion = Completion(CompletionState(state), retry_after_us)
+    def discard_completion(self, message_id: str) -> None:
+        """Drops the completion of a message that was delivered or withdrawn before anyone learned of it."""
+        self.pending_completions.pop(message_id, None)
+        self.events.post(CompletionAcknowledged(message_id))
+
+    def notify_again(self, message_id: str, recorded: RecordedCompletion) -> bool:
+        """Notifies the listener again of a completion that an earlier process recorded.
+
+        Returns:
+            Whether the message is kept until the listener acknowledges the completion.
+        """
+        completion = Completion(CompletionState(recorded.state), recorded.retry_after_us)
         self.pending_completions[message_id] = completion
-        if not self.completion_listener.notify(message_id, completion):
-            self.remove_completed(message_id, completion.state)
-            del self.pending_completions[message_id]
+        if self.completion_listener.notify(message_id, completion):
+            return True
+        self.remove_completed(message_id, completion.state)
+        del self.pending_completions[message_id]
+        return False
 
     def finish_delivered(self, message_id: str) -> None:
         """Completes a message of an earlier process that recorded its delivery but not its completion."""
@@ -235,7 +263,9 @@
         """Adds the ids of messages that the predecessor process completed."""
         self.completed = {**dict.fromkeys(message_ids, UNKNOWN_CONTENT), **self.completed}
 
-    def resubmit_completion(self, message_id: str, completion: Completion) -> None:
-        """Notifies the listener of a completion of the predecessor that is not acknowledged yet."""
-        self.pending_completions[message_id] = completion
-        self.completion_listener.notify(message_id, completion)
+    def inherit_completion(self, message_id: str, completion: Completion) -> None:
+        """Goes on with a completion of the predecessor, which may not have recorded it, until its end."""
+        if self.journal.entries[message_id].completion:
+            self.deliver_completion(message_id, completion)
+        else:
+            self.complete(message_id, completion)
--- a/message_sender/core/restoration.py
+++ b/message_sender/core/restoration.py
@@ -51,12 +51,12 @@
             self.directory.mark_known(entry.message.destination)
             if entry.is_delivered():
                 self.table.finish_delivered(message_id)
-            elif entry.completion:
-                self.table.notify_again(message_id, *entry.completion)
             elif handed_over:
                 yield self._handed_over(entry, handed_over)
-            else:
+            elif entry.completion is None:
                 yield self.restored(entry)
+            elif self.table.notify_again(message_id, entry.completion):
+                yield replace(self.restored(entry), outcomes=(), is_completed=True)
 
     def _handed_over(self, entry: JournalEntry, handed_over: HandoverState) -> MessageRestored:
         """The event for a message of a predecessor that still runs.
@@ -67,7 +67,7 @@
         completion = handed_over.pending_completions.get(message_id)
         number, call = handed_over.calls.get(message_id, (NO_ATTEMPT, None))
         if completion:
-            self.table.resubmit_completion(message_id, completion)
+            self.table.inherit_completion(message_id, completion)
         if call:
             self.attempts.predecessor_calls.add((message_id, number))
         return replace(
--- a/message_sender/journal/contents.py
+++ b/message_sender/journal/contents.py
@@ -24,13 +24,8 @@
 
 from message_sender.journal import records
 from message_sender.journal.checkpoints import DecisiveDigest, DigestComparison, frame_header
-from message_sender.journal.entries import (
-    AttemptRecord,
-    FinishedMessage,
-    JournalEntry,
-    RecordedCompletion,
-)
-from message_sender.journal.payloads import completion_line, doubtful_line, entry_lines, finished_line
+from message_sender.journal.entries import AttemptRecord, FinishedMessage, JournalEntry
+from message_sender.journal.payloads import entry_lines, finished_line
 from message_sender.journal.process_journal import RECORD_ERRORS, Journal
 from message_sender.policy.model import Outcome
 
@@ -166,9 +161,7 @@
             ValueError, KeyError, TypeError, AttributeError: The record is not one of this format.
         """
         self.latest_us = max(self.latest_us, record.get("at", 0))
-        if "verdict" in record:
-            self._apply_completion_record(record, record_bytes)
-        elif "over" in record:
+        if "over" in record:
             self.remember_finished(record["over"], _finished_message(record))
         elif "doubt" in record:
             if entry := self.entries.get(record["doubt"]):
@@ -184,11 +177,6 @@
                 self.remember_finished(record["end"], _finished_message(record))
             super().apply_record(record, record_bytes)
 
-    def _apply_completion_record(self, record: dict[str, Any], record_bytes: int) -> None:
-        if entry := self.entries.get(record["of"]):
-            entry.completion = RecordedCompletion(str(record["verdict"]), int(record["after"]))
-            self.add_record_size(record["of"], record_bytes)
-
     def apply_outcome_record(self, record: dict[str, Any], record_bytes: int) -> None:
         """Applies an outcome; if the attempt's `sent` record is lost, its start time is unknown (0)."""
         attempts = self.entries[record["of"]].attempts
@@ -225,17 +213,10 @@
 
     def entry_records(self, message_id: str, entry: JournalEntry, digest: DecisiveDigest) -> bytes:
         """Returns the framed records of a message, and sets its recorded size to theirs."""
-        lines = list(entry_lines(entry))
-        decisive_count = len(entry.attempts)
-        if entry.is_doubtful:
-            lines.append(doubtful_line(message_id))
-            decisive_count += 1
-        if entry.completion:
-            lines.append(completion_line(message_id, *entry.completion))
-            decisive_count += 1
+        decisive_count = len(entry.attempts) + entry.is_doubtful + (entry.completion is not None)
         for _ in range(decisive_count):
             digest.add(message_id)
-        data = b"".join(records.frame_record(line[:-1], 0) for line in lines)
+        data = b"".join(records.frame_record(line[:-1], 0) for line in entry_lines(entry))
         self.live_bytes += len(data) - entry.size_bytes
         entry.size_bytes = len(data)
         return data
--- a/message_sender/journal/durable.py
+++ b/message_sender/journal/durable.py
@@ -136,7 +136,7 @@
         if self.exceeds_limit(self.size_bytes + len(framed)):
             self.compact()
             if not is_end:
-                log.error("journal full: record_bytes=%d", len(framed))
+                log.error("journal full: needed_bytes=%d", len(framed))
                 return False
         if not self.write_framed(framed, is_end):
             return False
@@ -175,13 +175,17 @@
             if self.append(record, is_end=True, message_id=message_id):
                 self.add_record_size(message_id, len(record) + records.FRAME_BYTES)
 
-    def record_completion(self, message_id: str, state: str, retry_after_us: int) -> None:
-        """Records a completion before it is delivered; `retry_after_us` is in us."""
-        if entry := self.entries.get(message_id):
-            entry.completion = RecordedCompletion(state, retry_after_us)
-            record = completion_line(message_id, state, retry_after_us)
-            if self.append(record, is_end=True, message_id=message_id, is_decisive=True):
-                self.add_record_size(message_id, len(record) + records.FRAME_BYTES)
+    def record_completion(self, message_id: str, state: str, retry_after_us: int) -> bool:
+        """Records a completion before it is delivered; returns whether the file has or will have it."""
+        entry, completion = self.entries[message_id], RecordedCompletion(state, retry_after_us)
+        if entry.completion == completion:
+            return self.failed_at_s is None  # written before a sync failed, and again with the new file
+        record = completion_line(message_id, state, retry_after_us)
+        if not self.append(record, is_end=True, message_id=message_id, is_decisive=True):
+            return False
+        entry.completion = completion
+        self.add_record_size(message_id, len(record) + records.FRAME_BYTES)
+        return True
 
     def record_end(self, message_id: str, state: str = "") -> None:
         """Records that a message has finished, and keeps its id in `finished`."""
--- a/message_sender/journal/entries.py
+++ b/message_sender/journal/entries.py
@@ -32,6 +32,10 @@
 UNKNOWN_ATTEMPT = AttemptRecord(0, "", "")  # placeholder for an attempt whose record is lost
 
 
+#: The states of a recorded completion; the values of `core.ports.CompletionState`.
+COMPLETION_STATES = frozenset({"delivered", "refused", "failed", "withdrawn"})
+
+
 class RecordedCompletion(NamedTuple):
     """A recorded completion that may not have been delivered to the caller yet."""
 
--- a/message_sender/journal/payloads.py
+++ b/message_sender/journal/payloads.py
@@ -5,7 +5,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-from message_sender.journal.entries import AttemptRecord, FinishedMessage, JournalEntry
+from message_sender.journal.entries import (
+    COMPLETION_STATES,
+    AttemptRecord,
+    FinishedMessage,
+    JournalEntry,
+    RecordedCompletion,
+)
 from message_sender.message import Message
 from message_sender.policy.model import Outcome
 
@@ -63,6 +69,18 @@
     return f'{{"verdict":{quote(state)},"of":{quote(message_id)},"after":{retry_after_us}}}\n'.encode()
 
 
+def parse_completion(record: dict[str, Any]) -> RecordedCompletion:
+    """Parses a record written by `completion_line`.
+
+    Raises:
+        KeyError, TypeError, ValueError: The record does not describe a completion.
+    """
+    state, retry_after_us = record["verdict"], record["after"]
+    if state not in COMPLETION_STATES or not isinstance(retry_after_us, int):
+        raise ValueError(f"not a completion: {state!r}, {retry_after_us!r}")
+    return RecordedCompletion(state, retry_after_us)
+
+
 def doubtful_line(message_id: str) -> bytes:
     """Returns the record which says that an unknown attempt of the message may have run."""
     return f'{{"doubt":{quote(message_id)}}}\n'.encode()
@@ -85,9 +103,13 @@
 
 
 def entry_lines(entry: JournalEntry) -> Iterator[bytes]:
-    """Yields the records of a message and its attempts, as they would have been appended."""
+    """Yields the records of a message, its attempts and its completion, as they would have been appended."""
     yield accepted_line(entry.message)
     for number, attempt in entry.attempts.items():
         yield attempt_line(entry.message.id, number, attempt)
         if attempt.outcome:
             yield outcome_line(entry.message.id, number, attempt.outcome)
+    if entry.is_doubtful:
+        yield doubtful_line(entry.message.id)
+    if entry.completion:
+        yield completion_line(entry.message.id, *entry.completion)
--- a/message_sender/journal/process_journal.py
+++ b/message_sender/journal/process_journal.py
@@ -11,13 +11,15 @@
 from pathlib import Path
 from typing import Any
 
-from message_sender.journal.entries import AttemptRecord, JournalEntry
+from message_sender.journal.entries import AttemptRecord, JournalEntry, RecordedCompletion
 from message_sender.journal.payloads import (
     accepted_line,
     attempt_line,
+    completion_line,
     end_line,
     entry_lines,
     outcome_line,
+    parse_completion,
     parse_message,
 )
 from message_sender.message import Message
@@ -27,6 +29,7 @@
 COMPACTED_FILE = "journal.new"
 BLOCK_BYTES = 512  # file sizes are rounded up to whole blocks
 RESERVE_DIVISOR = 8  # 1/8 of the limit is reserved for records of messages that are already accepted
+ENDING_BYTES = 96  # space for the completion and end records of a message that its attempts leave free
 
 #: Exceptions raised by applying data that is not a valid record.
 RECORD_ERRORS = (ValueError, KeyError, TypeError, AttributeError)
@@ -37,8 +40,8 @@
 class Journal:
     """Accepted messages that have not finished, backed by a file.
 
-    `record_accepted` and `record_attempt` return whether the record was written; if it was not, the recorded
-    action must not be performed.
+    `record_accepted`, `record_attempt` and `record_completion` return whether the record was written; if it
+    was not, the recorded action must not be performed.
 
     Attributes:
         is_durable: Whether the journal survives a power loss. If so, a recorded action must not be performed
@@ -128,6 +131,11 @@
             if entry := self.entries.get(record["of"]):
                 entry.attempts[record["number"]].outcome = Outcome(record["outcome"])
                 self.add_record_size(record["of"], record_bytes)
+        elif "verdict" in record:
+            completion = parse_completion(record)
+            if entry := self.entries.get(record["of"]):
+                entry.completion = completion
+                self.add_record_size(record["of"], record_bytes)
         elif entry := self.entries.pop(record["end"], None):
             self.live_bytes -= entry.size_bytes
 
@@ -150,7 +158,7 @@
     def record_attempt(self, message_id: str, number: int, attempt: AttemptRecord) -> bool:
         """Records the start of an attempt; returns whether the record was written."""
         record = attempt_line(message_id, number, attempt)
-        if not self.append(record):
+        if not self.make_room(len(record) + len(self.entries) * ENDING_BYTES) or not self.append(record):
             return False
         self.entries[message_id].attempts[number] = attempt
         self.add_record_size(message_id, len(record))
@@ -168,8 +176,18 @@
         if attempt and self.append(record):
             self.add_record_size(message_id, len(record))
 
-    def record_completion(self, message_id: str, state: str, retry_after_us: int) -> None:
-        """Records a completion before it is delivered; the process journal needs no such record."""
+    def record_completion(self, message_id: str, state: str, retry_after_us: int) -> bool:
+        """Records a completion; returns whether the record was written.
+
+        Nobody may learn of a completion that is not recorded: after SIGKILL, the next process would send the
+        message, or end it in another way.
+        """
+        record = completion_line(message_id, state, retry_after_us)
+        if not self.append(record):
+            return False
+        self.entries[message_id].completion = RecordedCompletion(state, retry_after_us)
+        self.add_record_size(message_id, len(record))
+        return True
 
     def paused_keys(self, pause_us: int) -> set[str]:
         """Returns ordering keys with a message that finished less than `pause_us` ago.
@@ -189,8 +207,7 @@
     def record_end(self, message_id: str, state: str = "") -> None:
         """Records that a message has finished, and removes it.
 
-        If the record is lost, the message is sent or its completion delivered again after a restart, which
-        does no harm.
+        If the record is lost, the recorded completion is delivered again after a restart, which does no harm.
         """
         self.live_bytes -= self.entries.pop(message_id).size_bytes
         self.append(end_line(message_id))
@@ -198,8 +215,7 @@
 
     def append(self, record: bytes) -> bool:
         """Appends a record; returns whether it was written."""
-        if self.exceeds_limit(self.size_bytes + len(record)) and not self.compact():
-            log.error("journal full: record_bytes=%d", len(record))
+        if not self.make_room(len(record)):
             return False
         try:
             self.truncate_torn_record()
@@ -246,6 +262,15 @@
         if self.size_bytes > 2 * self.live_bytes + self.reserve_bytes:
             self.compact()
 
+    def make_room(self, needed_bytes: int) -> bool:
+        """Compacts the file if records of this size do not fit; returns whether they fit then."""
+        if not self.exceeds_limit(self.size_bytes + needed_bytes):
+            return True
+        if self.compact() and not self.exceeds_limit(self.size_bytes + needed_bytes):
+            return True
+        log.error("journal full: needed_bytes=%d", needed_bytes)
+        return False
+
     def compact(self) -> bool:
         """Atomically replaces the file by one that holds only `entries`; returns whether it did."""
         if self.size_bytes <= self.live_bytes or self.exceeds_limit(self.size_bytes, self.live_bytes):
--- a/message_sender/policy/events.py
+++ b/message_sender/policy/events.py
@@ -83,7 +83,7 @@
         is_handed_over: A process that is still running hands the message over: the state of each attempt is
             known, and `InheritedState` follows.
         call: With `is_handed_over`: the call of the last attempt, if it is in flight.
-        is_completed: With `is_handed_over`: its completion has been sent and is not acknowledged.
+        is_completed: Its completion is decided and not acknowledged.
         weight_factor: As determined when the message was accepted; None to determine it now.
     """
 
--- a/message_sender/policy/state_transfer.py
+++ b/message_sender/policy/state_transfer.py
@@ -109,6 +109,8 @@
         message.uncertain_zone = restored.uncertain_zone
         message.is_restored = True
         if restored.is_completed:
+            if not restored.is_handed_over:
+                self.pending.pause_key(message.key)
             self.pending.unacknowledged[message.id] = message
             self.pending.remove(message)
             return
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -82,7 +82,7 @@
     return Message(id=message_id, **(values | changes))  # type: ignore[arg-type]
 
 
-def fill_journal(journal: Journal) -> None:
+def fill_journal(journal: Journal, has_completion: bool = True) -> None:
     """Records messages in every state that a journal can contain."""
     journal.record_accepted(build_message("m1"))
     journal.record_accepted(build_message("m2", is_repeat=True, key="", tenant="", extras=EXTRAS))
@@ -93,33 +93,44 @@
     journal.record_attempt("m3", 0, AttemptRecord(1_600_000_000_000_003, "hub-\u00fc", "z2"))
     journal.record_outcome("m3", 0, Outcome.MALFORMED)
     journal.record_accepted(build_message("m4"))
-    journal.record_completion("m2", CompletionState.REFUSED.value, 1_500_000)
+    if has_completion:
+        journal.record_completion("m2", CompletionState.REFUSED.value, 1_500_000)
     journal.record_attempt("m4", 0, AttemptRecord(1_600_000_000_000_004, "hub-1", "z1"))
     journal.record_outcome("m4", 0, Outcome.OK)
     journal.record_end("m4", CompletionState.DELIVERED.value)
 
 
-def platform_journal() -> Sample:
-    """The process journal after its records were appended."""
+def journal_files(has_completion: bool, restarts: int) -> Sample:
+    """The file of the process journal after its records were appended, and after some restarts."""
 
     def write_files(folder: Path) -> None:
         journal = Journal(folder, JOURNAL_LIMIT_BYTES)
-        fill_journal(journal)
+        fill_journal(journal, has_completion)
         journal.close()
+        for _ in range(restarts):
+            Journal(folder, JOURNAL_LIMIT_BYTES).close()
 
     return collect_files(write_files)
 
 
+def platform_journal() -> Sample:
+    """The process journal as versions that recorded no completion wrote it."""
+    return journal_files(has_completion=False, restarts=0)
+
+
 def compacted_journal() -> Sample:
-    """The process journal after a restart, which rewrites only the messages that have not finished."""
+    """The same after a restart, which rewrites only the messages that have not finished."""
+    return journal_files(has_completion=False, restarts=1)
 
-    def write_files(folder: Path) -> None:
-        journal = Journal(folder, JOURNAL_LIMIT_BYTES)
-        fill_journal(journal)
-        journal.close()
-        Journal(folder, JOURNAL_LIMIT_BYTES).close()
 
-    return collect_files(write_files)
+def journal_with_completion() -> Sample:
+    """The process journal with a completion that is not acknowledged."""
+    return journal_files(has_completion=True, restarts=0)
+
+
+def compacted_journal_with_completion() -> Sample:
+    """The same after a restart."""
+    return journal_files(has_completion=True, restarts=1)
 
 
 def open_durable_journal(folder: Path, sync_interval_s: float | None) -> DurableJournal:
@@ -154,7 +165,7 @@
 
     def write_files(folder: Path) -> None:
         journal = Journal(folder, JOURNAL_LIMIT_BYTES)
-        fill_journal(journal)
+        fill_journal(journal, has_completion=False)
         journal.close()
         open_durable_journal(folder, None).close()
 
@@ -586,10 +597,10 @@
 
 
 SAMPLES: tuple[Callable[[], Sample], ...] = (
-    platform_journal, compacted_journal, durable_journal, carried_over_journal, answers, learned, overrides,
-    maintenance, control_folder, control_documents, handover_packet, fleet_datagrams, control_datagrams,
-    questions, notices, requests, client_answers, figures, people_json, budget_json, grpc_metadata,
-    command_line,
+    platform_journal, compacted_journal, journal_with_completion, compacted_journal_with_completion,
+    durable_journal, carried_over_journal, answers, learned, overrides, maintenance, control_folder,
+    control_documents, handover_packet, fleet_datagrams, control_datagrams, questions, notices, requests,
+    client_answers, figures, people_json, budget_json, grpc_metadata, command_line,
 )  # fmt: skip
 
 
--- a/tests/compatibility/test_compatibility.py
+++ b/tests/compatibility/test_compatibility.py
@@ -62,6 +62,13 @@
     check_pending_messages(Journal(copy_recorded(name, tmp_path), JOURNAL_LIMIT_BYTES))
 
 
+@pytest.mark.parametrize("name", ["journal_with_completion", "compacted_journal_with_completion"])
+def test_a_recorded_completion_of_the_process_journal_is_replayed(tmp_path: Path, name: str) -> None:
+    journal = Journal(copy_recorded(name, tmp_path), JOURNAL_LIMIT_BYTES)
+    check_pending_messages(journal)
+    assert journal.entries["m2"].completion == ("refused", 1_500_000)
+
+
 def test_the_durable_journal_is_replayed(tmp_path: Path) -> None:
     folder = copy_recorded("durable_journal", tmp_path)
     journal = InspectedJournal(folder)
--- a/tests/sender_processes.py
+++ b/tests/sender_processes.py
@@ -14,6 +14,7 @@
 
 ROOT = Path(__file__).parent.parent
 KILLED_SENDER = str(Path(__file__).parent / "killed_sender.py")
+KILLED_AFTER_COMPLETION = str(Path(__file__).parent / "killed_after_completion.py")
 STEPPED_SENDER = str(Path(__file__).parent / "stepped_sender.py")
 
 
@@ -71,6 +72,7 @@
         socket_fd: str = "",
         kill_step: str = "",
         clock_step_s: float | None = None,
+        fatal_step: int | None = None,
     ) -> Process:
         """Starts a process.
 
@@ -79,6 +81,7 @@
             socket_fd: Value to pass instead of the number of the listening socket's descriptor.
             kill_step: Step of a handover at which the process kills itself; see killed_sender.py.
             clock_step_s: Step of the process' wall clock; see stepped_sender.py.
+            fatal_step: Step after a completion at which it kills itself; see killed_after_completion.py.
         """
         with socket.create_server(("127.0.0.1", 0)) as unused_port:
             management = unused_port.getsockname()
@@ -93,6 +96,8 @@
         arguments = [KILLED_SENDER, kill_step] if kill_step else ["-m", "message_sender"]
         if clock_step_s is not None:
             arguments = [STEPPED_SENDER, str(clock_step_s)]
+        if fatal_step is not None:
+            arguments = [KILLED_AFTER_COMPLETION, str(fatal_step)]
         subprocess = await asyncio.create_subprocess_exec(
             sys.executable,
             *arguments,
