Call only the endpoint that was named last at an address

Cause: a listed name stood for its address for as long as it was listed; two names could have one address, and messages went there by either.

Change: one stated rule with one owner, discovery/address_owners.py: an address belongs to the endpoint that was named there last. The same rule reads a complete or cached list with both names: later born_ms, then ready, then the later entry.

Why it works: what is known of a process at an address comes from the list alone, and the list's latest statement on an address is the best there is; a name that is only repeated says nothing new.

--- a/message_sender/http/discovery.py
+++ b/message_sender/http/discovery.py
@@ -6,13 +6,16 @@
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager, closing
+from dataclasses import replace
 from typing import Any
 
 import h11
 
 from message_sender.core.ports import Completion, CompletionState
+from message_sender.discovery.address_owners import AddressOwners
 from message_sender.http.client_connection import ClientConnection
-from message_sender.http.common import CONNECTION_ERRORS, Address, address_from
+from message_sender.http.common import CONNECTION_ERRORS, Address
+from message_sender.http.endpoint_list import EndpointList
 from message_sender.http.json_stream import JsonStream
 from message_sender.policy.events import EndpointsUpdated
 from message_sender.policy.model import Endpoint, EndpointState, ListingKind
@@ -43,46 +46,6 @@
         raise ConnectionError(f"discovery answered {status}")
 
 
-def checked_string(value: object) -> str:
-    """Checks that a name is a string, as the policy's tables require. Raises TypeError if it is not."""
-    if not isinstance(value, str):
-        raise TypeError(f"expected a string, got {value!r}")
-    return value
-
-
-class EndpointList:
-    """One line of the watch: a version of the list and endpoints in it.
-
-    Attributes:
-        version: The version of the list.
-        is_complete: The line holds all endpoints; otherwise only those that changed.
-        dials: Addresses by endpoint.
-        endpoints: The endpoints as the policy's events hold them.
-    """
-
-    def __init__(self, fields: dict[str, Any]) -> None:
-        """Reads the fields of a decoded line.
-
-        Raises:
-            ValueError, KeyError, TypeError, AttributeError, ArithmeticError: A field is missing or invalid.
-        """
-        self.version = int(fields["seq"])
-        self.is_complete = bool(fields["whole"])
-        hosts = fields["hosts"]
-        self.dials: dict[str, Address] = {host["host"]: address_from(host["dial"]) for host in hosts}
-        self.endpoints = tuple(
-            Endpoint(
-                id=checked_string(host["host"]),
-                destination=int(host["block"]),
-                state=EndpointState(host["health"]),
-                kind=checked_string(host.get("class", "")),
-                zone=checked_string(host.get("site", "")),
-                scale=float(host.get("share", 1)),
-            )
-            for host in hosts
-        )
-
-
 class Discovery:
     """Implements the ports `Directory` and `CompletionListener` of the core.
 
@@ -93,7 +56,9 @@
         on_acknowledged: Called with the id of each message whose notice was acknowledged.
         version: Version of the current list; None after a move to another service, for which the versions of
             the previous one mean nothing.
-        dials: Addresses of the listed endpoints.
+        addresses: Which endpoint each address belongs to.
+        dials: Addresses of the listed endpoints that own theirs.
+        endpoints: The listed endpoints by id.
         destinations: All destinations that a list has ever named.
         has_read_line: A line has been received in this process.
         watch_connection: The connection of the active watch.
@@ -126,7 +91,10 @@
         self.on_update = listed
         self.on_acknowledged = answered
         self.version: int | None = known.version
-        self.dials = dict(known.dials)
+        self.addresses = AddressOwners()
+        self.addresses.replace(known.entries)
+        self.dials = self.addresses.dials
+        self.endpoints = {each.id: each for each in known.endpoints}
         self.destinations = {each.destination for each in known.endpoints}
         self.has_read_line = False
         self.watch_connection: ClientConnection | None = None
@@ -264,18 +232,36 @@
             update: The parsed line.
             address: The address that sent the line; None for the current one.
         """
-        if update.is_complete:
-            self.dials = {}
-        self.dials.update(update.dials)  # in place, so that the cost depends on the change, not the list
-        for endpoint in update.endpoints:
-            if endpoint.state is EndpointState.GONE:
-                self.dials.pop(endpoint.id, None)
+        endpoints = self._apply_complete(update) if update.is_complete else self._apply_changes(update)
         self.destinations |= {endpoint.destination for endpoint in update.endpoints}
         if address in (None, self.address):  # otherwise the line is from the previous address
             self.version = update.version
         self.has_read_line = True
         listing = ListingKind.FULL if update.is_complete else ListingKind.CHANGES
-        self.on_update(EndpointsUpdated(listing, update.endpoints))
+        self.on_update(EndpointsUpdated(listing, endpoints))
+
+    def _apply_complete(self, update: EndpointList) -> tuple[Endpoint, ...]:
+        """Applies a complete list; returns its endpoints that own their address."""
+        self.addresses.replace(update.entries)
+        self.endpoints = {each.id: each for each in update.endpoints}
+        return tuple(each for each in update.endpoints if self.addresses.owns_address(each.id))
+
+    def _apply_changes(self, update: EndpointList) -> tuple[Endpoint, ...]:
+        """Applies changed entries; returns them and, as gone, the endpoints that have lost their address."""
+        losers = self.addresses.update(update.entries)
+        for endpoint in update.endpoints:
+            if endpoint.state is EndpointState.GONE:
+                self.endpoints.pop(endpoint.id, None)
+            else:
+                self.endpoints[endpoint.id] = endpoint
+        for loser in losers:
+            log.warning("endpoint has lost its address: endpoint=%s", loser)
+        changed = {each.id: each for each in update.endpoints}
+        changed |= {each: self.endpoints[each] for each in losers}
+        return tuple(
+            each if self.addresses.owns_address(each.id) else replace(each, state=EndpointState.GONE)
+            for each in changed.values()
+        )
 
     def is_known(self, destination: int) -> bool:
         """Whether the destination has ever been listed, even if it has no endpoints at present."""
--- a/message_sender/service/daemon.py
+++ b/message_sender/service/daemon.py
@@ -27,8 +27,8 @@
     CALL_TIMEOUT_S,
     LOCAL_CALL_TIMEOUT_S,
     Discovery,
-    EndpointList,
 )
+from message_sender.http.endpoint_list import EndpointList
 from message_sender.http.server import DEFAULT_MEMORY_BYTES, MAX_ACCEPTS_PER_ITERATION, Server
 from message_sender.journal.clock_record import CLOCK_SPACE_BYTES, FolderClock
 from message_sender.management import server as management
@@ -328,7 +328,8 @@
 
     def _build_engine(self, endpoint_list: EndpointList) -> Engine:
         config = self.config
-        listed = self.maintenance.apply_update(EndpointsUpdated(ListingKind.CACHED, endpoint_list.endpoints))
+        cached = EndpointsUpdated(ListingKind.CACHED, endpoint_list.callable_endpoints())
+        listed = self.maintenance.apply_update(cached)
         engine_config = EngineConfig(
             config.name,
             config.state,
--- a/message_sender/service/handover_state.py
+++ b/message_sender/service/handover_state.py
@@ -10,7 +10,7 @@
 
 from message_sender.core.engine_config import HandoverState
 from message_sender.core.ports import Completion, CompletionState
-from message_sender.http.discovery import EndpointList
+from message_sender.http.endpoint_list import EndpointList
 from message_sender.policy.events import CallInFlight, InheritedState
 from message_sender.policy.model import Endpoint
 
--- a/message_sender/start.py
+++ b/message_sender/start.py
@@ -15,7 +15,7 @@
 from message_sender.handover.listening_socket import open_listening_socket
 from message_sender.handover.takeover import OwnershipHandover
 from message_sender.http.common import Address, address_from
-from message_sender.http.discovery import EndpointList
+from message_sender.http.endpoint_list import EndpointList
 from message_sender.management.calls import ManagementCall, ManagementReply
 from message_sender.management.server import ManagementServer
 from message_sender.service.daemon import DaemonConfig, PlatformSender
--- a/tests/compatibility/samples.py
+++ b/tests/compatibility/samples.py
@@ -38,7 +38,8 @@
 from message_sender.fleet.seal import Seal
 from message_sender.grpc.route import encode_extras, from_metadata
 from message_sender.http.client_connection import ClientConnection
-from message_sender.http.discovery import Discovery, EndpointList
+from message_sender.http.discovery import Discovery
+from message_sender.http.endpoint_list import EndpointList
 from message_sender.http.server import Server
 from message_sender.journal.answer_store import AnswerStore
 from message_sender.journal.disk import SystemDisk
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,8 @@
 
 from message_sender.core.ports import Completion, CompletionState
 from message_sender.http import discovery as module
-from message_sender.http.discovery import Discovery, EndpointList
+from message_sender.http.discovery import Discovery
+from message_sender.http.endpoint_list import EndpointList
 from message_sender.policy.events import EndpointsUpdated
 from message_sender.policy.model import Endpoint, EndpointState, ListingKind
 
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -96,7 +96,7 @@
         "journal",
         "policy.model",
     },
-    "http": {*BASE, "admission", "core"},
+    "http": {*BASE, "admission", "core", "discovery"},
     "grpc": {*BASE, "configuration.general", "core", "discovery", "journal"},
     "service": {
         *BASE,
