Send no call to an endpoint that moved while its connection opened

Cause: the last check before the first byte asked whether the endpoint's name was still ready, not whether it still had the address that was connected to and the message's destination.

Change: HttpCall compares the connection's address with the listed one behind that check, and so does the gRPC transport. The policy refuses a call to an endpoint of another destination, and an endpoint that is listed with another destination is unavailable until the policy has handled the list.

Evidence: test_a_call_whose_endpoint_changes_while_its_connection_opens_is_not_sent failed in 4 of 4 cases (address and destination, read by the loop before or only by the check), now 4 pass.

Why it works: nothing is awaited between the check, which reads what lies unread, and the first byte.

--- a/message_sender/core/attempts.py
+++ b/message_sender/core/attempts.py
@@ -28,7 +28,7 @@
 from message_sender.policy.actions import Send
 from message_sender.policy.dispatcher import Dispatcher
 from message_sender.policy.events import AttemptEnded, EndpointsUpdated, PolicyEvent
-from message_sender.policy.model import Effect, EndpointState, ListingKind, Outcome
+from message_sender.policy.model import Effect, Endpoint, EndpointState, ListingKind, Outcome
 
 WITHHELD_PAUSE_US = 50_000  # before another call to a destination whose call the hooks held back
 SETTLE_DELAY_S = 0.005  # after a late loop iteration: time for a transport with `reads_late` to receive
@@ -83,8 +83,8 @@
         calls: The tasks of the calls of this process.
         predecessor_calls: Calls of the predecessor process, which will report their results.
         predecessor: Cancels calls of the predecessor; None: there is no predecessor.
-        unavailable_endpoints: Ids of the endpoints that were listed as draining or gone since the last loop
-            iteration; the policy does not know it yet.
+        unavailable_endpoints: Ids of the endpoints that were listed as draining, as gone or with another
+            destination since the last loop iteration; the policy does not know it yet.
         is_handed_over: A successor process is taking over, or has taken over.
     """
 
@@ -185,14 +185,22 @@
         return self.hooks.reserve_limits(endpoint, message_id)
 
     def note_unavailable(self, event: EndpointsUpdated) -> None:
-        """Records which endpoints drain or are gone, until the policy has handled the update."""
-        ready = {each.id for each in event.endpoints if each.state is EndpointState.READY}
+        """Records which endpoints have no calls any more, until the policy has handled the update.
+
+        These are the endpoints that drain, are gone, or are listed with another destination.
+        """
+        ready = {each.id for each in event.endpoints if self._remains_available(each)}
         if event.listing is ListingKind.FULL:
             self.unavailable_endpoints = {each for each in self.dispatcher.endpoints if each not in ready}
         elif event.listing is ListingKind.CHANGES:
             self.unavailable_endpoints |= {each.id for each in event.endpoints if each.id not in ready}
             self.unavailable_endpoints -= ready
 
+    def _remains_available(self, endpoint: Endpoint) -> bool:
+        known = self.dispatcher.endpoints.get(endpoint.id)
+        has_moved = known is not None and known.listed.destination != endpoint.destination
+        return endpoint.state is EndpointState.READY and not has_moved
+
     # In flight.
 
     async def _run(
--- a/message_sender/grpc/transport.py
+++ b/message_sender/grpc/transport.py
@@ -105,8 +105,8 @@
             if not is_ready and not await self.wait_until_ready(channel, min(self.connect_timeout, timeout)):
                 self.discard(endpoint, channel)
                 return AttemptResult(Outcome.CONNECT_FAILED)
-            if not may_send():
-                return AttemptResult(Outcome.NOT_SENT)
+            if not may_send() or self.dials().get(endpoint) != dial:
+                return AttemptResult(Outcome.NOT_SENT)  # it may have moved while the channel connected
             return await self.attempt(channel, endpoint, message, max(deadline - loop.time(), 0.001))
         finally:
             self.calls_in_flight[endpoint] -= 1
--- a/message_sender/http/call.py
+++ b/message_sender/http/call.py
@@ -163,7 +163,7 @@
         connection = await self._connect()
         if connection is None:
             return AttemptResult(Outcome.NOT_SENT)
-        if self.owner.is_closing or not self.may_send():
+        if self.owner.is_closing or not self._may_send_on(connection):
             self.is_returned = self.owner.return_to_pool(self.endpoint, connection)
             return AttemptResult(Outcome.NOT_SENT)
         self.owner.unsent.discard(task)
@@ -195,6 +195,10 @@
             await asyncio.sleep(rest_left_s[0])
         return None
 
+    def _may_send_on(self, connection: ClientConnection) -> bool:
+        """Whether the request may be written; the endpoint may have moved while the connection opened."""
+        return self.may_send() and self.owner.dials().get(self.endpoint) == connection.address
+
     def _headers(self) -> dict[str, str]:
         remaining_s = max(self.deadline - self.loop.time(), 0.0)
         return {
--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -331,7 +331,8 @@
         """Whether a call may still start; checked before its first byte is sent, since connecting takes time.
 
         Args:
-            endpoint: Id of the endpoint, which may have begun to drain or announced a Retry-After meanwhile.
+            endpoint: Id of the endpoint, which may have begun to drain, announced a Retry-After, or been
+                listed with another destination meanwhile.
             now: The time, us.
             message: Id of the message, whose idempotency window may have ended meanwhile; empty for none.
         """
@@ -339,7 +340,10 @@
         if known is None or (known.breaker and known.breaker.wait_until > now):
             return False
         pending = self.messages.get(message)
-        return pending is None or self.pending.may_repeat_at(now, pending, pending.uncertain_since)
+        if pending is None:
+            return True
+        is_its_destination = known.listed.destination == pending.destination
+        return is_its_destination and self.pending.may_repeat_at(now, pending, pending.uncertain_since)
 
     def send(
         self, message: PendingMessage, endpoint: TrackedEndpoint, batches: dict[str, ActiveCall]
--- a/tests/test_address_owners.py
+++ b/tests/test_address_owners.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from peers import Running, World, host, run_async_test, send_watch_line, with_timeout
+from peers import Peer, Running, World, host, run_async_test, send_watch_line, with_timeout
 
 from message_sender.discovery.address_owners import AddressEntry, AddressOwners
 from message_sender.http import client as client_module
@@ -218,6 +218,42 @@
     play(tmp_path, scenario)
 
 
+@pytest.mark.parametrize("change", ["address", "destination"])
+@pytest.mark.parametrize("is_read", [True, False])
+def test_a_call_whose_endpoint_changes_while_its_connection_opens_is_not_sent(
+    change: str, is_read: bool, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """`is_read`: whether the loop has read the change before the connection is open."""
+
+    async def scenario(world: Replaced) -> None:
+        async with Peer() as elsewhere:
+            is_opening, may_open = asyncio.Event(), asyncio.Event()
+            open_connection = client_module.ClientConnection.open
+
+            async def open_later(address: tuple[str, int]) -> client_module.ClientConnection:
+                connection = await open_connection(address)
+                if address == world.receiver.address and not may_open.is_set():
+                    is_opening.set()
+                    await may_open.wait()
+                return connection
+
+            monkeypatch.setattr(client_module.ClientConnection, "open", open_later)
+            await world.submit("m")
+            await with_timeout(is_opening.wait())
+            if change == "address":
+                world.list(host(elsewhere.dial))
+            else:
+                world.list(host(world.receiver.dial, block=OTHER))
+            if is_read:
+                await asyncio.sleep(0.05)
+            may_open.set()
+            await world.expect_no_call()
+            if change == "address":
+                assert (await elsewhere.next()).id == "m"
+
+    play(tmp_path, scenario)
+
+
 def test_a_kept_connection_of_a_dead_endpoint_carries_no_call_of_its_successor(tmp_path: Path) -> None:
     async def scenario(world: Replaced) -> None:
         await world.submit("first")
