Hold calls at a start until the first list

Cause: a new process took the cached list for a current one and called its addresses in the first loop iteration, before the agent beside it could answer. A watch that ends had the same gap.

Change: policy/list_confirmation.py. Where lists are pushed to a local agent, no call starts before the first list of the process (at most 10 s: the agent is silent while discovery is down) or, when a watch has ended, before the next list (at most 0.25 s). Each watch begins with the complete list there, as a watch may not say that nothing changed. Messages are accepted and end in their time meanwhile; in a fleet the first calls are spread when the wait is over. A call that is connecting is held back as a withheld one, which uses up no attempt. A list whose version goes back is fetched whole.

--- a/message_sender/core/attempts.py
+++ b/message_sender/core/attempts.py
@@ -174,7 +174,7 @@
     def may_send(self, endpoint: str, message_id: str) -> bool:
         """Whether an attempt may be sent to the endpoint; called right before its first byte is sent."""
         self.poll_unread()
-        if not self.hooks.may_call(endpoint):
+        if self.dispatcher.holds_calls(self.owner.now()) or not self.hooks.may_call(endpoint):
             self._withheld.add(message_id)
             self.dispatcher.attempt_withheld(message_id)
             return False
--- a/message_sender/http/discovery.py
+++ b/message_sender/http/discovery.py
@@ -56,6 +56,7 @@
         on_acknowledged: Called with the id of each message whose notice was acknowledged.
         version: Version of the current list; None after a move to another service, for which the versions of
             the previous one mean nothing.
+        fetches_list: Each watch begins with the complete list, as a watch may not say that nothing changed.
         addresses: Which endpoint each address belongs to.
         dials: Addresses of the listed endpoints that own theirs.
         endpoints: The listed endpoints by id.
@@ -76,6 +77,7 @@
         listed: Callable[[EndpointsUpdated], None],
         answered: Callable[[str], None],
         call: float = CALL_TIMEOUT_S,
+        fetches_list: bool = False,
     ) -> None:
         """Creates a client without connecting.
 
@@ -85,8 +87,10 @@
             listed: Called with updates of the endpoint list.
             answered: Called with the id of each message whose notice was acknowledged.
             call: Time limit of a call in seconds.
+            fetches_list: Whether each watch begins with the complete list.
         """
         self.call_timeout_s = call
+        self.fetches_list = fetches_list
         self.address = address
         self.on_update = listed
         self.on_acknowledged = answered
@@ -136,11 +140,11 @@
         self.on_update(EndpointsUpdated(ListingKind.FAILED))
 
     async def watch_once(self, address: Address) -> None:
-        """Watches one address, fetching its whole list first if no version of it is known.
+        """Watches one address, fetching its whole list first by `fetches_list`, or if no version is known.
 
         Returns when the list of another address has replaced this one; every other end raises.
         """
-        if self.version is None:
+        if self.version is None or self.fetches_list:
             body = await self.fetch(address, "/registry/instances")
             if address != self.address:
                 return
@@ -171,9 +175,12 @@
             connection.close()
 
     async def fetch(self, address: Address, target: str) -> bytes:
-        """Fetches a response body. Raises as `open_call`, and ValueError if the body is too long."""
+        """Fetches a response body within `CALL_TIMEOUT_S`.
+
+        Raises as `open_call`, and ValueError if the body is too long.
+        """
         body = bytearray()
-        async with asyncio.timeout(self.call_timeout_s), self.open_call(address, target) as connection:
+        async with asyncio.timeout(CALL_TIMEOUT_S), self.open_call(address, target) as connection:
             while not isinstance(event := await connection.next_event(), h11.EndOfMessage):
                 body += event.data if isinstance(event, h11.Data) else b""
                 if len(body) > LINE_LIMIT:
@@ -231,7 +238,13 @@
         Args:
             update: The parsed line.
             address: The address that sent the line; None for the current one.
+
+        Raises:
+            ConnectionError: The versions have begun anew, so that changes cannot be applied to this list.
         """
+        if address == self.address and not update.is_complete and update.version < (self.version or 0):
+            self.version = None
+            raise ConnectionError(f"the list's version went back to {update.version}")
         endpoints = self._apply_complete(update) if update.is_complete else self._apply_changes(update)
         self.destinations |= {endpoint.destination for endpoint in update.endpoints}
         if address in (None, self.address):  # otherwise the line is from the previous address
--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -102,6 +102,7 @@
         self.loop.actions = []
         for event in events:
             self.process_event(event)
+        self.registry.end_hold_if_over()
         self.inflight.process_overdue()
         self.pending.expire_due()
         if self.loop.context.fleet_factor > 1:
@@ -158,6 +159,8 @@
         """Returns the destinations that accept a call now and have a message to send."""
         for number in self.registry.reopenings.pop_due(self.loop.now):
             self.registry.available[number] = None
+        if self.holds_calls(int(self.loop.now)):
+            return []
         accepting: list[Destination] = []
         limit = MAX_EXAMINED if len(self.active_calls) < self.settings.slots else 0
         for number in list(islice(self.registry.available, limit)):
@@ -327,6 +330,10 @@
             return False
         return breaker.in_flight < max(2, slots * DESTINATION_SLOT_FRACTION)
 
+    def holds_calls(self, now: int) -> bool:
+        """Whether calls wait for the endpoint list at this time, us."""
+        return self.registry.list_confirmation.holds_calls(now)
+
     def may_start_call(self, endpoint: str, now: int, message: str = "") -> bool:
         """Whether a call may still start; checked before its first byte is sent, since connecting takes time.
 
@@ -374,6 +381,7 @@
         self.registry.schedule_overdue_checks()
         due = [
             list_polling.next_poll_at,
+            self.registry.list_confirmation.held_until,
             self.registry.overdue_checks.next_due(),
             self.registry.reopenings.next_due(),
         ]
--- a/message_sender/policy/endpoints.py
+++ b/message_sender/policy/endpoints.py
@@ -15,6 +15,7 @@
 from message_sender.policy.destination import Destination
 from message_sender.policy.events import EndpointsUpdated
 from message_sender.policy.limits import SharedLimits
+from message_sender.policy.list_confirmation import ListConfirmation
 from message_sender.policy.list_polling import ListPolling
 from message_sender.policy.loop_state import LoopState
 from message_sender.policy.model import DestinationKind, Endpoint, EndpointState, ListingKind
@@ -30,6 +31,7 @@
     Attributes:
         endpoints: Endpoints that are listed as ready, by id.
         destinations: All destinations that are listed, active or inactive, by number.
+        list_confirmation: Whether calls wait for a list.
         shared_limits: The limits that the fleet shares; None if there are none.
     """
 
@@ -46,6 +48,7 @@
         self.overdue_checks = TimerQueue[Breaker]()
         self.changed_breakers: dict[Breaker, None] = {}
         self.list_polling = ListPolling(loop.settings, loop.random)
+        self.list_confirmation = ListConfirmation(loop.settings)
         self.shared_limits: SharedLimits | None = None
 
     def activate(self, number: int) -> Destination:
@@ -78,9 +81,13 @@
         """
         if update.listing is ListingKind.FAILED:
             self.list_polling.poll_failed(self.loop.now)
+            self.list_confirmation.watch_ended(self.loop.now)
             return
         if update.listing is ListingKind.CACHED:
             self.list_polling.process_started(self.loop.now)
+            self.list_confirmation.process_started(self.loop.now)
+        else:
+            self.list_confirmation.list_received(self.loop.now)
         known = self.endpoints
         changed: dict[int, None] = {}  # changed destinations, in the order in which the update names them
         if update.listing is not ListingKind.CHANGES:
@@ -178,6 +185,16 @@
 
     # Timing of calls.
 
+    def end_hold_if_over(self) -> None:
+        """Spreads the calls of the messages that have waited for a list, once they no longer wait.
+
+        The senders of a fleet receive their lists at the same time.
+        """
+        if self.list_confirmation.take_end(self.loop.now):
+            for destination in list(self.destinations.values()):
+                if destination.pending:
+                    self.delay_first_call(destination.number)
+
     def delay_first_call(self, number: int) -> None:
         """Delays the first call after a restart at random.
 
--- /dev/null
+++ b/message_sender/policy/list_confirmation.py
@@ -0,0 +1,63 @@
+"""Decides whether calls may start although the endpoint list may be outdated. Pure.
+
+Where lists are pushed to an agent on the sender's machine, whatever the agent holds counts as known to the
+sender from the first moment of its process, and whether or not a watch is open. Receivers may have been
+replaced meanwhile, and others may listen at their addresses. The rules:
+
+- A process starts no call before its first list: that of an earlier process only says what to wait for. New
+  messages are accepted meanwhile, and messages are completed in their time.
+- If a watch ends, no call starts before the next list.
+- Both waits are bounded, since the agent is silent while discovery is down, and learns nothing then. After a
+  start the cached list applies from `START_LIMIT_US` on; after the end of a watch its last list applies from
+  `WATCH_RESTART_LIMIT_US` on, in which an agent that is not silent has answered.
+- Where discovery is asked over the network, a sender is held to the list that it has, and nothing waits.
+"""
+
+from message_sender.policy.breaker import NEVER
+from message_sender.policy.model import Settings
+
+START_LIMIT_US = 10_000_000
+WATCH_RESTART_LIMIT_US = 250_000
+
+
+class ListConfirmation:
+    """Whether the list is known to be current, and until when calls wait for the next one.
+
+    Attributes:
+        is_applicable: Lists are polled from an agent on the same machine.
+        is_confirmed: A list has been received since the process started, or since its last watch ended.
+        held_until: When calls no longer wait for a list; -NEVER while they do not wait.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Creates the state of a process that has received no list."""
+        self.is_applicable = settings.must_poll and settings.has_local_list
+        self.is_confirmed = False
+        self.held_until: float = -NEVER
+
+    def process_started(self, now: float) -> None:
+        """Makes calls wait for the first list of this process."""
+        if self.is_applicable:
+            self.held_until = now + START_LIMIT_US
+
+    def watch_ended(self, now: float) -> None:
+        """Makes calls wait for the list of the next watch, unless this one had sent no list."""
+        if self.is_applicable and self.is_confirmed:
+            self.is_confirmed = False
+            self.held_until = now + WATCH_RESTART_LIMIT_US
+
+    def list_received(self, now: float) -> None:
+        """Ends the wait."""
+        self.is_confirmed = True
+        self.held_until = min(self.held_until, now)
+
+    def holds_calls(self, now: float) -> bool:
+        """Whether no call may start now."""
+        return now < self.held_until
+
+    def take_end(self, now: float) -> bool:
+        """Returns True once when calls no longer wait."""
+        if self.held_until == -NEVER or self.holds_calls(now):
+            return False
+        self.held_until = -NEVER
+        return True
--- a/message_sender/policy/state_transfer.py
+++ b/message_sender/policy/state_transfer.py
@@ -119,7 +119,8 @@
             return
         if not restored.is_handed_over:
             self.pending.pause_key(message.key)
-            self.registry.delay_first_call(message.destination)
+            if not self.registry.list_confirmation.holds_calls(self.loop.now):
+                self.registry.delay_first_call(message.destination)
         self.pending.schedule_window_check(message)
         if not self.pending.may_retry(message):
             self.pending.complete(message)
--- a/message_sender/service/daemon.py
+++ b/message_sender/service/daemon.py
@@ -348,6 +348,7 @@
             self.receive_endpoints,
             engine.completion_acknowledged,
             LOCAL_CALL_TIMEOUT_S if self.config.settings.has_local_list else CALL_TIMEOUT_S,
+            fetches_list=self.config.settings.has_local_list,
         )
         if self.predecessor:
             discovery.version = self.predecessor.list_sequence
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -117,14 +117,21 @@
 
 
 class Platform(Peer):
-    """The platform: watch requests go to `watches`, notices and requests for the list to `requests`."""
+    """The platform: watch requests go to `watches`, notices and requests for the list to `requests`.
+
+    With `agent_list`, it is the agent to which lists are pushed, and answers requests for the list with it.
+    """
 
     def __init__(self) -> None:
         super().__init__()
+        self.agent_list: dict[str, Any] | None = None
         self.watches: asyncio.Queue[Request] = asyncio.Queue()
         self.watched: list[Request] = []  # all watch requests ever received
 
     def request_received(self, request: Request) -> None:
+        if self.agent_list and request.target == "/registry/instances":
+            request.answer(200, body=json.dumps(self.agent_list))
+            return
         if "watch" not in request.target:
             self.requests.put_nowait(request)
             return
@@ -218,6 +225,8 @@
             "127.0.0.1:9", "d", block=9, health="draining"
         )  # destination 9 is known but has no endpoint
         self.config = config_json(self.platform, host(self.receiver.dial), empty, mode=self.mode, **self.kind)
+        if self.mode == "pushed":
+            self.platform.agent_list = self.config["known"]
         self.running = await self.enter_async_context(Running(self.config, self.state))
         self.sender, self.submit = self.running.sender, self.running.submit
         return self
