Drop a retained endpoint whose address another destination has

Change: FileDirectory.merged leaves such an endpoint out. Others stay retained.

Evidence: test_a_retained_endpoint_is_not_called_at_an_address_that_another_destination_has fails without the change and passes with it.

Why it works: what the file lists at an address is newer than what it no longer lists.

--- a/message_sender/discovery/file.py
+++ b/message_sender/discovery/file.py
@@ -89,8 +89,22 @@
         return has_changed and self.apply_endpoints(self.merged())
 
     def merged(self) -> dict[str, StaticEndpoint]:
-        """Returns the configuration's endpoints merged with those of the files."""
-        return merge_lists([self.configured, *(accepted.entries for accepted in self.lists_by_path.values())])
+        """Returns the configuration's endpoints merged with those of the files.
+
+        A retained endpoint is left out if its address is listed for another destination: what listens there
+        is no longer its process.
+        """
+        merged = merge_lists([self.configured, *(each.entries for each in self.lists_by_path.values())])
+        retained = {name for each in self.lists_by_path.values() for name in each.retained}
+        listed = {
+            each.dial: each.endpoint.destination for name, each in merged.items() if name not in retained
+        }
+        return {
+            name: each
+            for name, each in merged.items()
+            if name not in retained
+            or listed.get(each.dial, each.endpoint.destination) == each.endpoint.destination
+        }
 
     def configure(self, endpoints: Iterable[StaticEndpoint]) -> None:
         """Applies the endpoint list of a changed configuration."""
--- a/tests/test_endpoint_files.py
+++ b/tests/test_endpoint_files.py
@@ -154,3 +154,19 @@
     directory.check_files()
     assert directory.confirm() and set(directory.dials()) == {"a"} and not directory.confirm()
     assert json.loads((tmp_path / LAST_GOOD_FILE).read_text())[0][0] == "a"
+
+
+def test_a_retained_endpoint_is_not_called_at_an_address_that_another_destination_has(tmp_path: Path) -> None:
+    files = EndpointFiles(tmp_path)
+    directory = None
+    rows = [("a", 1, 1), ("b", 1, 2), ("c", 1, 3), ("d", 1, 4)]
+    for listed in (rows, [("new", 2, 1)]):
+        text = "".join(
+            f'[[endpoints]]\nid = "{name}"\ndestination = {destination}\ndial = "h:{port}"\n'
+            for name, destination, port in listed
+        )
+        files.paths[0].write_text(text)
+        directory = directory or files.directory(retention_us=60 * SECOND)
+        directory.check_files()
+    assert directory is not None
+    assert directory.dials() == {"new": ("h", 1), "b": ("h", 2), "c": ("h", 3), "d": ("h", 4)}
