Answer a request that is rejected before its transport is connected

Cause: the time of an adopted request goes on, so that it can be over before the loop has connected the connection's transport; reject_and_close wrote to the missing transport.

Change: the connection notes the event and rejects the request in connection_made.

Why it works: connection_made is the first moment in which anything can be written, and it always comes, or the failed connect closes the socket.

--- a/message_sender/http/server_connection.py
+++ b/message_sender/http/server_connection.py
@@ -54,6 +54,7 @@
         has_submitted: The client has submitted messages on the connection.
         submitted_bytes: Size of the body of the message that waits for its acceptance.
         observed: Observes the traffic of the connection; None if it is not observed.
+        rejection: The event for which the request is rejected once the loop has connected the transport.
     """
 
     transport: asyncio.Transport = None  # type: ignore[assignment]  # until connection_made
@@ -75,6 +76,7 @@
         self.has_submitted = False
         self.submitted_bytes = 0
         self.observed: ObservedConnection | None = None
+        self.rejection: ConnectionEvent | None = None
 
     # Callbacks of the loop.
 
@@ -88,6 +90,8 @@
             self.transport = cast(asyncio.Transport, ObservedTransport(transport, self.observed))
         if self not in self.server.table.all:
             transport.abort()  # closed to free capacity before the transport was connected
+        elif self.rejection:
+            self.handle(self.rejection)
         elif self.server.is_frozen:
             transport.pause_reading()
         elif len(self.server.table.all) > self.server.connection_limit:
@@ -346,7 +350,9 @@
         """
         action = decide(self.state(), event, self.is_busy())
         try:
-            if action is ConnectionAction.REJECT:
+            if action is ConnectionAction.REJECT and self.transport is None:
+                self.rejection = event
+            elif action is ConnectionAction.REJECT:
                 self._reject_unfinished(event)
             elif action is ConnectionAction.SHUT_DOWN and self.transport:
                 self.start_linger()
--- a/tests/test_request_memory.py
+++ b/tests/test_request_memory.py
@@ -13,7 +13,7 @@
 from test_server import NOW, serving
 from usual_clients import FULL_BODY, Attack, attacked, held_memory, peak_memory
 
-from message_sender.http.connection_state import READ_TIMEOUT_S
+from message_sender.http.connection_state import READ_TIMEOUT_S, ConnectionEvent
 from message_sender.http.server_connection import HELD_LIMIT, READ_AHEAD_LIMIT, ServerConnection
 
 MB = 1_000_000
@@ -192,3 +192,25 @@
         reader, writer = await asyncio.open_connection(sock=theirs)
         assert (await read_reply(reader)).status == 408
         writer.close()
+
+
+@pytest.mark.parametrize("event", [ConnectionEvent.TIMED_OUT, ConnectionEvent.PROCESS_EXIT])
+def test_a_request_that_is_rejected_before_the_loop_has_connected_its_transport_is_answered(
+    event: ConnectionEvent, tmp_path: Path
+) -> None:
+    """Guards against adopted connections that are reset with an AttributeError in place of their answer."""
+
+    @run_async_test
+    async def test(_: Path) -> None:
+        async with serving() as (server, _taken):
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                theirs = socket.create_connection(listener.getsockname())
+                ours, _address = listener.accept()
+            server.adopt(ours, message("m", FULL_BODY)[:-1], NOW, has_submitted=True)
+            (connection,) = server.connections
+            assert connection.transport is None and not connection.handle(event)
+            reader, writer = await asyncio.open_connection(sock=theirs)
+            assert (await read_reply(reader)).status == (408 if event is ConnectionEvent.TIMED_OUT else 503)
+            writer.close()
+
+    test(tmp_path)
