--- a/benchmarks/scale/destinations.py
+++ b/benchmarks/scale/destinations.py
@@ -15,7 +15,8 @@
 from benchmarks.scale.memory import traced_memory
 from benchmarks.scale.quantity import quantity_of
 from benchmarks.scale.results import Allowance, Effort, Figure, Measured, Point, Quantity, Source
-from message_sender.http.discovery import LINE_LIMIT, EndpointList
+from message_sender.http.discovery import LINE_LIMIT
+from message_sender.http.endpoint_list import EndpointList
 from message_sender.policy.actions import PolicyAction
 from message_sender.policy.events import EndpointsUpdated, PolicyEvent
 from message_sender.policy.model import EndpointState, ListingKind
