Let calls wait for the next list at most once a second when watches end

Cause: each end of a watch behind a list made calls wait for the next list. Change: at most one such wait in a second. Evidence: test_an_agent_whose_watches_end_at_once_does_not_stop_all_calls failed before and passes. Why it works: between two waits calls start and connect as before.

--- a/message_sender/policy/list_confirmation.py
+++ b/message_sender/policy/list_confirmation.py
@@ -6,7 +6,8 @@
 
 - A process starts no call before its first list: that of an earlier process only says what to wait for. New
   messages are accepted meanwhile, and messages are completed in their time.
-- If a watch ends, no call starts before the next list.
+- If a watch ends, no call starts before the next list; at most once in `WATCH_RESTART_INTERVAL_US`, so that
+  an agent whose watches end again and again does not stop all calls.
 - Both waits are bounded, since the agent is silent while discovery is down, and learns nothing then. After a
   start the cached list applies from `START_LIMIT_US` on; after the end of a watch its last list applies from
   `WATCH_RESTART_LIMIT_US` on, in which an agent that is not silent has answered.
@@ -18,6 +19,7 @@
 
 START_LIMIT_US = 10_000_000
 WATCH_RESTART_LIMIT_US = 250_000
+WATCH_RESTART_INTERVAL_US = 1_000_000
 
 
 class ListConfirmation:
@@ -27,6 +29,7 @@
         is_applicable: Lists are polled from an agent on the same machine.
         is_confirmed: A list has been received since the process started, or since its last watch ended.
         held_until: When calls no longer wait for a list; -NEVER while they do not wait.
+        watch_ended_at: When calls last began to wait because a watch had ended; -NEVER if they never did.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -34,6 +37,7 @@
         self.is_applicable = settings.must_poll and settings.has_local_list
         self.is_confirmed = False
         self.held_until: float = -NEVER
+        self.watch_ended_at: float = -NEVER
 
     def process_started(self, now: float) -> None:
         """Makes calls wait for the first list of this process."""
@@ -42,8 +46,11 @@
 
     def watch_ended(self, now: float) -> None:
         """Makes calls wait for the list of the next watch, unless this one had sent no list."""
-        if self.is_applicable and self.is_confirmed:
-            self.is_confirmed = False
+        if not (self.is_applicable and self.is_confirmed):
+            return
+        self.is_confirmed = False
+        if now >= self.watch_ended_at + WATCH_RESTART_INTERVAL_US:
+            self.watch_ended_at = now
             self.held_until = now + WATCH_RESTART_LIMIT_US
 
     def list_received(self, now: float) -> None:
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -71,6 +71,14 @@
     assert sent_messages(policy.accept(after=MS)) == ["m2"]
 
 
+def test_an_agent_whose_watches_end_at_once_does_not_stop_all_calls() -> None:
+    policy = started_policy()
+    for _ in range(3):
+        policy.step(listed(ListingKind.FULL), after=50 * MS)
+        policy.step(FAILED, after=50 * MS)
+    assert len(sent_messages(policy.accept(after=MS))) == 1
+
+
 def test_the_first_call_of_a_member_of_a_fleet_is_delayed_once_its_list_has_arrived() -> None:
     policy = started_policy(fleet_size=40)
     assert sent_messages(policy.step(listed(ListingKind.FULL), after=2 * SECOND)) == []
