Complete no message that was withdrawn in the same loop iteration

Change: the recorder drops the completion of a message without an entry, whose end is on record already. Evidence: test_a_message_withdrawn_in_the_iteration_that_completes_it_ends_without_a_defect failed with KeyError before and passes. Why it works: nobody waits for that completion any more.

--- a/message_sender/core/completion_recorder.py
+++ b/message_sender/core/completion_recorder.py
@@ -61,7 +61,13 @@
         self._line_limit = LineLimit(self._report_suppressed, self._loop.time)
 
     def record(self, message_id: str, completion: Completion) -> None:
-        """Records a completion, and passes it on at once or when the record can be written."""
+        """Records a completion, and passes it on at once or when the record can be written.
+
+        A message that was withdrawn or delivered in the same loop iteration has no entry any more.
+        """
+        if message_id not in self.journal.entries:
+            self.discard(message_id)
+            return
         is_written = self.journal.record_completion(
             message_id, completion.state.value, completion.retry_after_us
         )
--- a/tests/test_completions_over_kills.py
+++ b/tests/test_completions_over_kills.py
@@ -10,7 +10,7 @@
 from completion_kills import play
 from peers import Running, World, run_async_test, sample_message, with_timeout
 
-from message_sender.core.ports import CompletionState
+from message_sender.core.ports import Completion, CompletionState
 from message_sender.journal import process_journal
 from message_sender.journal.entries import COMPLETION_STATES, AttemptRecord, RecordedCompletion
 from message_sender.journal.process_journal import Journal
@@ -154,3 +154,19 @@
             call = await with_timeout(world.receiver.requests.get())
             assert call.id == "m2"
             call.answer(200)
+
+
+@run_async_test
+async def test_a_message_withdrawn_in_the_iteration_that_completes_it_ends_without_a_defect(
+    tmp_path: Path,
+) -> None:
+    async with World(tmp_path, **ORDERED) as world:
+        engine = world.sender.engine
+        for name in ("m1", "m2"):
+            await world.submit(name, X_Session_Key="k")
+        call = await world.receiver.next()
+        engine.journal.record_end("m1")
+        engine.table.complete("m1", Completion(CompletionState.REFUSED))
+        call.answer(200)
+        assert (await world.receiver.next()).id == "m2" and not engine.defect
+        assert "m1" not in engine.table.pending_completions and world.platform.requests.empty()
