Take only a complete list for the first list of a process

Cause: any update of the endpoints ended the wait, and orders reach the policy as changes. Change: only a complete list ends it; each watch begins with one where lists are pushed. Evidence: test_an_operators_order_is_no_list_to_a_process_that_waits_for_its_first_one failed before and passes. Why it works: no order comes as a complete list.

--- a/message_sender/policy/endpoints.py
+++ b/message_sender/policy/endpoints.py
@@ -86,7 +86,7 @@
         if update.listing is ListingKind.CACHED:
             self.list_polling.process_started(self.loop.now)
             self.list_confirmation.process_started(self.loop.now)
-        else:
+        elif update.listing is ListingKind.FULL:  # operators' orders come as changes
             self.list_confirmation.list_received(self.loop.now)
         known = self.endpoints
         changed: dict[int, None] = {}  # changed destinations, in the order in which the update names them
