Give each destination of the load stand-ins an address of its own

What was seen: tests/test_scale.py::test_a_complete_sender_accepts_all_offered_messages_in_each_situation failed, 0 of 60 messages delivered (found by a sharded run of the whole suite).

Cause: the benchmark listed 500 destinations at one address. The stand-in was wrong, not the check, which stays as it is.

Change: the stand-in for receivers listens at a loopback address for each of 500 destinations; closed ones have an address each too.

--- a/benchmarks/scale/load.py
+++ b/benchmarks/scale/load.py
@@ -80,8 +80,8 @@
 def configuration(port: int, stand_ins: StandIns, down: int, closed: int) -> dict[str, Any]:
     """Returns the configuration of a sender whose first `down` destinations are at the closed port."""
     config = storm.config(port, stand_ins.receiver, stand_ins.platform, DESTINATIONS)
-    for host in config["known"]["hosts"][:down]:
-        host["dial"] = f"{HOST}:{closed}"
+    for number, host in enumerate(config["known"]["hosts"][:down]):
+        host["dial"] = f"{storm.receiver_host(number)}:{closed}"
     config["limits"]["disk_mb"] = DISK_MB
     config["settings"]["limits"]["max_open"] = MAX_OPEN
     config["settings"]["services"][0]["deadline"] = int(DEADLINE_S * 1e6)
--- a/benchmarks/storm.py
+++ b/benchmarks/storm.py
@@ -27,6 +27,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 DESTINATIONS = 20
+SERVED_DESTINATIONS = 500  # the receiver listens at an address for each of them
 DEADLINE = 8.0  # s
 TIMEOUTS_S = (0.4, 2.0)  # of the clients, in turn
 SENDER_CORE, PEERS_CORE, CLIENTS_CORE = 0, 1, 2
@@ -99,14 +100,24 @@
             asyncio.get_running_loop().call_later(2.0, self.send_empty_line)
 
 
+def receiver_host(destination: int) -> str:
+    """Returns the loopback address of a destination's receiver: an address belongs to one endpoint."""
+    return f"127.0.{1 + destination // 250}.{1 + destination % 250}"
+
+
 async def serve_peers(pipe: Connection) -> None:
     """Runs the stand-ins, sends their ports over the pipe and answers each "report" with their counts."""
     delivered: Counter[str] = Counter()
     ended: dict[str, str] = {}
-    kinds = (type("R", (Receiver,), {"delivered": delivered}), type("P", (Platform,), {"ended": ended}))
+    receiver_kind = type("R", (Receiver,), {"delivered": delivered})
     loop = asyncio.get_running_loop()
-    servers = [await loop.create_server(kind, "127.0.0.1", 0) for kind in kinds]
-    pipe.send([each.sockets[0].getsockname()[1] for each in servers])
+    platform = await loop.create_server(type("P", (Platform,), {"ended": ended}), "127.0.0.1", 0)
+    first, *others = map(receiver_host, range(SERVED_DESTINATIONS))
+    receiver = await loop.create_server(receiver_kind, first, 0)
+    ports = [each.sockets[0].getsockname()[1] for each in (receiver, platform)]
+    rest = await loop.create_server(receiver_kind, others, ports[0])
+    pipe.send(ports)
+    assert rest.is_serving()
     while (await loop.run_in_executor(None, pipe.recv)) == "report":
         pipe.send((dict(delivered), dict(ended)))
 
@@ -118,9 +129,15 @@
 
 
 def config(port: int, receiver: int, platform: int, listed: int = DESTINATIONS) -> dict[str, Any]:
-    """Returns the platform configuration of a sender with `listed` destinations, all at the receiver."""
+    """Returns the platform configuration of a sender with `listed` destinations, served by one stand-in."""
     hosts = [
-        {"host": f"r{each}", "dial": f"127.0.0.1:{receiver}", "site": "z", "class": "k", "block": each}
+        {
+            "host": f"r{each}",
+            "dial": f"{receiver_host(each)}:{receiver}",
+            "site": "z",
+            "class": "k",
+            "block": each,
+        }
         | {"health": "ready", "share": 1.0, "born_ms": 0}
         for each in range(listed)
     ]
