--- a/review/lab2.py
+++ b/review/lab2.py
@@ -165,13 +165,13 @@
         await asyncio.sleep(after_s)
         call.answer(200)
 
-    async def start(self, options: tuple[tuple[int, int, int], ...] = ()) -> None:
+    async def start(self, options: tuple[tuple[int, int, int], ...] = (), port: int = 0) -> None:
         """Listens; `options` are socket options that accepted connections inherit."""
         sock = socket.socket()
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         for option in options:
             sock.setsockopt(*option)
-        sock.bind((LOCAL, 0))
+        sock.bind((LOCAL, port))
         self.entry["dial"] = f"{LOCAL}:{sock.getsockname()[1]}"
         self.server = await asyncio.get_running_loop().create_server(
             lambda: ReceiverConnection(self), sock=sock, backlog=128
@@ -205,7 +205,7 @@
         self.changes: list[tuple[int, dict[str, Any]]] = []
         self.port = 0
         self.keepalive_s = 2.0
-        self.is_down = False
+        self.is_silent = False  # calls for the list are taken and not answered, and watches say nothing
         self.server: asyncio.Server | None = None
 
     def list_object(self) -> dict[str, Any]:
@@ -240,6 +240,10 @@
                         self.notices.append((self.record.now(), notice))
                         self.record.add(f"notice {each}")
                     writer.write(b"HTTP/1.1 204 x\r\n\r\n")
+                elif self.is_silent:
+                    self.record.add("discovery is silent on a call")
+                    await reader.read()
+                    break
                 elif "watch=1" in line:
                     await self.watch(writer, int(line.split("after=")[1].split()[0]))
                 else:
@@ -256,7 +260,7 @@
 
         put(json.dumps(self.list_object()))
         sent = self.seq
-        while not writer.is_closing():
+        while not (writer.is_closing() or self.is_silent):
             changed = self.changed
             new = [entry for seq, entry in self.changes if seq > sent]
             if new:
@@ -340,7 +344,7 @@
         self.processes: list[asyncio.subprocess.Process] = []
         self.starts = 0
 
-    def config(self, management: int) -> dict[str, Any]:
+    def config(self, management: int, known: dict[str, Any] | None) -> dict[str, Any]:
         more = {"management": f"{LOCAL}:{management}"} if management else {}
         return {
             "name": "n3",
@@ -348,15 +352,17 @@
             "discovery": f"{LOCAL}:{self.discovery.port}",
             "seed": "8c1f30d27a5be964",
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
-            "known": self.discovery.list_object(),
+            "known": known or self.discovery.list_object(),
             "settings": self.values,
         } | more
 
-    async def start(self, management: int = 0) -> asyncio.subprocess.Process:
-        """Starts a process and waits until it is ready for clients."""
+    async def start(
+        self, management: int = 0, known: dict[str, Any] | None = None
+    ) -> asyncio.subprocess.Process:
+        """Starts a process and waits until it is ready for clients; `known` is the list that it is given."""
         self.starts += 1
         config_file = self.folder / f"config-{self.starts}.json"
-        config_file.write_text(json.dumps(self.config(management)))
+        config_file.write_text(json.dumps(self.config(management, known)))
         environment = dict(os.environ) | {
             "BALANCER_NAME": "n3",
             "BALANCER_LISTEN": f"{LOCAL}:{self.port}",
