Ask for permission until the receiver has the last byte of a request

Its repeat was stuck on the way to a receiver that was cut off, and was finished 2 s after the window.

Cause: HttpCall asked may_send before the first byte only, and send_all then waited for the socket for as long as the message had time.

Change: one rule, core/send_permission.py, decided by Attempts.may_continue and Dispatcher.may_finish_call: window, time, Retry-After, end of the process, another destination, an attempt given up, a hand-over. HttpCall asks before each later write, every 0.02 s while it cannot write, and until the receiver's system has acknowledged the last byte (http/unacknowledged.py, SIOCOUTQ). Connections of calls are closed by a reset where bytes are unacknowledged, also by SIGKILL (SO_LINGER). A rejection ahead of the last byte is read and ends the request. New log line `request revoked`, with what is unwritten and what is unacknowledged.

Why it works: nothing that the receiver's system has not acknowledged survives the permission, and nothing is written without it.

test_client, test_late_iterations, test_disconnects and test_repeated_answers pass a Permission object in place of a function; their checks are as they were.

--- a/message_sender/core/attempts.py
+++ b/message_sender/core/attempts.py
@@ -6,8 +6,9 @@
   may have run.
 - With a durable journal, which survives a failure of the machine, the record of an attempt whose effect must
   not be repeated is durable before the first byte is sent.
-- Drains, Retry-After, limits and the idempotency window of a retry are checked until the first byte is sent;
-  data that is still unread in sockets is read first.
+- Drains, Retry-After, limits and the idempotency window of a retry are checked until the first byte is sent,
+  those that bind what a receiver begins until its last one (send_permission.py); data that is unread in
+  sockets is read first.
 - While a successor process takes over, results are kept; once the successor owns the messages, results are
   forwarded to it.
 """
@@ -22,7 +23,14 @@
 from message_sender.core.hooks import EngineHooks
 from message_sender.core.line_limit import LineLimit
 from message_sender.core.message_table import MessageTable
-from message_sender.core.ports import AttemptResult, CompletionState, Directory, Transport
+from message_sender.core.ports import (
+    AttemptResult,
+    CompletionState,
+    Directory,
+    SendPermission,
+    Transport,
+)
+from message_sender.core.send_permission import AttemptPermission
 from message_sender.journal.entries import AttemptRecord
 from message_sender.message import Message
 from message_sender.policy.actions import Send
@@ -138,17 +146,17 @@
 
     def _call(self, action: Send, message: Message) -> Coroutine[Any, Any, AttemptResult]:
         endpoint = action.endpoint
-        may_send = partial(self.may_send, endpoint, message.id)
+        permission = AttemptPermission(self, endpoint, message.id, action.attempt)
         timeout_s = min(action.timeout_us, self.hooks.call_timeout_us(endpoint, message.id)) / 1e6
         if self.table.journal.is_durable and not self._is_idempotent(message):
-            return self._call_once_durable(endpoint, message, timeout_s, may_send)
-        return self.owner.transport.call(endpoint, message, timeout_s, may_send)
+            return self._call_once_durable(endpoint, message, timeout_s, permission)
+        return self.owner.transport.call(endpoint, message, timeout_s, permission)
 
     def _is_idempotent(self, message: Message) -> bool:
         return self.dispatcher.classes[message.message_class].effect is Effect.IDEMPOTENT
 
     async def _call_once_durable(
-        self, endpoint: str, message: Message, timeout_s: float, may_send: Callable[[], bool]
+        self, endpoint: str, message: Message, timeout_s: float, permission: SendPermission
     ) -> AttemptResult:
         """Calls once the record of the attempt is durable, so that a crash cannot lead to a second effect.
 
@@ -164,7 +172,7 @@
         remaining_s = deadline - self.loop.time()
         if not is_durable or remaining_s <= 0:
             return AttemptResult(Outcome.NOT_SENT)
-        return await self.owner.transport.call(endpoint, message, remaining_s, may_send)
+        return await self.owner.transport.call(endpoint, message, remaining_s, permission)
 
     def poll_unread(self) -> None:
         """Reads unread data of sockets, so that no decision or send is based on outdated information."""
@@ -184,6 +192,16 @@
             return False
         return self.hooks.reserve_limits(endpoint, message_id)
 
+    def may_continue(self, message_id: str, number: int) -> bool:
+        """Whether the rest of an attempt may be sent; called while its receiver lacks a part of it.
+
+        A process that hands over may not: it no longer learns what the successor is told.
+        """
+        if self.owner.is_closed or self.is_handed_over:
+            return False
+        self.poll_unread()
+        return self.dispatcher.may_finish_call(message_id, number, self.owner.now())
+
     def note_unavailable(self, event: EndpointsUpdated) -> None:
         """Records which endpoints have no calls any more, until the policy has handled the update.
 
--- a/message_sender/core/ports.py
+++ b/message_sender/core/ports.py
@@ -9,7 +9,7 @@
 """
 
 import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any, Protocol
@@ -115,11 +115,21 @@
         """
 
 
+class SendPermission(Protocol):
+    """Permission to send the bytes of one attempt; `send_permission` has the rules."""
+
+    def may_begin(self) -> bool:
+        """Whether the first byte may be sent; called right before it."""
+
+    def may_continue(self) -> bool:
+        """Whether the rest of a request that has begun may be sent, or may still arrive."""
+
+
 class Transport(Protocol):
     """Performs calls to endpoints by one protocol."""
 
     def call(
-        self, endpoint: str, message: Message, timeout: float, may_send: Callable[[], bool]
+        self, endpoint: str, message: Message, timeout: float, permission: SendPermission
     ) -> Coroutine[Any, Any, AttemptResult]:
         """Performs one attempt.
 
@@ -130,7 +140,8 @@
             endpoint: Id of the endpoint.
             message: The message to deliver.
             timeout: The maximum duration in seconds.
-            may_send: Called right before the first byte is sent; if it returns False, nothing is sent.
+            permission: Asked right before the first byte is sent, and while the receiver lacks a part of the
+                request. Once it is refused, no byte is sent any more.
 
         Returns:
             A coroutine that returns the result.
--- a/message_sender/emulator/fleet_sender.py
+++ b/message_sender/emulator/fleet_sender.py
@@ -8,7 +8,7 @@
 
 from message_sender.core.engine import Engine
 from message_sender.core.engine_config import EngineConfig
-from message_sender.core.ports import AttemptResult, Completion, CompletionState
+from message_sender.core.ports import AttemptResult, Completion, CompletionState, SendPermission
 from message_sender.discovery.static import StaticDirectory, StaticEndpoint
 from message_sender.emulator.arrivals import ClientMessage
 from message_sender.emulator.fleet_recorder import FleetRecorder
@@ -80,7 +80,7 @@
         self.simulation = sender.simulation
 
     async def call(
-        self, endpoint: str, message: Message, timeout: float, may_send: Callable[[], bool]
+        self, endpoint: str, message: Message, timeout: float, permission: SendPermission
     ) -> AttemptResult:
         """Makes one call and records its outcome.
 
@@ -88,14 +88,14 @@
             endpoint: Id of the endpoint.
             message: The message.
             timeout: Seconds from now that the call may take.
-            may_send: Called when the connection is up; the call is not sent if it returns False.
+            permission: Asked when the connection is up; the call is not sent if it is refused.
         """
-        result = await self._call(endpoint, message, timeout, may_send)
+        result = await self._call(endpoint, message, timeout, permission)
         self.simulation.recorder.attempt_finished(self.sender.name, endpoint, result.outcome)
         return result
 
     async def _call(
-        self, endpoint: str, message: Message, timeout: float, may_send: Callable[[], bool]
+        self, endpoint: str, message: Message, timeout: float, permission: SendPermission
     ) -> AttemptResult:
         simulation, sender, loop = self.simulation, self.sender, asyncio.get_running_loop()
         deadline = loop.time() + timeout
@@ -114,7 +114,7 @@
         receiver = simulation.topology.receiver_of(listed.endpoint)
         if receiver.active_phase(loop.time(), sender.name, zone) is None and loop.time() >= deadline:
             return AttemptResult(Outcome.CONNECT_FAILED)
-        if not may_send():
+        if not permission.may_begin():
             return AttemptResult(Outcome.NOT_SENT)
         result = receiver.call(loop.time(), sender.name, client_message.receiver_random(attempt), zone)
         if not result.connected:
--- a/message_sender/emulator/policies.py
+++ b/message_sender/emulator/policies.py
@@ -148,6 +148,10 @@
         """Whether the endpoint is still listed as ready."""
         return endpoint in self.endpoints
 
+    def may_finish_call(self, message: str, attempt: int, now: int) -> bool:
+        """Whether the rest of a call may be sent; these policies finish each call that has begun."""
+        return True
+
     # Events.
 
     def handle_event(self, event: PolicyEvent) -> None:
--- a/message_sender/emulator/run_models.py
+++ b/message_sender/emulator/run_models.py
@@ -2,11 +2,10 @@
 
 import asyncio
 import random
-from collections.abc import Callable
 from typing import Protocol
 
 from message_sender.core.engine import Engine
-from message_sender.core.ports import AttemptResult, Completion, CompletionState, Rejected
+from message_sender.core.ports import AttemptResult, Completion, CompletionState, Rejected, SendPermission
 from message_sender.emulator.loop import VirtualLoop
 from message_sender.emulator.port_models import (
     ACKNOWLEDGEMENT_DELAY_S,
@@ -102,7 +101,7 @@
         self.run = run
 
     async def call(
-        self, endpoint: str, message: Message, timeout: float, may_send: Callable[[], bool]
+        self, endpoint: str, message: Message, timeout: float, permission: SendPermission
     ) -> AttemptResult:
         """Makes one call.
 
@@ -110,7 +109,7 @@
             endpoint: Id of the endpoint.
             message: The message.
             timeout: Seconds from now that the call may take.
-            may_send: Called when the connection is up; the call is not sent if it returns False.
+            permission: Asked when the connection is up; the call is not sent if it is refused.
         """
         run, loop = self.run, asyncio.get_running_loop()
         deadline = loop.time() + timeout
@@ -119,7 +118,7 @@
         if behavior is DestinationBehavior.SHUT or loop.time() >= deadline:
             run.record_failure(endpoint)
             return AttemptResult(Outcome.CONNECT_FAILED)
-        if not may_send():
+        if not permission.may_begin():
             return AttemptResult(Outcome.NOT_SENT)
         call = run.history.record_start(message.id, endpoint)
         duration_s, outcome, wait_s = self.draw_result(behavior)
--- a/message_sender/emulator/wire_sender.py
+++ b/message_sender/emulator/wire_sender.py
@@ -5,7 +5,7 @@
 from typing import Any, Protocol
 
 from message_sender.core.hooks import EngineHooks
-from message_sender.core.ports import AttemptResult
+from message_sender.core.ports import AttemptResult, SendPermission
 from message_sender.discovery.static import StaticEndpoint
 from message_sender.emulator.fleet_recorder import FleetRecorder
 from message_sender.emulator.fleet_sender import ModelCompletionListener, SenderEnvironment, SimulatedSender
@@ -47,11 +47,11 @@
         self.transport = transport
 
     async def call(
-        self, endpoint: str, message: Message, timeout: float, may_send: Callable[[], bool]
+        self, endpoint: str, message: Message, timeout: float, permission: SendPermission
     ) -> AttemptResult:
         """Makes one call; see `Transport.call`."""
         try:
-            return await self.transport.call(endpoint, message, timeout, may_send)
+            return await self.transport.call(endpoint, message, timeout, permission)
         finally:
             self.sender.simulation.abandon_call(message.id, endpoint)
 
--- a/message_sender/grpc/transport.py
+++ b/message_sender/grpc/transport.py
@@ -6,7 +6,7 @@
 
 import grpc
 
-from message_sender.core.ports import AttemptResult
+from message_sender.core.ports import AttemptResult, SendPermission
 from message_sender.discovery.static import Dial
 from message_sender.grpc.retry import retry_after
 from message_sender.grpc.route import IDEMPOTENCY_KEY, PREFIX, decode_extras
@@ -87,7 +87,7 @@
         self.closing_tasks: set[asyncio.Task[None]] = set()
 
     async def call(
-        self, endpoint: str, message: Message, timeout: float, may_send: Callable[[], bool]
+        self, endpoint: str, message: Message, timeout: float, permission: SendPermission
     ) -> AttemptResult:
         """Performs one attempt, as `Transport.call` defines it.
 
@@ -105,7 +105,7 @@
             if not is_ready and not await self.wait_until_ready(channel, min(self.connect_timeout, timeout)):
                 self.discard(endpoint, channel)
                 return AttemptResult(Outcome.CONNECT_FAILED)
-            if not may_send() or self.dials().get(endpoint) != dial:
+            if not permission.may_begin() or self.dials().get(endpoint) != dial:
                 return AttemptResult(Outcome.NOT_SENT)  # it may have moved while the channel connected
             return await self.attempt(channel, endpoint, message, max(deadline - loop.time(), 0.001))
         finally:
--- a/message_sender/http/call.py
+++ b/message_sender/http/call.py
@@ -5,11 +5,12 @@
 """
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Protocol
 
-from message_sender.core.ports import AttemptResult
-from message_sender.http.client_connection import AnsweredRequest, ClientConnection
+from message_sender.core.ports import AttemptResult, SendPermission
+from message_sender.http.client_connection import AnsweredRequest, ClientConnection, SendRevokedError
 from message_sender.http.common import (
     BODY_LIMIT,
     CONNECTION_ERRORS,
@@ -20,6 +21,7 @@
 )
 from message_sender.http.fast_path import ResponseHead
 from message_sender.http.response_mapping import announced_limit, answer_from
+from message_sender.http.unacknowledged import UnacknowledgedRequests, unacknowledged_bytes
 from message_sender.message import Message
 from message_sender.policy.model import NEVER_RAN, Outcome
 
@@ -27,6 +29,8 @@
 TARGET = "/hook"
 OK_STATUS = 200
 
+log = logging.getLogger(__name__)
+
 
 class CallOwner(Protocol):
     """The part of the transport that a call uses.
@@ -34,7 +38,8 @@
     Attributes:
         dials: Returns the addresses of the listed endpoints.
         awaiting_answer: Connections on which a response is expected, with their endpoints.
-        unsent: Tasks of the calls whose first byte has not been written.
+        unsent: Tasks of the calls whose last byte has not been written.
+        unacknowledged: Requests that are written but not acknowledged by the receiver's system.
         is_closing: No further call is started.
         reserve_connection: Called with endpoint and message id before a connection is opened. Returns the
             callback for when the connection has been closed, or None if no connection may be opened.
@@ -47,6 +52,7 @@
     dials: Callable[[], Mapping[str, Address]]
     awaiting_answer: dict[ClientConnection, str]
     unsent: set[asyncio.Task[Any]]
+    unacknowledged: UnacknowledgedRequests
     is_closing: bool
     reserve_connection: Callable[[str, str], Callable[[], None] | None]
     on_sent: Callable[[], None]
@@ -99,6 +105,9 @@
         connection: The connection in use; None until there is one.
         is_reused: The connection came from the pool.
         is_written: The last byte of the request has been written.
+        written_at: When it was written, in seconds on the loop's clock.
+        is_revoked: The permission to send ended before the receiver had acknowledged the request.
+        early_rejection: The rejection that arrived before the last byte was written; None if none did.
         is_returned: The connection was handed back to the owner and must not be closed by this call.
         is_abandoned: The call was cancelled or timed out after the request was written.
         retry_after_us: The Retry-After of the response in microseconds. It applies even if the rest of the
@@ -111,7 +120,7 @@
         endpoint: str,
         message: Message,
         deadline: float,
-        may_send: Callable[[], bool],
+        permission: SendPermission,
     ) -> None:
         """Creates the call; `run` makes it.
 
@@ -120,17 +129,21 @@
             endpoint: Id of the endpoint to call.
             message: The message to send.
             deadline: When the call times out, in seconds on the loop's clock.
-            may_send: Asked immediately before the first byte is written; False cancels the call.
+            permission: Asked immediately before the first byte is written, and until the receiver has all.
         """
         self.owner = owner
         self.endpoint = endpoint
         self.message = message
         self.deadline = deadline
-        self.may_send = may_send
+        self.permission = permission
         self.loop = asyncio.get_running_loop()
         self.connection: ClientConnection | None = None
         self.is_reused = False
         self.is_written = False
+        self.written_at = 0.0
+        self.is_revoked = False
+        self.early_rejection: AttemptResult | None = None
+        self.task: asyncio.Task[Any] | None = None
         self.is_returned = False
         self.is_abandoned = False
         self.retry_after_us = 0
@@ -139,6 +152,7 @@
         """Makes the call in the current task and returns its result."""
         task = asyncio.current_task()
         assert task
+        self.task = task
         self.owner.unsent.add(task)
         try:
             async with asyncio.timeout_at(self.deadline):
@@ -149,6 +163,9 @@
             raise
         except TimeoutError:
             return self._timed_out()
+        except SendRevokedError:
+            self._log_revoked()
+            return self.early_rejection or AttemptResult(Outcome.NOT_SENT)
         except MalformedMessageError as error:
             return self._malformed(error)
         except CONNECTION_ERRORS:
@@ -166,9 +183,12 @@
         if self.owner.is_closing or not self._may_send_on(connection):
             self.is_returned = self.owner.return_to_pool(self.endpoint, connection)
             return AttemptResult(Outcome.NOT_SENT)
+        headers = self._headers()
+        await connection.send("POST", TARGET, headers, self.message.body, self._may_continue_writing)
         self.owner.unsent.discard(task)
-        await connection.send("POST", TARGET, self._headers(), self.message.body)
         self.is_written = True
+        self.written_at = self.loop.time()
+        self.owner.unacknowledged.add(self)
         self.owner.on_sent()
         self.owner.awaiting_answer[connection] = self.endpoint
         response = await connection.response()
@@ -197,7 +217,15 @@
 
     def _may_send_on(self, connection: ClientConnection) -> bool:
         """Whether the request may be written; the endpoint may have moved while the connection opened."""
-        return self.may_send() and self.owner.dials().get(self.endpoint) == connection.address
+        return self.permission.may_begin() and self.owner.dials().get(self.endpoint) == connection.address
+
+    def _may_continue_writing(self) -> bool:
+        """Whether the rest of the request may be written: it is permitted, and not rejected already."""
+        assert self.connection
+        if early_rejection := self.owner.early_result(self.endpoint, self.connection):
+            self.early_rejection = early_rejection
+            return False
+        return self.loop.time() < self.deadline and self.may_continue()
 
     def _headers(self) -> dict[str, str]:
         remaining_s = max(self.deadline - self.loop.time(), 0.0)
@@ -234,6 +262,33 @@
             await connection.skip_body()
         self.is_returned = self.owner.finish_response(self.endpoint, connection)
 
+    # A written request that the receiver has not acknowledged.
+
+    def may_continue(self) -> bool:
+        """Whether the receiver may still get the rest of the request."""
+        return self.permission.may_continue()
+
+    def has_unacknowledged_bytes(self) -> bool:
+        """Whether the receiver has not acknowledged all of the request."""
+        return self.connection is not None and self.connection.has_unacknowledged_bytes()
+
+    def revoke(self) -> None:
+        """Ends the call, whose permission has ended; it may have run all the same."""
+        self.is_revoked = True
+        self._log_revoked()
+        if self.task:
+            self.task.cancel()
+
+    def _log_revoked(self) -> None:
+        assert self.connection
+        log.info(
+            "request revoked: message=%s endpoint=%s unwritten=%d unacknowledged=%d",
+            self.message.id,
+            self.endpoint,
+            self.connection.unsent,
+            unacknowledged_bytes(self.connection.sock),
+        )
+
     # Early ends: cancellation, time-out, and errors.
 
     def _result_of_cancelled(self, task: asyncio.Task[Any]) -> AttemptResult | None:
@@ -243,7 +298,7 @@
         if self.connection and (result := self.owner.unread_result(self.endpoint, self.connection)):
             return result
         self.is_abandoned = self.is_written
-        return None
+        return AttemptResult(Outcome.CANCELLED) if self.is_revoked else None
 
     def _timed_out(self) -> AttemptResult:
         self.is_abandoned = self.is_written
@@ -274,6 +329,7 @@
         return early_answer or AttemptResult(Outcome.CONNECT_FAILED)
 
     def _release_connection(self) -> None:
+        self.owner.unacknowledged.discard(self)
         if self.connection:
             self.owner.awaiting_answer.pop(self.connection, None)
             # After a time-out or cancellation, closing the connection is the only way to notify the receiver.
--- a/message_sender/http/client.py
+++ b/message_sender/http/client.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
-from message_sender.core.ports import AttemptResult
+from message_sender.core.ports import AttemptResult, SendPermission
 from message_sender.core.socket_errors import Cause, ErrorReports, cause_of
 from message_sender.core.traffic_observer import ObservedConnection, TrafficObserver
 from message_sender.http import fast_path
@@ -16,6 +16,7 @@
 from message_sender.http.common import CONNECTION_ERRORS, Address
 from message_sender.http.response_mapping import answer_from
 from message_sender.http.reuse import REUSE_DELAY_S, ReuseRules
+from message_sender.http.unacknowledged import UnacknowledgedRequests
 from message_sender.http.unread_sockets import UnreadSockets
 from message_sender.message import Message
 from message_sender.policy.model import NEVER_RAN, Outcome
@@ -56,7 +57,8 @@
         awaiting_answer: Connections on which a response is expected, with their endpoints.
         unread: Reports which connections have unread bytes.
         connecting: Number of connections being opened.
-        unsent: Tasks of the calls whose first byte has not been written.
+        unsent: Tasks of the calls whose last byte has not been written.
+        unacknowledged: Requests that are written but not acknowledged by the receiver's system.
         is_closing: No further call is started.
         body_tasks: Tasks that read the rest of responses in the background.
         reuse: Decides when a connection may carry its next call.
@@ -105,6 +107,7 @@
         self.unread = UnreadSockets()
         self.connecting = 0
         self.unsent: set[asyncio.Task[Any]] = set()
+        self.unacknowledged = UnacknowledgedRequests()
         self.is_closing = False
         self.body_tasks: set[asyncio.Task[None]] = set()
         self.reports = ErrorReports()
@@ -115,14 +118,14 @@
         self.on_limit_announced: Callable[[str, int, int], None] | None = None
 
     async def call(
-        self, endpoint: str, message: Message, timeout: float, may_send: Callable[[], bool]
+        self, endpoint: str, message: Message, timeout: float, permission: SendPermission
     ) -> AttemptResult:
         """Makes a call; see `Transport.call` in the core. `timeout`: seconds."""
         deadline = asyncio.get_running_loop().time() + timeout
-        return await HttpCall(self, endpoint, message, deadline, may_send).run()
+        return await HttpCall(self, endpoint, message, deadline, permission).run()
 
     def cancel_unsent(self) -> None:
-        """Cancels the calls whose first byte has not been written, and lets those in flight finish."""
+        """Cancels the calls whose last byte has not been written, and lets those in flight finish."""
         self.is_closing = True
         for task in list(self.unsent):
             task.cancel()
@@ -209,6 +212,7 @@
         finally:
             self.connecting -= 1
         connection.is_fast = True
+        connection.discard_unacknowledged_at_close()
         if self.observer:
             connection.observed = ObservedConnection(self.observer, connection.sock.getsockname(), address)
         try:
@@ -402,4 +406,5 @@
         for task in self.body_tasks:
             task.cancel()
         self.close_all_idle()
+        self.unacknowledged.close()
         self.unread.close()
--- a/message_sender/http/client_connection.py
+++ b/message_sender/http/client_connection.py
@@ -1,9 +1,11 @@
 """HTTP/1.1 client connections on plain sockets, to receivers and to the discovery service."""
 
 import asyncio
+import contextlib
 import math
 import re
 import socket
+import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -21,10 +23,14 @@
     MalformedMessageError,
     close,
 )
+from message_sender.http.unacknowledged import unacknowledged_bytes
 
 HEAD_TIMEOUT_S = 1.0  # from the first bytes of a response to the end of its head
 FIELDS_LIMIT = 128  # fields of a response that are held; a field takes far more memory than a short line
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before a final one
+SEND_CHECK_INTERVAL_S = 0.02  # while a request waits to be written; a Retry-After binds within 0.1 s
+DISCARD_AT_CLOSE = struct.pack("ii", 1, 0)  # `struct linger`, see socket(7)
+DELIVER_AT_CLOSE = struct.pack("ii", 0, 0)
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 STATUS_LINE_PREFIX = b"HTTP/1."
 UNSOLICITED_PREFIX = 64  # bytes of an unsolicited response, enough for its status line
@@ -51,6 +57,15 @@
         waiting.set_result(None)
 
 
+class SendRevokedError(Exception):
+    """The rest of a request may not be written any more; its last byte was not."""
+
+
+def always() -> bool:
+    """Default permission to go on with a request."""
+    return True
+
+
 def do_nothing() -> None:
     """Default callback for the close of a connection."""
 
@@ -79,6 +94,7 @@
         observed: Observes the traffic of the connection; None if it is not observed.
         is_fast: Requests are written and common responses are parsed without the codec.
         is_outcome_known: The status line has already determined the outcome; the rest of the head is skipped.
+        discards_at_close: The system discards what the server has not acknowledged when the socket is closed.
     """
 
     def __init__(self, sock: socket.socket, address: Address) -> None:
@@ -104,6 +120,7 @@
         self.observed: ObservedConnection | None = None
         self.is_fast = False
         self.is_outcome_known = False
+        self.discards_at_close = False
 
     @classmethod
     async def open(cls, address: Address) -> "ClientConnection":
@@ -122,8 +139,27 @@
             raise
         return cls(sock, address)
 
-    async def send(self, method: str, target: str, headers: dict[str, str], body: bytes = b"") -> None:
-        """Sends a request. Returns when its last byte is written; if it raises, that byte was not written."""
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+        may_continue: Callable[[], bool] = always,
+    ) -> None:
+        """Sends a request. Returns when its last byte is written; if it raises, that byte was not written.
+
+        Args:
+            method: The method.
+            target: The request target.
+            headers: The headers, without Host.
+            body: The body.
+            may_continue: Asked before each write but the first, and repeatedly while nothing can be written.
+
+        Raises:
+            SendRevokedError: `may_continue` has returned False.
+            OSError: The connection is broken.
+        """
         all_headers = {"Host": f"{self.address[0]}:{self.address[1]}"} | headers
         # Latin-1, as headers are decoded: an id with non-ASCII bytes is forwarded unchanged.
         lines = [(name.encode(), value.encode("latin-1")) for name, value in all_headers.items() if value]
@@ -132,7 +168,7 @@
             self.is_fast = False
             data = self.encode_by_codec(method, target, lines, body)
         self.unsent = len(data)
-        await self.send_all(memoryview(data))
+        await self.send_all(memoryview(data), may_continue)
 
     def encode_by_codec(self, method: str, target: str, lines: fast_path.Fields, body: bytes) -> bytes:
         """Returns the request as the codec encodes it, which leaves the codec expecting a response."""
@@ -157,8 +193,8 @@
         self.encode_by_codec("POST", "/", [(b"Host", b"x"), (b"Content-Length", b"0")], b"")
         self.codec.receive_data(data)
 
-    async def send_all(self, data: memoryview) -> None:
-        """Writes all of the data.
+    async def send_all(self, data: memoryview, may_continue: Callable[[], bool]) -> None:
+        """Writes all of the data. Raises as `send`.
 
         The loop's own `sock_sendall` may write the last byte and yet raise only CancelledError. Here no
         cancellation can occur between writing the last byte and returning, so a call that times out then
@@ -172,17 +208,34 @@
                     self.observed.report_data(CLIENT_SIDE, bytes(data[start : len(data) - self.unsent]))
             except (BlockingIOError, InterruptedError):
                 await self.writable()
+            if self.unsent and not may_continue():
+                raise SendRevokedError
 
     async def writable(self) -> None:
-        """Waits until the operating system accepts more bytes."""
+        """Waits until the operating system accepts more bytes, for `SEND_CHECK_INTERVAL_S` at most."""
         loop = asyncio.get_running_loop()
         ready: asyncio.Future[None] = loop.create_future()
         loop.add_writer(self.sock.fileno(), wake, ready)
+        timer = loop.call_later(SEND_CHECK_INTERVAL_S, wake, ready)
         try:
             await ready
         finally:
+            timer.cancel()
             loop.remove_writer(self.sock)
 
+    def has_unacknowledged_bytes(self) -> bool:
+        """Whether the server has not acknowledged all that was written."""
+        return unacknowledged_bytes(self.sock) > 0
+
+    def discard_unacknowledged_at_close(self) -> None:
+        """Makes the end of this connection, or of the process, discard what the server has not acknowledged.
+
+        Otherwise the system would go on delivering it, and a call that was given up could still run.
+        """
+        self.discards_at_close = True
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_AT_CLOSE)
+
     async def readable(self) -> None:
         """Waits until bytes can be read, or `poll` has read them.
 
@@ -437,8 +490,15 @@
             return 0
 
     def close(self) -> None:
-        """Closes the connection. Never raises: the descriptor is freed even if the system call fails."""
+        """Closes the connection, by a reset where written bytes have to be discarded.
+
+        Never raises: the descriptor is freed even if the system call fails.
+        """
+        is_reset = self.discards_at_close and self.has_unacknowledged_bytes()
+        if self.discards_at_close and not is_reset:
+            with contextlib.suppress(OSError):
+                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DELIVER_AT_CLOSE)
         if self.observed:
-            self.observed.report_closed(CLIENT_SIDE, reset=False)
+            self.observed.report_closed(CLIENT_SIDE, reset=is_reset)
         self.stop_reading()
         close(self.sock)
--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -352,6 +352,27 @@
         is_its_destination = known.listed.destination == pending.destination
         return is_its_destination and self.pending.may_repeat_at(now, pending, pending.uncertain_since)
 
+    def may_finish_call(self, message: str, attempt: int, now: int) -> bool:
+        """Whether the destination may still begin a call of which it has only a part.
+
+        It begins when the last byte arrives, and limits of time count from then. Drains do not: they count
+        from the first byte.
+
+        Args:
+            message: Id of the message.
+            attempt: Number of the attempt.
+            now: The time, us.
+        """
+        if (call := self.calls.get((message, attempt))) is None:
+            return False
+        pending = call.messages[message]
+        is_wanted = now < pending.deadline and not pending.is_completed
+        is_its_destination = call.endpoint.listed.destination == pending.destination
+        ends_in_time = now + call.breaker.overdue_after() <= self.stops_at
+        if not (is_wanted and is_its_destination and ends_in_time) or call.breaker.wait_until > now:
+            return False
+        return self.pending.may_repeat_at(now, pending, pending.uncertain_since)
+
     def send(
         self, message: PendingMessage, endpoint: TrackedEndpoint, batches: dict[str, ActiveCall]
     ) -> None:
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -4,12 +4,14 @@
 import json
 from collections.abc import Awaitable, Callable, Coroutine
 from contextlib import AsyncExitStack
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any, Self
 
 from helpers import ENV
 from socket_faults import next_iteration
 
+from message_sender.http.client_connection import always
 from message_sender.http.common import Address
 from message_sender.http.server import Server
 from message_sender.message import Message
@@ -42,6 +44,20 @@
     return await asyncio.wait_for(awaitable, TIMEOUT_S)
 
 
+@dataclass
+class Permission:
+    """The permission of one call, which a test decides on."""
+
+    begins: Callable[[], bool] = always
+    continues: Callable[[], bool] = always
+
+    def may_begin(self) -> bool:
+        return self.begins()
+
+    def may_continue(self) -> bool:
+        return self.continues()
+
+
 class Request:
     """A received request, with methods to answer it."""
 
--- a/tests/test_client.py
+++ b/tests/test_client.py
@@ -9,7 +9,7 @@
 
 import h11
 import pytest
-from peers import Peer, run_async_test, sample_message, with_timeout
+from peers import Peer, Permission, run_async_test, sample_message, with_timeout
 from socket_faults import next_iteration
 
 from message_sender.core.ports import AttemptResult
@@ -40,7 +40,7 @@
 ) -> asyncio.Task[AttemptResult]:
     """Starts a call to the endpoint "r" at `address`."""
     client.dials = lambda: {"r": address}
-    work = client.call("r", sample_message(body=body), timeout, lambda: may_send)
+    work = client.call("r", sample_message(body=body), timeout, Permission(lambda: may_send))
     return asyncio.create_task(work)
 
 
@@ -278,7 +278,7 @@
         client.dials = lambda: {"new": receiver.address}
         client.endpoints_changed()
         await with_timeout(receiver.ends.get())
-        pending_call = asyncio.create_task(client.call("new", sample_message(), 10, lambda: True))
+        pending_call = asyncio.create_task(client.call("new", sample_message(), 10, Permission()))
         request = await receiver.next()
         client.dials = dict  # the endpoint leaves while its call is in flight: that connection is not pooled
         request.answer(200)
@@ -293,7 +293,7 @@
         client = client_with(connection_limit=2)
         client.dials = lambda: dict.fromkeys("abc", receiver.address)
         for endpoint in "abc":
-            pending_call = asyncio.create_task(client.call(endpoint, sample_message(), 10, lambda: True))
+            pending_call = asyncio.create_task(client.call(endpoint, sample_message(), 10, Permission()))
             (await receiver.next()).answer(200)
             await with_timeout(pending_call)
         await with_timeout(receiver.ends.get())
@@ -470,7 +470,9 @@
             return True
 
         self.client.dials = lambda: {"r": self.listener.getsockname()}
-        answer: AttemptResult = await with_timeout(self.client.call("r", sample_message(), 10, may_send))
+        answer: AttemptResult = await with_timeout(
+            self.client.call("r", sample_message(), 10, Permission(may_send))
+        )
         self.listener.close()
         assert not self.client.idle and not self.client.connections
         return answer
--- a/tests/test_disconnects.py
+++ b/tests/test_disconnects.py
@@ -20,6 +20,7 @@
 from peers import (
     READY,
     HeldConnection,
+    Permission,
     World,
     host,
     message,
@@ -400,7 +401,7 @@
         time = loop.time
         loop.time = lambda: time() + clock_offset  # type: ignore[method-assign]
         transport = Transport(10, 10, 4, lambda: {"r": receiver.address})
-        pending_call = asyncio.create_task(transport.call("r", sample_message(), 2.0, lambda: True))
+        pending_call = asyncio.create_task(transport.call("r", sample_message(), 2.0, Permission()))
         await until(receiver.accept_call)
         await until(receiver.read_request)
         receiver.act(act)
@@ -438,7 +439,7 @@
 
     transport.connect = connect_with_small_buffer  # type: ignore[assignment]
     pending_call = asyncio.create_task(
-        transport.call("r", sample_message(body=b"x" * 65_000), 2.0, lambda: True)
+        transport.call("r", sample_message(body=b"x" * 65_000), 2.0, Permission())
     )
     await until(receiver.accept_call)
 
--- a/tests/test_late_iterations.py
+++ b/tests/test_late_iterations.py
@@ -18,7 +18,7 @@
 from test_disconnects import LateSender
 
 from message_sender.core.event_loop_lag import FIRST_BUCKET_S, REPORT_INTERVAL_S, REPORTED_LAG_S, EventLoopLag
-from message_sender.core.ports import AttemptResult, Completion, Rejected
+from message_sender.core.ports import AttemptResult, Completion, Rejected, SendPermission
 from message_sender.policy.actions import CancelAttempt
 from message_sender.policy.events import AttemptEnded, WakeUp
 from message_sender.policy.model import Outcome
@@ -260,9 +260,9 @@
         endpoint: str,
         message: Any,  # noqa: ANN401
         timeout: float,
-        may_send: Callable[[], bool],
+        permission: SendPermission,
     ) -> AttemptResult:
-        if not may_send():
+        if not permission.may_begin():
             return AttemptResult(Outcome.NOT_SENT)
         self.sent_ids.append(message.id)
         self.futures[message.id] = asyncio.get_running_loop().create_future()
--- a/tests/test_repeated_answers.py
+++ b/tests/test_repeated_answers.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 import pytest
-from peers import Peer, run_async_test, sample_message, with_timeout
+from peers import Peer, Permission, run_async_test, sample_message, with_timeout
 from repeated_answers import UNREACHABLE, Load, answer_twice
 from socket_faults import next_iteration
 
@@ -78,7 +78,7 @@
 
     def start(self, message: str) -> asyncio.Task[AttemptResult]:
         """Starts a call."""
-        return asyncio.create_task(self.transport.call("r", sample_message(message), 10, lambda: True))
+        return asyncio.create_task(self.transport.call("r", sample_message(message), 10, Permission()))
 
     async def answered(self, message: str, status: int = 200) -> AttemptResult:
         """Makes a call that the receiver answers once."""
