Give each connection a bounded turn of parsing in a loop iteration

Cause: ClientConnection.receive returned without waiting as long as bytes could be read, skip_body and is_answer_complete parsed them in one go, and read_event copied all unread bytes for each event (trailing_data). Discovery.read_ready and ManagementConnection.read_call parsed without a bound too.

Change: core/read_turns.py is the one place of the bound: 128 units of work for a connection in an iteration, then those with more to parse take turns; large heads and lines take more units. All readers of the HTTP client, the watch, lists and management use it, and the constants of the clients' side stand there. The copy is made only where a head is expected.

Why it works: what a peer sends decides how often it has a turn, no longer how long one is.

--- a/message_sender/http/client.py
+++ b/message_sender/http/client.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from message_sender.core.ports import AttemptResult, SendPermission
+from message_sender.core.read_turns import ReadTurn, ReadTurns
 from message_sender.core.socket_errors import Cause, ErrorReports, cause_of
 from message_sender.core.traffic_observer import ObservedConnection, TrafficObserver
 from message_sender.http import fast_path
@@ -56,6 +57,7 @@
         connections: All open connections.
         awaiting_answer: Connections on which a response is expected, with their endpoints.
         unread: Reports which connections have unread bytes.
+        turns: The queue of the connections for their turns.
         connecting: Number of connections being opened.
         unsent: Tasks of the calls whose last byte has not been written.
         unacknowledged: Requests that are written but not acknowledged by the receiver's system.
@@ -105,6 +107,7 @@
         self.connections: set[ClientConnection] = set()
         self.awaiting_answer: dict[ClientConnection, str] = {}
         self.unread = UnreadSockets()
+        self.turns = ReadTurns()
         self.connecting = 0
         self.unsent: set[asyncio.Task[Any]] = set()
         self.unacknowledged = UnacknowledgedRequests()
@@ -212,6 +215,7 @@
         finally:
             self.connecting -= 1
         connection.is_fast = True
+        connection.turn = ReadTurn(self.turns)
         connection.discard_unacknowledged_at_close()
         if self.observer:
             connection.observed = ObservedConnection(self.observer, connection.sock.getsockname(), address)
--- a/message_sender/http/client_connection.py
+++ b/message_sender/http/client_connection.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from message_sender.core.read_turns import ReadTurn, ReadTurns
 from message_sender.core.traffic_observer import CLIENT_SIDE, SERVER_SIDE, ObservedConnection
 from message_sender.http import fast_path
 from message_sender.http.common import (
@@ -25,6 +26,7 @@
 )
 from message_sender.http.unacknowledged import unacknowledged_bytes
 
+FIELDS_PER_UNIT = 4  # fields of a head that take as long to parse as one event (`read_turns`)
 HEAD_TIMEOUT_S = 1.0  # from the first bytes of a response to the end of its head
 FIELDS_LIMIT = 128  # fields of a response that are held; a field takes far more memory than a short line
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before a final one
@@ -74,6 +76,9 @@
     """One connection to a server. It never resends a request on its own.
 
     Attributes:
+        turn: What may still be parsed in the present loop iteration; an owner of several connections gives
+            them turns of one queue.
+        has_input_ended: The server has closed its side.
         idle_since: When the connection became idle, in seconds on the loop's clock.
         opened_at: When the connection was opened, in seconds on the loop's clock.
         retires_at: From when the connection takes no more calls, in seconds on the loop's clock.
@@ -99,6 +104,7 @@
 
     def __init__(self, sock: socket.socket, address: Address) -> None:
         """Wraps a socket that is connected to `address`."""
+        self.turn = ReadTurn(ReadTurns())
         self.sock = sock
         self.address = address
         self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT)
@@ -121,6 +127,7 @@
         self.is_fast = False
         self.is_outcome_known = False
         self.discards_at_close = False
+        self.has_input_ended = False
 
     @classmethod
     async def open(cls, address: Address) -> "ClientConnection":
@@ -281,10 +288,22 @@
         """
         while not (self.has_polled or self.poll_error or self.read_available()):
             await self.readable()
+            self.turn.renew()
         self.has_polled = False
         if self.poll_error:
             raise self.poll_error
 
+    async def proceed(self) -> None:
+        """Waits until more can be parsed: for the next turn if this one is over, or else for bytes.
+
+        Raises:
+            OSError: The connection is broken.
+        """
+        if self.turn.is_over():
+            await self.turn.next()
+        else:
+            await self.receive()
+
     def read_available(self) -> bool:
         """Reads the bytes available in the socket without waiting; False if there are none."""
         if self.is_fast and self.head_result:
@@ -298,6 +317,8 @@
             raise ConnectionResetError(str(error)) from None
         if self.observed:
             self.observed.report_data(SERVER_SIDE, data)
+        self.has_input_ended = not data
+        self.turn.spend_bytes(len(data))
         self.feed(data)
         return True
 
@@ -321,30 +342,44 @@
         return self.has_polled
 
     def read_event(self) -> h11.Event | None:
-        """Returns the codec's next event from the bytes received so far; None if more bytes are needed.
+        """Returns the codec's next event from the bytes received so far.
 
         Raises:
             MalformedMessageError: The bytes are not valid HTTP.
             ConnectionResetError: The server has closed the connection.
+
+        Returns:
+            The event; None if more bytes are needed, or the connection's turn is over (see `proceed`).
         """
-        unread, is_closed = self.codec.trailing_data
-        if is_closed and not unread:
+        if self.turn.is_over():
+            return None
+        # The codec returns a copy of all unread bytes: taken for each chunk, that would take quadratic time.
+        is_head_expected = self.codec.their_state is not h11.SEND_BODY
+        unread = self.codec.trailing_data[0] if is_head_expected or self.has_input_ended else b""
+        if self.has_input_ended and not unread:
             raise ConnectionResetError("the connection ended")
-        status_line = STATUS_LINE.match(unread)
+        status_line = STATUS_LINE.match(unread) if is_head_expected else None
         try:
             event = self.codec.next_event()
         except h11.ProtocolError as error:
             raise MalformedMessageError(int(status_line[1]) if status_line else 0, str(error)) from None
-        if event is h11.NEED_DATA and not is_closed:
+        self.spend(event)
+        if event is h11.NEED_DATA and not self.has_input_ended:
             return None
         if isinstance(event, h11.ConnectionClosed) or not isinstance(event, h11.Event):
             raise ConnectionResetError("the connection ended")
         return event
 
+    def spend(self, event: object) -> None:
+        """Counts the work of parsing an event."""
+        self.turn.spend(1)
+        if isinstance(event, h11.InformationalResponse | h11.Response | h11.EndOfMessage):
+            self.turn.spend(len(event.headers) // FIELDS_PER_UNIT)
+
     async def next_event(self) -> h11.Event:
         """Waits for the codec's next event. Raises as `read_event`."""
         while (event := self.read_event()) is None:
-            await self.receive()
+            await self.proceed()
         return event
 
     async def response(self) -> fast_path.ResponseHead:
@@ -367,7 +402,7 @@
         try:
             async with asyncio.timeout(HEAD_TIMEOUT_S):
                 while (head := self.head()) is None:
-                    await self.receive()
+                    await self.proceed()
         except TimeoutError:
             raise MalformedMessageError(
                 0, f"the response head was not complete within {HEAD_TIMEOUT_S} s"
@@ -389,10 +424,11 @@
         return self.head_result
 
     def read_head(self) -> fast_path.ResponseHead | None:
-        """Parses the head from the bytes received so far; None if incomplete. Raises as `read_event`."""
+        """Parses the head from the bytes received so far; None as by `read_event`. Raises as it."""
         while self.interim_responses < MAX_INTERIM_RESPONSES:
             if (event := self.read_event()) is None:
-                self.check_incomplete_head()
+                if not self.turn.is_over():
+                    self.check_incomplete_head()
                 return None
             if isinstance(event, h11.Response):
                 self.body_size = 0
@@ -416,7 +452,9 @@
             raise IncompleteHeadError(200, "the status line is 200, but the head is not complete")
 
     def is_answer_complete(self) -> bool:
-        """Whether the response, whose head has been read, has been received completely.
+        """Whether the response, whose head has been read, has been received and parsed completely.
+
+        One that takes longer than the connection's turn is not complete yet, see `proceed`.
 
         Raises:
             MalformedMessageError: The body is too long or is not valid HTTP.
@@ -436,13 +474,13 @@
         """Reads to the end of a response whose status line has already determined the outcome."""
         self.head_result, self.is_outcome_known = None, True
         while self.read_head() is None:
-            await self.receive()
+            await self.proceed()
         await self.skip_body()
 
     async def skip_body(self) -> None:
         """Reads the response to its end, so that the connection can be reused."""
         while not self.is_answer_complete():
-            await self.receive()
+            await self.proceed()
 
     def next_cycle(self) -> bool:
         """Prepares the connection for the next request; False if none may follow on it.
--- a/message_sender/http/discovery.py
+++ b/message_sender/http/discovery.py
@@ -4,7 +4,7 @@
 import json
 import logging
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, closing
 from dataclasses import replace
 from typing import Any
@@ -12,6 +12,7 @@
 import h11
 
 from message_sender.core.ports import Completion, CompletionState
+from message_sender.core.read_turns import ReadTurn, ReadTurns
 from message_sender.discovery.address_owners import AddressOwners
 from message_sender.http.client_connection import ClientConnection
 from message_sender.http.common import CONNECTION_ERRORS, Address
@@ -28,6 +29,8 @@
 CALL_TIMEOUT_S = 2.4  # until a call's list or the head of a watch is received; discovery gives up after 2 s
 LOCAL_CALL_TIMEOUT_S = 0.25  # with an agent on the same host, whose changes count even while a call hangs
 LINE_LIMIT = 4 * 1024 * 1024  # bytes
+LINE_UNITS = 8  # the work of a line, in the units of `read_turns`
+NO_LINE = object()
 NOTICE_TIMEOUT_S = 0.1  # first attempt; a notice is due in 0.3 s, so a hung connection must leave time
 MAX_NOTICE_TIMEOUT_DOUBLINGS = 2  # the time-out doubles after each failed attempt, at most this often
 NOTICE_RETRY_S = 0.05
@@ -64,6 +67,8 @@
         has_read_line: A line has been received in this process.
         watch_connection: The connection of the active watch.
         stream: Splits the bytes of the active watch into objects.
+        lines: The objects and empty lines of the bytes that `stream` got last, as far as they are not read.
+        turns: The queue of the connections for their turns.
         next_line_due: When the watch counts as broken unless a line arrives, in seconds on the loop's clock.
         poll_error: The error that `poll_unread` met on the watch.
         notices: Encoded notices by message id, until they are acknowledged.
@@ -103,8 +108,10 @@
         self.has_read_line = False
         self.watch_connection: ClientConnection | None = None
         self.stream = JsonStream(LINE_LIMIT)
+        self.lines: Iterator[object] = iter(())
         self.next_line_due = 0.0
         self.poll_error: Exception | None = None
+        self.turns = ReadTurns()
         self.notices: dict[str, str] = {}
         self.has_notices = asyncio.Event()
         self._failed_posts = 0
@@ -163,6 +170,7 @@
         """
         async with asyncio.timeout(self.call_timeout_s):
             connection = await ClientConnection.open(address)
+            connection.turn = ReadTurn(self.turns)
             try:
                 await connection.send("GET", target, {})
                 await expect_ok(connection)
@@ -191,13 +199,14 @@
         """Reads the lines of a watch until the list of another address has replaced this one."""
         self.watch_connection = connection
         self.stream = JsonStream(LINE_LIMIT)
+        self.lines = iter(())
         self.poll_error = None
         self.line_received()
         try:
             while not self.is_replaced(address):
                 self.read_ready(connection, address)
                 async with asyncio.timeout_at(self.next_line_due):
-                    await connection.receive()
+                    await connection.proceed()
                 if self.poll_error:
                     raise self.poll_error
         finally:
@@ -221,16 +230,20 @@
         self.next_line_due = asyncio.get_running_loop().time() + SILENCE_TIMEOUT_S
 
     def read_ready(self, connection: ClientConnection, address: Address) -> None:
-        """Processes the complete lines received so far."""
-        while (event := connection.read_event()) is not None:
+        """Processes the complete lines received so far, as far as the connection's turn allows."""
+        while not (connection.turn.is_over() or self.is_replaced(address)):
+            if (line := next(self.lines, NO_LINE)) is not NO_LINE:
+                connection.turn.spend(LINE_UNITS)
+                self.line_received()
+                if isinstance(line, dict):
+                    self.read(EndpointList(line), address)
+                continue
+            if (event := connection.read_event()) is None:
+                return
             if isinstance(event, h11.EndOfMessage):
                 raise ConnectionError("discovery ended the watch")
-            for fields in self.stream.feed(bytes(event.data)) if isinstance(event, h11.Data) else ():
-                if self.is_replaced(address):
-                    return
-                self.line_received()
-                if fields is not None:
-                    self.read(EndpointList(fields), address)
+            if isinstance(event, h11.Data):
+                self.lines = self.stream.feed(bytes(event.data))
 
     def read(self, update: EndpointList, address: Address | None = None) -> None:
         """Applies one parsed line; a malformed line raises while being parsed, before anything is changed.
--- a/message_sender/http/read_queue.py
+++ b/message_sender/http/read_queue.py
@@ -4,10 +4,9 @@
 from collections import deque
 
 from message_sender.admission.backlog import Backlog
+from message_sender.core.read_turns import ITERATION_BUDGET_S
 from message_sender.http.server_connection import ServerConnection
 
-READ_BUDGET_S = 0.003  # per loop iteration, so that results of receivers and timers are processed too
-
 
 class ReadQueue:
     """Serves connections whose last request was valid first, then complete first requests, all others last.
@@ -68,7 +67,7 @@
             self.loop.call_soon(self.run)
 
     def run(self) -> None:
-        """Parses requests for at most READ_BUDGET_S, so that a flood of requests does not delay calls."""
+        """Parses requests for at most ITERATION_BUDGET_S: a flood of requests does not delay calls."""
         if self.is_frozen:
             self.is_scheduled = False
             return
@@ -78,7 +77,7 @@
         self._schedule()
 
     def _run(self) -> None:
-        deadline = self.loop.time() + READ_BUDGET_S
+        deadline = self.loop.time() + ITERATION_BUDGET_S
         while queue := self.proven or self.others or self.deferred:
             self._read_first(queue)
             if self.loop.time() >= deadline:
--- a/message_sender/http/request_reader.py
+++ b/message_sender/http/request_reader.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from message_sender.core.read_turns import TURN_UNITS
 from message_sender.http import fast_path
 from message_sender.http.chunked_body import ChunkedDecoder, ChunkState
 from message_sender.http.common import BODY_LIMIT, HEADER_LIMIT, header
@@ -22,8 +23,6 @@
 
 #: Lines of a head or of a trailer section. A parsed field takes far more memory than a short line.
 LINES_LIMIT = 128
-#: Chunks that are decoded before other connections are served.
-CHUNKS_PER_TURN = 128
 FIELD_BYTES = 64  # that a parsed field is counted with, beside its bytes on the wire
 SECTION_END = re.compile(rb"\n\r?\n")
 EMPTY_LINES = (b"\n", b"\r\n")
@@ -184,7 +183,7 @@
         del self.received[:missing]
 
     def _take_chunks(self, chunks: ChunkedDecoder) -> ReadResult:
-        if chunks.decode(self.received, self.body, CHUNKS_PER_TURN):
+        if chunks.decode(self.received, self.body, TURN_UNITS):
             return ReadResult.UNFINISHED
         if chunks.state is not ChunkState.TRAILERS:
             return ReadResult.NEED_DATA
--- a/message_sender/management/server.py
+++ b/message_sender/management/server.py
@@ -24,6 +24,7 @@
 
 import h11
 
+from message_sender.core.read_turns import ReadTurn, ReadTurns
 from message_sender.core.socket_errors import Cause, ErrorReports, cause_of, describe_defect
 from message_sender.management.calls import ManagementCall, ManagementReply, parse_call
 
@@ -53,6 +54,7 @@
 
     Attributes:
         sock: The connection's socket.
+        turn: What may still be parsed in the present loop iteration.
         deadline: The time, in seconds of the loop's clock, at which the connection gets status 408 or, after
             the reply, is closed.
         codec: The HTTP state of the connection.
@@ -61,8 +63,9 @@
         is_answered: Whether the reply has been sent.
     """
 
-    def __init__(self, sock: socket.socket, deadline: float) -> None:
+    def __init__(self, sock: socket.socket, deadline: float, turns: ReadTurns) -> None:
         """Initializes without a request."""
+        self.turn = ReadTurn(turns)
         self.sock = sock
         self.deadline = deadline
         self.codec = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
@@ -71,9 +74,13 @@
         self.is_answered = False
 
     def read_call(self) -> ManagementCall | ManagementReply | None:
-        """Returns the received call, or the reply that rejects it; None while the request is incomplete."""
+        """Returns the received call, or the reply that rejects it.
+
+        Returns None while the request is incomplete, or more of it can be parsed only in the next turn.
+        """
         try:
-            while (event := self.codec.next_event()) is not h11.NEED_DATA:
+            while not self.turn.is_over() and (event := self.codec.next_event()) is not h11.NEED_DATA:
+                self.turn.spend(1)
                 if call := self.handle_event(event):
                     return call
         except h11.RemoteProtocolError as error:
@@ -122,6 +129,7 @@
     Attributes:
         handler: Executes the calls.
         connections: The open connections, oldest first.
+        turns: The queue of the connections for their turns.
         listener: The listening socket; None while the server does not listen.
     """
 
@@ -131,6 +139,7 @@
         self.loop = asyncio.get_running_loop()
         self.listener: socket.socket | None = None
         self.connections: dict[ManagementConnection, None] = {}
+        self.turns = ReadTurns()
         self.reports = ErrorReports()
         self.timer: asyncio.TimerHandle | None = None
 
@@ -199,7 +208,7 @@
         """Registers a new connection and reads the data that has already arrived."""
         if len(self.connections) >= MAX_CONNECTIONS:
             self.close_connection(self.connection_to_replace())
-        connection = ManagementConnection(sock, self.loop.time() + REQUEST_TIMEOUT_S)
+        connection = ManagementConnection(sock, self.loop.time() + REQUEST_TIMEOUT_S, self.turns)
         self.connections[connection] = None
         try:
             sock.setblocking(False)
@@ -234,9 +243,19 @@
         if connection.is_answered:
             return
         connection.codec.receive_data(data)
+        self.parse(connection)
+
+    def parse(self, connection: ManagementConnection) -> None:
+        """Parses received data, as far as the connection's turn allows, and answers a complete request."""
+        if connection.is_answered or connection not in self.connections:
+            return
         call = connection.read_call()
         if call is not None:
             self.send_reply(connection, self.execute(call))
+        elif connection.turn.is_over():
+            connection.turn.call_in_next(partial(self.parse, connection))
+        else:
+            connection.turn.renew()
 
     def execute(self, call: ManagementCall | ManagementReply) -> ManagementReply:
         """Returns the handler's reply, or the one that rejects the request."""
