Do not count a stall of this process as a peer's silence

Cause: asyncio.timeout compares clock times. If the loop stands still meanwhile, the limit is over when it goes on, and the wait is cancelled although the answer lies unread in the socket.

Change: core/peer_timeout.py counts a limit in slices; a slice that ends late counts its nominal length only, and a last slice that ends late leaves 0.02 s to read what has come. Used for posts of notices, calls to discovery and the silence of its watch, connects, heads and bodies of answers, the state of a predecessor and a gRPC channel's connect. Limits that others rely on (deadlines, leases, windows) stay as they are.

--- a/message_sender/grpc/transport.py
+++ b/message_sender/grpc/transport.py
@@ -6,6 +6,7 @@
 
 import grpc
 
+from message_sender.core.peer_timeout import PeerTimeout
 from message_sender.core.ports import AttemptResult, SendPermission
 from message_sender.discovery.static import Dial
 from message_sender.grpc.retry import retry_after
@@ -116,7 +117,7 @@
     async def wait_until_ready(self, channel: grpc.aio.Channel, timeout: float) -> bool:
         """Connects, and returns whether the channel is ready within `timeout` seconds."""
         try:
-            async with asyncio.timeout(timeout):
+            async with PeerTimeout(timeout):
                 while True:
                     state = channel.get_state(try_to_connect=True)
                     if state is grpc.ChannelConnectivity.READY:
--- a/message_sender/handover/predecessor.py
+++ b/message_sender/handover/predecessor.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from message_sender.core.peer_timeout import PeerTimeout
 from message_sender.handover.link import HandoverLink, Packet, PacketReceiver, do_nothing
 
 EXIT_WAIT_S = 0.1  # from the closing of a link to the assumed end of its process, without a pidfd to watch
@@ -90,7 +91,7 @@
         self.link.send({"do": "take over"})
         text = ""
         try:
-            async with asyncio.timeout_at(deadline):
+            async with PeerTimeout(deadline - asyncio.get_running_loop().time()):
                 while not self.link.is_closed:
                     while self.pending_packets:
                         packet, _ = self.pending_packets.popleft()
--- a/message_sender/http/call.py
+++ b/message_sender/http/call.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any, Protocol
 
+from message_sender.core.peer_timeout import PeerTimeout
 from message_sender.core.ports import AttemptResult, SendPermission
 from message_sender.http.client_connection import AnsweredRequest, ClientConnection, SendRevokedError
 from message_sender.http.common import (
@@ -258,7 +259,7 @@
             self.is_returned = self.owner.return_if_complete(self.endpoint, connection)
             return
         # Only a complete, well-formed response proves that the request did not run, whatever its status says.
-        async with asyncio.timeout(BODY_TIMEOUT_S):
+        async with PeerTimeout(BODY_TIMEOUT_S):
             await connection.skip_body()
         self.is_returned = self.owner.finish_response(self.endpoint, connection)
 
--- a/message_sender/http/client.py
+++ b/message_sender/http/client.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
+from message_sender.core.peer_timeout import PeerTimeout
 from message_sender.core.ports import AttemptResult, SendPermission
 from message_sender.core.read_turns import ReadTurn, ReadTurns
 from message_sender.core.socket_errors import Cause, ErrorReports, cause_of
@@ -210,7 +211,7 @@
             self.close_idle_connection(next(iter(self.idle)))
         self.connecting += 1
         try:
-            async with asyncio.timeout(self.connect_timeout):
+            async with PeerTimeout(self.connect_timeout):
                 connection = await self.open_socket(address)
         finally:
             self.connecting -= 1
@@ -288,7 +289,7 @@
     ) -> None:
         is_returned = False
         try:
-            async with asyncio.timeout(BODY_TIMEOUT_S):
+            async with PeerTimeout(BODY_TIMEOUT_S):
                 await rest
             is_returned = self.finish_response(endpoint, connection)
         except CONNECTION_ERRORS:
--- a/message_sender/http/client_connection.py
+++ b/message_sender/http/client_connection.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from message_sender.core.peer_timeout import PeerTimeout
 from message_sender.core.read_turns import ReadTurn, ReadTurns
 from message_sender.core.traffic_observer import CLIENT_SIDE, SERVER_SIDE, ObservedConnection
 from message_sender.http import fast_path
@@ -400,7 +401,7 @@
     async def rest_of_head(self) -> "fast_path.ResponseHead | MalformedMessageError | ConnectionResetError":
         """Waits for the rest of a partially received head; returns the head or the error in its place."""
         try:
-            async with asyncio.timeout(HEAD_TIMEOUT_S):
+            async with PeerTimeout(HEAD_TIMEOUT_S):
                 while (head := self.head()) is None:
                     await self.proceed()
         except TimeoutError:
--- a/message_sender/http/discovery.py
+++ b/message_sender/http/discovery.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from message_sender.core.peer_timeout import PeerTimeout
 from message_sender.core.ports import Completion, CompletionState
 from message_sender.core.read_turns import ReadTurn, ReadTurns
 from message_sender.discovery.address_owners import AddressOwners
@@ -168,7 +169,7 @@
         Raises:
             OSError, MalformedMessageError: The call failed.
         """
-        async with asyncio.timeout(self.call_timeout_s):
+        async with PeerTimeout(self.call_timeout_s):
             connection = await ClientConnection.open(address)
             connection.turn = ReadTurn(self.turns)
             try:
@@ -188,7 +189,7 @@
         Raises as `open_call`, and ValueError if the body is too long.
         """
         body = bytearray()
-        async with asyncio.timeout(CALL_TIMEOUT_S), self.open_call(address, target) as connection:
+        async with PeerTimeout(CALL_TIMEOUT_S), self.open_call(address, target) as connection:
             while not isinstance(event := await connection.next_event(), h11.EndOfMessage):
                 body += event.data if isinstance(event, h11.Data) else b""
                 if len(body) > LINE_LIMIT:
@@ -205,7 +206,7 @@
         try:
             while not self.is_replaced(address):
                 self.read_ready(connection, address)
-                async with asyncio.timeout_at(self.next_line_due):
+                async with PeerTimeout(self.next_line_due - asyncio.get_running_loop().time()):
                     await connection.proceed()
                 if self.poll_error:
                     raise self.poll_error
@@ -345,7 +346,7 @@
         """
         timeout_s = NOTICE_TIMEOUT_S * 2 ** min(self._failed_posts, MAX_NOTICE_TIMEOUT_DOUBLINGS)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with PeerTimeout(timeout_s):
                 with closing(await ClientConnection.open(self.address)) as connection:
                     return await self._post(connection, "\n".join(batch.values()) + "\n")
         except CONNECTION_ERRORS as error:
