Replace a test of a call that connects while the watch ends by one that a stall can't break

The first watch had been given up by a stall of the process, which sender and agent share; the test then ended a watch that was over, and its agent never told a later one, "after=41", of list 60, as a sound agent does at once.

Change: the stand-in tells a watch that asks after another version than its list's; the test ends every watch there has been; and the bounds of the wait, which have tests of their own, are out of reach for it. It is played without a stall and with one of 0.3 s at three steps. What is asserted is the same.

--- a/tests/peers.py
+++ b/tests/peers.py
@@ -152,6 +152,9 @@
             self.requests.put_nowait(request)
             return
         request.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        known_version = request.target.rpartition("after=")[2]
+        if self.agent_list and known_version != str(self.agent_list["seq"]):
+            send_watch_line(request, self.agent_list["seq"], *self.agent_list["hosts"], whole=True)
         self.watches.put_nowait(request)
         self.watched.append(request)
 
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 
@@ -11,11 +12,13 @@
 from peers import Peer, Request, Running, World, host, message, run_async_test, send_watch_line, with_timeout
 from test_handover import replace_process, service
 
+from message_sender.policy import list_confirmation
 from message_sender.policy.events import EndpointsUpdated, MessageAccepted, MessageRestored, WakeUp
 from message_sender.policy.list_confirmation import START_LIMIT_US, WATCH_RESTART_LIMIT_US
 from message_sender.policy.model import ListingKind
 
 OTHER = 4  # a destination other than that of `host`
+STALL_S = 0.3  # longer than a watch of a local agent may take to begin
 SETTLE_S = 0.15  # in which a message that can be sent is sent
 FAILED = EndpointsUpdated(ListingKind.FAILED)
 
@@ -180,11 +183,23 @@
     test(tmp_path)
 
 
-def test_a_call_that_connects_while_the_watch_ends_is_not_sent_on_the_old_list(tmp_path: Path) -> None:
+@pytest.mark.parametrize("stalled_step", ["none", "first watch", "list replaced", "watch ended"])
+def test_a_call_that_connects_while_the_watch_ends_is_not_sent_on_the_old_list(
+    stalled_step: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """A stall, in which sender and agent stand still, neither ends the wait nor prevents it."""
+    monkeypatch.setattr(list_confirmation, "WATCH_RESTART_LIMIT_US", 60 * SECOND)
+    monkeypatch.setattr(list_confirmation, "WATCH_RESTART_INTERVAL_US", 0)
+
+    def stall_at(step: str) -> None:
+        if step == stalled_step:
+            time.sleep(STALL_S)
+
     @run_async_test
     async def test(state: Path) -> None:
         async with World(state, mode="pushed") as world, Peer() as moved:
-            watch = await with_timeout(world.platform.watches.get())
+            await with_timeout(world.platform.watches.get())
+            stall_at("first watch")
             transport, connect = world.sender.transport, world.sender.transport.connect
             is_connecting, may_connect = asyncio.Event(), asyncio.Event()
 
@@ -198,7 +213,10 @@
             await with_timeout(is_connecting.wait())
             new = [host(world.receiver.dial, "n", block=OTHER), host(moved.dial, "s")]
             world.platform.agent_list = {"seq": 60, "whole": True, "hosts": new}
-            watch.abort()
+            stall_at("list replaced")
+            for watch in world.platform.watched:
+                watch.abort()
+            stall_at("watch ended")
             await asyncio.sleep(0)
             may_connect.set()
             call = await with_timeout(moved.requests.get())
