Hold calls from when what a silent watch missed counts as known

Cause: after the end of a watch calls wait for 0.25 s at most, since an agent that is silent learns nothing. That holds only if the list was current; a watch that fell silent may have missed what the agent got before discovery went down. The policy could not tell the two ends apart.

--- a/message_sender/core/engine.py
+++ b/message_sender/core/engine.py
@@ -330,6 +330,10 @@
         self.transport.endpoints_changed()
         self.post(event)
 
+    def watch_fell_silent(self, silence_us: int) -> None:
+        """Handles a silence of the directory's watch, us, which is about to end the watch."""
+        self.dispatcher.watch_fell_silent(self.now() - silence_us)
+
     def retry_after_received(self, endpoint: str, delay_us: int) -> None:
         """Applies a Retry-After of an endpoint at once, before the loop iteration that handles the answer.
 
--- a/message_sender/emulator/policies.py
+++ b/message_sender/emulator/policies.py
@@ -140,6 +140,9 @@
     def attempt_withheld(self, message_id: str) -> None:
         """Ignores that the sender held an attempt back; it counts as one."""
 
+    def watch_fell_silent(self, silent_since: float) -> None:
+        """Ignores that a watch may have missed changes; these policies call by any list."""
+
     def holds_calls(self, now: int) -> bool:
         """Whether calls wait for the endpoint list; these policies call by any list."""
         return False
--- a/message_sender/http/discovery.py
+++ b/message_sender/http/discovery.py
@@ -44,6 +44,18 @@
 log = logging.getLogger(__name__)
 
 
+class SilentWatchError(ConnectionError):
+    """A watch had no complete line for `SILENCE_TIMEOUT_S`; it may lack what discovery had to tell."""
+
+    def __init__(self) -> None:
+        """Creates the error."""
+        super().__init__(f"no line for {SILENCE_TIMEOUT_S} s")
+
+
+def ignore_silence(silence_us: int) -> None:
+    """Default callback for a silence."""
+
+
 async def expect_ok(connection: ClientConnection) -> None:
     """Checks that the response has status 200. Raises ConnectionError if it has another one."""
     if (status := (await connection.response()).status_code) != 200:
@@ -57,6 +69,7 @@
         call_timeout_s: Time limit of a call in seconds.
         address: The address of the service.
         on_update: Called with updates of the endpoint list.
+        on_silence: Called when a watch is about to end after a silence, with its length in us.
         on_acknowledged: Called with the id of each message whose notice was acknowledged.
         version: Version of the current list; None after a move to another service, for which the versions of
             the previous one mean nothing.
@@ -99,6 +112,7 @@
         self.fetches_list = fetches_list
         self.address = address
         self.on_update = listed
+        self.on_silence: Callable[[int], None] = ignore_silence
         self.on_acknowledged = answered
         self.version: int | None = known.version
         self.addresses = AddressOwners()
@@ -136,6 +150,10 @@
         while True:
             try:
                 await self.watch_once(address)
+            except SilentWatchError as error:
+                silent_since = self.next_line_due - SILENCE_TIMEOUT_S
+                self.on_silence(int((asyncio.get_running_loop().time() - silent_since) * 1e6))
+                log.warning("discovery watch ended: error=%s", error)
             except CONNECTION_ERRORS as error:
                 log.warning("discovery watch ended: error=%s", str(error) or type(error).__name__)
             except MALFORMED_LINE_ERRORS as error:
@@ -206,8 +224,11 @@
         try:
             while not self.is_replaced(address):
                 self.read_ready(connection, address)
-                async with PeerTimeout(self.next_line_due - asyncio.get_running_loop().time()):
-                    await connection.proceed()
+                try:
+                    async with PeerTimeout(self.next_line_due - asyncio.get_running_loop().time()):
+                        await connection.proceed()
+                except TimeoutError:
+                    raise SilentWatchError from None
                 if self.poll_error:
                     raise self.poll_error
         finally:
--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -82,6 +82,7 @@
         self.suggest_retry_after = self.pending.suggest_retry_after
         self.retry_after_received = self.inflight.retry_after_received
         self.attempt_withheld = self.inflight.attempt_withheld
+        self.watch_fell_silent = self.registry.list_confirmation.watch_fell_silent
 
     def handle(self, now_us: int, events: Iterable[PolicyEvent]) -> list[PolicyAction]:
         """Processes the events of one iteration.
@@ -402,7 +403,7 @@
         self.registry.schedule_overdue_checks()
         due = [
             list_polling.next_poll_at,
-            self.registry.list_confirmation.held_until,
+            self.registry.list_confirmation.next_change_at(self.loop.now),
             self.registry.overdue_checks.next_due(),
             self.registry.reopenings.next_due(),
         ]
--- a/message_sender/service/daemon.py
+++ b/message_sender/service/daemon.py
@@ -350,6 +350,7 @@
             LOCAL_CALL_TIMEOUT_S if self.config.settings.has_local_list else CALL_TIMEOUT_S,
             fetches_list=self.config.settings.has_local_list,
         )
+        discovery.on_silence = engine.watch_fell_silent
         if self.predecessor:
             discovery.version = self.predecessor.list_sequence
             discovery.destinations |= {*self.predecessor.destinations}
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -78,6 +78,24 @@
     run_async_test(test)(Path())
 
 
+def test_a_watch_that_ended_after_a_silence_is_told_from_one_that_broke(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test(_: Path) -> None:
+        async with watching() as (discovery, platform, updates, _acknowledged):
+            silences: asyncio.Queue[int] = asyncio.Queue()
+            discovery.on_silence = silences.put_nowait
+            (await with_timeout(platform.watches.get())).abort()
+            assert (await with_timeout(updates.get())).listing is ListingKind.FAILED and silences.empty()
+            next_watch = asyncio.create_task(discovery.watch())
+            assert await with_timeout(silences.get()) >= 50_000
+            await next_watch
+            assert silences.empty()
+
+    monkeypatch.setattr(module, "SILENCE_TIMEOUT_S", 0.05)
+    run_async_test(test)(Path())
+
+
 @run_async_test
 async def test_notices_are_posted_again_until_they_are_acknowledged(_: Path) -> None:
     async with watching() as (discovery, platform, _updates, acknowledged):
--- a/tests/test_list_confirmation.py
+++ b/tests/test_list_confirmation.py
@@ -13,13 +13,23 @@
 from test_handover import replace_process, service
 
 from message_sender.policy import list_confirmation
-from message_sender.policy.events import EndpointsUpdated, MessageAccepted, MessageRestored, WakeUp
-from message_sender.policy.list_confirmation import START_LIMIT_US, WATCH_RESTART_LIMIT_US
-from message_sender.policy.model import ListingKind
+from message_sender.policy.events import (
+    EndpointsUpdated,
+    MessageAccepted,
+    MessageRestored,
+    WakeUp,
+)
+from message_sender.policy.list_confirmation import (
+    SILENCE_KNOWN_US,
+    START_LIMIT_US,
+    WATCH_RESTART_LIMIT_US,
+)
+from message_sender.policy.model import ListingKind, Outcome
 
 OTHER = 4  # a destination other than that of `host`
 STALL_S = 0.3  # longer than a watch of a local agent may take to begin
 SETTLE_S = 0.15  # in which a message that can be sent is sent
+SILENT_FOR_US = 26 * SECOND // 10
 FAILED = EndpointsUpdated(ListingKind.FAILED)
 
 
@@ -79,6 +89,41 @@
     assert sent_messages(policy.accept(after=MS)) == ["m2"]
 
 
+def silent_policy() -> Policy:
+    """A policy whose watch has ended 2.6 s after it fell silent, and that has had no list since."""
+    policy = started_policy()
+    policy.step(listed(ListingKind.FULL))
+    policy.dispatcher.watch_fell_silent(policy.now + SECOND - SILENT_FOR_US)
+    policy.step(FAILED, after=SECOND)
+    return policy
+
+
+def test_calls_wait_for_a_list_from_when_the_changes_that_a_silent_watch_missed_are_known() -> None:
+    policy = silent_policy()
+    policy.step(FAILED, after=WATCH_RESTART_LIMIT_US)
+    left = SILENCE_KNOWN_US - SILENT_FOR_US - WATCH_RESTART_LIMIT_US
+    assert sent_messages(policy.accept(after=left - 1)) == ["m1"]
+    policy.end_attempt("m1", Outcome.OK, after=0)
+    assert sent_messages(policy.accept(after=1)) == []
+    assert policy.dispatcher.holds_calls(policy.now)
+    assert sent_messages(policy.step(listed(ListingKind.FULL), after=SECOND)) == ["m2"]
+
+
+def test_the_wait_after_a_silent_watch_is_bounded_and_wakes_the_policy() -> None:
+    policy = silent_policy()
+    assert sent_messages(policy.accept(after=SILENCE_KNOWN_US - SILENT_FOR_US)) == []
+    end = policy.now + START_LIMIT_US
+    assert policy.now < policy.dispatcher.wake_at <= end
+    assert sent_messages(policy.step(WakeUp(), after=START_LIMIT_US - 1)) == []
+    assert sent_messages(policy.step(WakeUp(), after=1)) == ["m1"]
+
+
+def test_a_list_in_time_after_a_silent_watch_makes_no_call_wait() -> None:
+    policy = silent_policy()
+    policy.step(listed(ListingKind.FULL), after=SECOND)
+    assert sent_messages(policy.accept(after=SILENCE_KNOWN_US)) == ["m1"]
+
+
 def test_an_agent_whose_watches_end_at_once_does_not_stop_all_calls() -> None:
     policy = started_policy()
     for _ in range(3):
