Pass results of a predecessor on to the messages' owner

Cause: Engine.inherit_result recorded a predecessor's result wherever it arrived. A process that had handed over itself owned no message any more, so the result was dropped, and the owner took the call for one in flight until that process ended. stop_if_drained let it end while its predecessor had calls out.

Change: Attempts.report_result asks who owns the messages, for a process's own results and inherited ones alike. Cancellations are passed on the other way, and so is a client's connection that arrives after the release.

Why it works: a result goes on until it meets the process that has the message.

--- a/message_sender/core/attempts.py
+++ b/message_sender/core/attempts.py
@@ -293,8 +293,11 @@
     def _ended(self, message_id: str, number: int, result: AttemptResult) -> None:
         del self.calls[message_id, number]
         self.hooks.release_limits(message_id)
-        if self.owner.is_closed:
-            return
+        if not self.owner.is_closed:
+            self.report_result(message_id, number, result)
+
+    def report_result(self, message_id: str, number: int, result: AttemptResult) -> None:
+        """Records a result of this process or its predecessor, or passes it on to the messages' owner."""
         if not self.is_handed_over:
             self.record_result(message_id, number, result)
             return
--- a/message_sender/core/engine.py
+++ b/message_sender/core/engine.py
@@ -289,11 +289,18 @@
         self.journal.entries = {}
 
     def inherit_result(self, message_id: str, number: int, result: AttemptResult) -> None:
-        """Handles the result of a predecessor's call, or one that arrived while this engine was frozen."""
+        """Handles the result of a predecessor's call, or one that arrived while this engine was frozen.
+
+        A process that has handed over itself passes the result on: results follow the owner of the messages.
+        """
         self.attempts.predecessor_calls.discard((message_id, number))
-        if result.retry_after_us and (call := self.dispatcher.calls.get((message_id, number))):
+        if (
+            not self.is_handed_over
+            and result.retry_after_us
+            and (call := self.dispatcher.calls.get((message_id, number)))
+        ):
             self.retry_after_received(call.endpoint.listed.id, result.retry_after_us)
-        self.attempts.record_result(message_id, number, result)
+        self.attempts.report_result(message_id, number, result)
 
     # Events. Those of one loop iteration are passed to the policy together.
 
--- a/message_sender/service/daemon.py
+++ b/message_sender/service/daemon.py
@@ -249,12 +249,13 @@
             self.stop_if_drained()
 
     def stop_if_drained(self) -> None:
-        """Stops a terminating sender that has no calls, messages or responses left."""
+        """Stops a terminating sender without calls, messages or responses, whose predecessor has no calls."""
         engine, server = self.engine, self.server
         if (
             self.drain.exit_at_s() is None
             or server.listener
             or engine.attempts.calls
+            or engine.attempts.predecessor_calls
             or engine.journal.entries
         ):
             return
--- a/message_sender/service/process_handover.py
+++ b/message_sender/service/process_handover.py
@@ -50,6 +50,7 @@
         self.sender = sender
         self.ownership = ownership
         self.reserved_descriptors = 0  # descriptors that the predecessor may still use
+        self.is_released = False  # a successor serves the clients
 
     # Successor side.
 
@@ -71,7 +72,7 @@
         try:
             if packet["do"] == CLIENT_PACKET and len(descriptors) == 1:
                 descriptor, descriptors = descriptors[0], []
-                self._adopt_client(packet, descriptor)
+                self._receive_client(packet, descriptor)
             elif packet["do"] == RESULT_PACKET:
                 self._inherit_result(packet)
         except (KeyError, ValueError, TypeError, OSError) as error:
@@ -79,6 +80,15 @@
         for descriptor in descriptors:
             os.close(descriptor)
 
+    def _receive_client(self, packet: Packet, descriptor: int) -> None:
+        """Serves a client's connection, or passes it on if the successor serves the clients already."""
+        successor_link = self.ownership.successor_link
+        if not self.is_released or successor_link is None:
+            self._adopt_client(packet, descriptor)
+            return
+        close_descriptor = partial(os.close, descriptor)
+        successor_link.send_later(partial(OutgoingPacket.encode, packet, (descriptor,), close_descriptor))
+
     def _adopt_client(self, packet: Packet, descriptor: int) -> None:
         connection = socket.socket(fileno=descriptor)
         unread = base64.b64decode(packet["read"])
@@ -145,6 +155,7 @@
     def release(self) -> None:
         """Starts to pass clients and results of calls to the successor, which now owns the state folder."""
         sender = self.sender
+        self.is_released = True
         sender.engine.release(self.send_result)
         sender.server.release(self.send_client)
         sender.transport.close_all_idle()
@@ -190,6 +201,8 @@
         if packet.get("do") != CANCEL_PACKET:
             return
         attempt = (packet.get("message", ""), packet.get("attempt", -1))
+        if attempt in self.sender.engine.attempts.predecessor_calls:
+            self.cancel_call(*attempt)
         if task := self.sender.engine.attempts.calls.get(attempt):
             task.cancel()
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -284,6 +284,49 @@
         assert await old.wait_for_exit() == 0
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 0.3, 2.2])
+@pytest.mark.parametrize("is_middle_terminated", [False, True])
+def test_a_result_of_the_process_before_last_reaches_the_owner(
+    is_middle_terminated: bool, pause_s: float, tmp_path: Path
+) -> None:
+    @run_async_test
+    async def test(folder: Path) -> None:
+        async with service(folder, **ORDERED_CLASS) as (platform, receiver, _):
+            oldest = await platform.start()
+            client = await platform.connect()
+            for name in ("m1", "m2"):
+                assert (await client.request(message(name, X_Session_Key="k"))).status == 202
+            first = await receiver.next()
+            middle = await replace_process(platform, oldest)
+            await asyncio.sleep(pause_s)
+            await replace_process(platform, middle)
+            if is_middle_terminated:
+                middle.kill(signal.SIGTERM)
+                await asyncio.sleep(0.5)
+            assert receiver.requests.empty()  # m1 is still out
+            first.answer(200)
+            second = await receiver.next()
+            assert second.id == "m2" and receiver.requests.empty()
+            second.answer(200)
+
+    test(tmp_path)
+
+
+@run_async_test
+async def test_calls_of_the_process_before_last_end_with_a_killed_middle_process(tmp_path: Path) -> None:
+    """No later process can know of them, so two attempts must not be out at once."""
+    async with service(tmp_path, **ORDERED_CLASS) as (platform, receiver, _):
+        oldest = await platform.start()
+        client = await platform.connect()
+        assert (await client.request(message("m1", X_Session_Key="k"))).status == 202
+        await receiver.next()
+        middle = await replace_process(platform, oldest)
+        await replace_process(platform, middle)
+        middle.kill(signal.SIGKILL)
+        await with_timeout(receiver.ends.get())
+        assert await oldest.wait_for_exit() == 0
+
+
 @run_async_test
 async def test_a_retry_after_received_by_the_old_process_applies_to_the_new_one(tmp_path: Path) -> None:
     async with service(tmp_path) as (platform, receiver, _):
