Let the calls in flight decide whether a call may start

Change: may_start_call moves to inflight.py, beside the calls that it is about; callers keep their name for it.

--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -82,6 +82,7 @@
         self.suggest_retry_after = self.pending.suggest_retry_after
         self.retry_after_received = self.inflight.retry_after_received
         self.attempt_withheld = self.inflight.attempt_withheld
+        self.may_start_call = self.inflight.may_start_call
         self.watch_fell_silent = self.registry.list_confirmation.watch_fell_silent
 
     def handle(self, now_us: int, events: Iterable[PolicyEvent]) -> list[PolicyAction]:
@@ -335,24 +336,6 @@
         """Whether calls wait for the endpoint list at this time, us."""
         return self.registry.list_confirmation.holds_calls(now)
 
-    def may_start_call(self, endpoint: str, now: int, message: str = "") -> bool:
-        """Whether a call may still start; checked before its first byte is sent, since connecting takes time.
-
-        Args:
-            endpoint: Id of the endpoint, which may have begun to drain, announced a Retry-After, or been
-                listed with another destination meanwhile.
-            now: The time, us.
-            message: Id of the message, whose idempotency window may have ended meanwhile; empty for none.
-        """
-        known = self.endpoints.get(endpoint)
-        if known is None or (known.breaker and known.breaker.wait_until > now):
-            return False
-        pending = self.messages.get(message)
-        if pending is None:
-            return True
-        is_its_destination = known.listed.destination == pending.destination
-        return is_its_destination and self.pending.may_repeat_at(now, pending, pending.uncertain_since)
-
     def may_finish_call(self, message: str, attempt: int, now: int) -> bool:
         """Whether the destination may still begin a call of which it has only a part.
 
--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -1,4 +1,4 @@
-"""The calls in flight: evaluates their results as evidence about destinations, and finds overdue calls."""
+"""The calls in flight: whether one may start, their results as evidence about destinations, overdue calls."""
 
 from message_sender.policy.actions import CancelAttempt, CloseIdle
 from message_sender.policy.breaker import RESET_TIMEOUT_US, ActiveCall, TrackedEndpoint
@@ -150,6 +150,24 @@
         for breaker in breakers:
             breaker.wait_until = max(breaker.wait_until, until)
 
+    def may_start_call(self, endpoint: str, now: int, message: str = "") -> bool:
+        """Whether a call may still start; checked before its first byte is sent, since connecting takes time.
+
+        Args:
+            endpoint: Id of the endpoint, which may have begun to drain, announced a Retry-After, or been
+                listed with another destination meanwhile.
+            now: The time, us.
+            message: Id of the message, whose idempotency window may have ended meanwhile; empty for none.
+        """
+        known = self.registry.endpoints.get(endpoint)
+        if known is None or (known.breaker and known.breaker.wait_until > now):
+            return False
+        pending = self.pending.messages.get(message)
+        if pending is None:
+            return True
+        is_its_destination = known.listed.destination == pending.destination
+        return is_its_destination and self.pending.may_repeat_at(now, pending, pending.uncertain_since)
+
     # Overdue calls.
 
     def process_overdue(self) -> None:
