--- a/message_sender/http/call.py
+++ b/message_sender/http/call.py
@@ -11,7 +11,7 @@
 
 from message_sender.core.peer_timeout import PeerTimeout
 from message_sender.core.ports import AttemptResult, SendPermission
-from message_sender.http.client_connection import AnsweredRequest, ClientConnection, SendRevokedError
+from message_sender.http.client_connection import AnsweredRequest, ClientConnection
 from message_sender.http.common import (
     BODY_LIMIT,
     CONNECTION_ERRORS,
@@ -21,6 +21,7 @@
     header,
 )
 from message_sender.http.fast_path import ResponseHead
+from message_sender.http.request_writer import SendRevokedError
 from message_sender.http.response_mapping import announced_limit, answer_from
 from message_sender.http.unacknowledged import UnacknowledgedRequests, unacknowledged_bytes
 from message_sender.message import Message
--- a/message_sender/http/client_connection.py
+++ b/message_sender/http/client_connection.py
@@ -1,11 +1,9 @@
 """HTTP/1.1 client connections on plain sockets, to receivers and to the discovery service."""
 
 import asyncio
-import contextlib
 import math
 import re
 import socket
-import struct
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -13,27 +11,23 @@
 
 from message_sender.core.peer_timeout import PeerTimeout
 from message_sender.core.read_turns import ReadTurn, ReadTurns
-from message_sender.core.traffic_observer import CLIENT_SIDE, SERVER_SIDE, ObservedConnection
+from message_sender.core.traffic_observer import CLIENT_SIDE, SERVER_SIDE
 from message_sender.http import fast_path
 from message_sender.http.common import (
     BODY_LIMIT,
     CONNECTION_ERRORS,
-    HEADER_LIMIT,
     READ_SIZE,
     Address,
     IncompleteHeadError,
     MalformedMessageError,
     close,
 )
-from message_sender.http.unacknowledged import unacknowledged_bytes
+from message_sender.http.request_writer import RequestWriter, wake
 
 FIELDS_PER_UNIT = 4  # fields of a head that take as long to parse as one event (`read_turns`)
 HEAD_TIMEOUT_S = 1.0  # from the first bytes of a response to the end of its head
 FIELDS_LIMIT = 128  # fields of a response that are held; a field takes far more memory than a short line
 MAX_INTERIM_RESPONSES = 16  # 1xx responses before a final one
-SEND_CHECK_INTERVAL_S = 0.02  # while a request waits to be written; a Retry-After binds within 0.1 s
-DISCARD_AT_CLOSE = struct.pack("ii", 1, 0)  # `struct linger`, see socket(7)
-DELIVER_AT_CLOSE = struct.pack("ii", 0, 0)
 STATUS_LINE = re.compile(rb"HTTP/1\.[01] (\d{3})(?: [^\r\n]*)?\r?\n")
 STATUS_LINE_PREFIX = b"HTTP/1."
 UNSOLICITED_PREFIX = 64  # bytes of an unsolicited response, enough for its status line
@@ -54,26 +48,11 @@
     number: int
 
 
-def wake(waiting: "asyncio.Future[None]") -> None:
-    """Completes a future unless it is done already."""
-    if not waiting.done():
-        waiting.set_result(None)
-
-
-class SendRevokedError(Exception):
-    """The rest of a request may not be written any more; its last byte was not."""
-
-
-def always() -> bool:
-    """Default permission to go on with a request."""
-    return True
-
-
 def do_nothing() -> None:
     """Default callback for the close of a connection."""
 
 
-class ClientConnection:
+class ClientConnection(RequestWriter):
     """One connection to a server. It never resends a request on its own.
 
     Attributes:
@@ -88,7 +67,6 @@
         answered: The request that got the latest response; None before the first one.
         closed: Called when the connection has been closed.
         body_size: Bytes of the response body received so far.
-        unsent: Bytes of the request that the operating system has not accepted yet.
         read_waiter: Completed when bytes are available; None while no task waits for bytes.
         reader_loop: The loop that watches the socket for reading; None while it is not watched.
         has_notified: `on_readable` has woken the waiting task. The loop may call it once more before the task
@@ -97,18 +75,13 @@
         poll_error: The error that `poll` met, raised by the next `receive`.
         interim_responses: Number of 1xx responses before the current one.
         head_result: The head of the response, or the error in its place.
-        observed: Observes the traffic of the connection; None if it is not observed.
-        is_fast: Requests are written and common responses are parsed without the codec.
         is_outcome_known: The status line has already determined the outcome; the rest of the head is skipped.
-        discards_at_close: The system discards what the server has not acknowledged when the socket is closed.
     """
 
     def __init__(self, sock: socket.socket, address: Address) -> None:
         """Wraps a socket that is connected to `address`."""
+        super().__init__(sock, address)
         self.turn = ReadTurn(ReadTurns())
-        self.sock = sock
-        self.address = address
-        self.codec = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT)
         self.idle_since = 0.0
         self.opened_at = 0.0
         self.retires_at = math.inf
@@ -116,7 +89,6 @@
         self.answered: AnsweredRequest | None = None
         self.closed: Callable[[], None] = do_nothing
         self.body_size = 0
-        self.unsent = 0
         self.read_waiter: asyncio.Future[None] | None = None
         self.reader_loop: asyncio.AbstractEventLoop | None = None
         self.has_notified = False
@@ -124,10 +96,7 @@
         self.poll_error: OSError | None = None
         self.interim_responses = 0
         self.head_result: fast_path.ResponseHead | MalformedMessageError | ConnectionResetError | None = None
-        self.observed: ObservedConnection | None = None
-        self.is_fast = False
         self.is_outcome_known = False
-        self.discards_at_close = False
         self.has_input_ended = False
 
     @classmethod
@@ -147,44 +116,6 @@
             raise
         return cls(sock, address)
 
-    async def send(
-        self,
-        method: str,
-        target: str,
-        headers: dict[str, str],
-        body: bytes = b"",
-        may_continue: Callable[[], bool] = always,
-    ) -> None:
-        """Sends a request. Returns when its last byte is written; if it raises, that byte was not written.
-
-        Args:
-            method: The method.
-            target: The request target.
-            headers: The headers, without Host.
-            body: The body.
-            may_continue: Asked before each write but the first, and repeatedly while nothing can be written.
-
-        Raises:
-            SendRevokedError: `may_continue` has returned False.
-            OSError: The connection is broken.
-        """
-        all_headers = {"Host": f"{self.address[0]}:{self.address[1]}"} | headers
-        # Latin-1, as headers are decoded: an id with non-ASCII bytes is forwarded unchanged.
-        lines = [(name.encode(), value.encode("latin-1")) for name, value in all_headers.items() if value]
-        data = fast_path.request_text(target, lines, body) if self.is_fast and method == "POST" else None
-        if data is None:
-            self.is_fast = False
-            data = self.encode_by_codec(method, target, lines, body)
-        self.unsent = len(data)
-        await self.send_all(memoryview(data), may_continue)
-
-    def encode_by_codec(self, method: str, target: str, lines: fast_path.Fields, body: bytes) -> bytes:
-        """Returns the request as the codec encodes it, which leaves the codec expecting a response."""
-        data = self.codec.send(h11.Request(method=method, target=target, headers=lines)) or b""
-        if body:
-            data += self.codec.send(h11.Data(data=body)) or b""
-        return data + (self.codec.send(h11.EndOfMessage()) or b"")
-
     def feed(self, data: bytes) -> None:
         """Processes bytes from the server.
 
@@ -201,49 +132,6 @@
         self.encode_by_codec("POST", "/", [(b"Host", b"x"), (b"Content-Length", b"0")], b"")
         self.codec.receive_data(data)
 
-    async def send_all(self, data: memoryview, may_continue: Callable[[], bool]) -> None:
-        """Writes all of the data. Raises as `send`.
-
-        The loop's own `sock_sendall` may write the last byte and yet raise only CancelledError. Here no
-        cancellation can occur between writing the last byte and returning, so a call that times out then
-        counts as written.
-        """
-        while self.unsent:
-            try:
-                start = len(data) - self.unsent
-                self.unsent -= self.sock.send(data[start:])
-                if self.observed:
-                    self.observed.report_data(CLIENT_SIDE, bytes(data[start : len(data) - self.unsent]))
-            except (BlockingIOError, InterruptedError):
-                await self.writable()
-            if self.unsent and not may_continue():
-                raise SendRevokedError
-
-    async def writable(self) -> None:
-        """Waits until the operating system accepts more bytes, for `SEND_CHECK_INTERVAL_S` at most."""
-        loop = asyncio.get_running_loop()
-        ready: asyncio.Future[None] = loop.create_future()
-        loop.add_writer(self.sock.fileno(), wake, ready)
-        timer = loop.call_later(SEND_CHECK_INTERVAL_S, wake, ready)
-        try:
-            await ready
-        finally:
-            timer.cancel()
-            loop.remove_writer(self.sock)
-
-    def has_unacknowledged_bytes(self) -> bool:
-        """Whether the server has not acknowledged all that was written."""
-        return unacknowledged_bytes(self.sock) > 0
-
-    def discard_unacknowledged_at_close(self) -> None:
-        """Makes the end of this connection, or of the process, discard what the server has not acknowledged.
-
-        Otherwise the system would go on delivering it, and a call that was given up could still run.
-        """
-        self.discards_at_close = True
-        with contextlib.suppress(OSError):
-            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD_AT_CLOSE)
-
     async def readable(self) -> None:
         """Waits until bytes can be read, or `poll` has read them.
 
@@ -533,10 +421,7 @@
 
         Never raises: the descriptor is freed even if the system call fails.
         """
-        is_reset = self.discards_at_close and self.has_unacknowledged_bytes()
-        if self.discards_at_close and not is_reset:
-            with contextlib.suppress(OSError):
-                self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DELIVER_AT_CLOSE)
+        is_reset = self.deliver_acknowledged_at_close()
         if self.observed:
             self.observed.report_closed(CLIENT_SIDE, reset=is_reset)
         self.stop_reading()
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -11,8 +11,8 @@
 from helpers import ENV
 from socket_faults import next_iteration
 
-from message_sender.http.client_connection import always
 from message_sender.http.common import Address
+from message_sender.http.request_writer import always
 from message_sender.http.server import Server
 from message_sender.message import Message
 from message_sender.service.daemon import PlatformSender
