Give test processes management ports that no outgoing connection can take

What the tests check is as it was. ListConfirmation asks the new condition without a further call in each iteration.

--- a/message_sender/policy/list_confirmation.py
+++ b/message_sender/policy/list_confirmation.py
@@ -79,9 +79,8 @@
 
     def holds_calls(self, now: float) -> bool:
         """Whether no call may start now."""
-        return now < self.held_until or self._waits_after_silence(now)
-
-    def _waits_after_silence(self, now: float) -> bool:
+        if now < self.held_until:
+            return True
         return self.silence_known_at <= now < self.silence_known_at + START_LIMIT_US
 
     def next_change_at(self, now: float) -> float:
@@ -97,5 +96,7 @@
         if self.holds_calls(now):
             self.has_held_calls = True
             return False
-        has_ended, self.has_held_calls = self.has_held_calls, False
-        return has_ended
+        if not self.has_held_calls:
+            return False
+        self.has_held_calls = False
+        return True
--- a/tests/sender_processes.py
+++ b/tests/sender_processes.py
@@ -1,8 +1,10 @@
 """Consecutive real processes of one sender, on a listening socket that the test keeps open."""
 
 import asyncio
+import contextlib
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -16,6 +18,7 @@
 KILLED_SENDER = str(Path(__file__).parent / "killed_sender.py")
 KILLED_AFTER_COMPLETION = str(Path(__file__).parent / "killed_after_completion.py")
 STEPPED_SENDER = str(Path(__file__).parent / "stepped_sender.py")
+LOWEST_PORT = 10_000
 
 
 class Process:
@@ -47,6 +50,18 @@
         return await call(self.management, method, path)
 
 
+def unused_address() -> tuple[str, int]:
+    """Returns an address whose port is below those that the system gives to outgoing connections.
+
+    A connection of any process may otherwise have the port by the time at which a new process binds it.
+    """
+    first_dynamic = int(Path("/proc/sys/net/ipv4/ip_local_port_range").read_text().split()[0])
+    while True:
+        address = "127.0.0.1", random.randrange(LOWEST_PORT, first_dynamic)
+        with contextlib.suppress(OSError), socket.create_server(address):
+            return address
+
+
 class Platform:
     """Keeps the listening socket for clients open, and starts sender processes that inherit it."""
 
@@ -83,8 +98,7 @@
             clock_step_s: Step of the process' wall clock; see stepped_sender.py.
             fatal_step: Step after a completion at which it kills itself; see killed_after_completion.py.
         """
-        with socket.create_server(("127.0.0.1", 0)) as unused_port:
-            management = unused_port.getsockname()
+        management = unused_address()
         config_file = self.state.parent / "config.json"
         config_file.write_text(json.dumps(self.config | {"management": f"127.0.0.1:{management[1]}"}))
         fd = self.listener.fileno()
