--- a/message_sender/core/engine.py
+++ b/message_sender/core/engine.py
@@ -13,6 +13,7 @@
 
 from message_sender.core.arrivals import Arrivals, is_acceptance_of
 from message_sender.core.attempts import Attempts, ResultReceiver
+from message_sender.core.breaker_log import BreakerLog
 from message_sender.core.clock import Clock
 from message_sender.core.engine_config import EngineConfig, HandoverState
 from message_sender.core.event_loop_lag import EventLoopLag
@@ -111,6 +112,7 @@
         self.dispatcher = decide(config.settings, config.seed)
         self.journal = open_journal(config.state, config.disk_bytes)
         class_names = (each.name for each in config.settings.classes)
+        self.breaker_log = BreakerLog(self.loop.time)
         self.table = MessageTable(self.journal, class_names, self, self.hooks)
         self.attempts = Attempts(self, self.dispatcher, self.table, self.hooks)
         self.arrivals = Arrivals(self.dispatcher, self.table, self.hooks, self)
@@ -380,7 +382,9 @@
         events, self.inbox = self.inbox, []
         for message_id in abandoned_ids:
             events = [each for each in events if not is_acceptance_of(each, message_id)]
-        actions = self.dispatcher.handle(self.now(), events)
+        now = self.now()
+        actions = self.dispatcher.handle(now, events)
+        self.breaker_log.log_changes(self.dispatcher.status.changes, now)
         rejected = self.arrivals.answer(arrivals, abandoned_ids, actions)
         for action in actions:
             self.act(action, rejected)
--- a/message_sender/emulator/policies.py
+++ b/message_sender/emulator/policies.py
@@ -21,6 +21,7 @@
 from typing import Any
 
 from message_sender.policy.actions import Fail, PolicyAction, Reject, Send, Subscribe, WakeAfter
+from message_sender.policy.breaker_status import StatusReporter
 from message_sender.policy.dispatcher import Dispatcher
 from message_sender.policy.events import (
     AttemptEnded,
@@ -110,6 +111,7 @@
         self.due: list[tuple[int, int, str, bool]] = []
         self.count = itertools.count()
         self.subscribed, self.wake_at = False, 0
+        self.status = StatusReporter()
         self.now, self.actions = 0, []  # type: int, list[PolicyAction]
 
     # Functions that the engine calls.
--- a/message_sender/policy/breaker.py
+++ b/message_sender/policy/breaker.py
@@ -15,17 +15,17 @@
   `base_gap` unless it is longer; any failure or refusal restarts the timeout.
 
 Independently of these states, `wait_until` is the end of a Retry-After that the destination announced: no
-call is sent before it. `warm_up_since` is the start of the warm-up (slow start) of a destination that may
-have been down: calls are limited to a fraction of the load under which a cold destination fails.
+call is sent before it. `outage` knows when the destination was out, and when its warm-up (slow start) began:
+calls are then limited to a fraction of the load under which a cold destination fails.
 
 The algorithm does no I/O and reads no clock: all times are whole microseconds that the caller passes in.
 """
 
 import math
-import random
-from dataclasses import dataclass
 
-from message_sender.policy.model import Effect, Endpoint, Outcome, Settings
+from message_sender.policy.breaker_context import BreakerContext
+from message_sender.policy.model import Effect, Endpoint, Outcome
+from message_sender.policy.outage import OutageCause, OutageTracker
 from message_sender.policy.pending_message import PendingMessage
 
 NEVER = math.inf
@@ -47,7 +47,6 @@
 MAX_LIMIT_WINDOW_US = 2_000_000  # longest time for which a rate limit refuses all calls
 
 # Large fleets: each member sees few calls.
-SMALL_FLEET_SIZE = 4  # up to this fleet size the longest gap is the reset timeout
 LARGE_FLEET_SHRINK_TIME_US = 5_000_000  # time in which served calls shrink a gap above the first to 1/e
 LARGE_FLEET_ANNOUNCED_SHRINK_TIME_US = 15_000_000  # the same for a gap up to the first gap
 LARGE_FLEET_GAP_DIVISOR = 8  # a gap below the first gap divided by this number ends
@@ -57,10 +56,6 @@
 SMOOTHING_WEIGHT = 0.125  # of the newest call in moving averages, as in TCP round-trip estimation (RFC 6298)
 OVERDUE_DEVIATIONS = 4  # a call is overdue this many mean deviations above the mean latency (RFC 6298)
 
-# Warm-up.
-WARM_UP_LENGTH_FACTOR = 2  # calls are paced for this multiple of Settings.slow_start
-WARM_UP_LOAD_FACTOR = 0.75  # load during the warm-up, as a fraction of Settings.fall_multiple
-
 #: Failures in which the destination did answer.
 ANSWERED_FAILURES = frozenset({Outcome.ERROR, Outcome.MALFORMED})
 #: Failures that commonly concern a single connection only.
@@ -126,29 +121,6 @@
         return any(each.message_class.effect is not Effect.IDEMPOTENT for each in self.messages.values())
 
 
-@dataclass(frozen=True, slots=True)
-class BreakerContext:
-    """The data that all breakers of a sender share.
-
-    Attributes:
-        settings: The settings of the policy.
-        rng: Random generator that spreads calls over time.
-        fleet_factor: Fleet size divided by `SMALL_FLEET_SIZE`; 1 in a small fleet, above 1 in a large fleet.
-        min_latency_objective: The shortest latency objective of all classes, us.
-    """
-
-    settings: Settings
-    rng: random.Random
-    fleet_factor: float
-    min_latency_objective: int
-
-    @classmethod
-    def from_settings(cls, settings: Settings, rng: random.Random) -> "BreakerContext":
-        """Derives the context from the settings."""
-        fleet_factor = max(settings.fleet_size / SMALL_FLEET_SIZE, 1)
-        return cls(settings, rng, fleet_factor, min(each.latency_objective for each in settings.classes))
-
-
 class Breaker:
     """A circuit breaker with pacing, Retry-After and slow start; see the description of the module.
 
@@ -165,7 +137,8 @@
         wait_until: End of the announced Retry-After.
         calls_since_success: Failed and refused calls since the last success.
         failure_rate: Recent failures per call, a moving average.
-        warm_up_since: Start of the warm-up.
+        outage: When the destination was out, and when its warm-up began.
+        route: Id of the endpoint, if the endpoints are separate routes; otherwise empty.
         newest_success_sent_at: When the newest successful call was sent.
         mean_latency: Moving average over successful calls; `latency_deviation` is the mean deviation and
             `latency_samples` the number of calls, where the initial guess counts as one call.
@@ -179,15 +152,17 @@
     __slots__ = (
         "announced_gap", "base_gap", "calls_since_success", "context", "destination", "failure_rate",
         "failures", "gap", "gap_changed", "in_flight", "last_sent", "last_success", "latency_deviation",
-        "latency_samples", "max_gap", "mean_latency", "newest_success_sent_at", "on_time_calls",
-        "overdue_calls", "refused_since", "success_count", "success_time", "trial", "trial_at",
-        "wait_until", "warm_up_since",
+        "latency_samples", "max_gap", "mean_latency", "newest_success_sent_at", "on_time_calls", "outage",
+        "overdue_calls", "refused_since", "route", "success_count", "success_time", "trial", "trial_at",
+        "wait_until",
     )  # fmt: skip
 
-    def __init__(self, context: BreakerContext, destination: int) -> None:
+    def __init__(self, context: BreakerContext, destination: int, route: str = "") -> None:
         """Creates a closed breaker for the destination with the given number."""
         self.context = context
         self.destination = destination
+        self.route = route
+        self.outage = OutageTracker(context.settings)
         self.failures = 0.0
         self.trial_at: float = -NEVER
         self.trial: ActiveCall | None = None
@@ -201,7 +176,6 @@
         self.wait_until = 0
         self.calls_since_success = 0
         self.failure_rate = 0.0
-        self.warm_up_since = -NEVER
         self.newest_success_sent_at = -NEVER
         self.mean_latency = context.min_latency_objective / 4
         self.latency_deviation = context.min_latency_objective / 8
@@ -213,6 +187,15 @@
         self.on_time_calls: dict[ActiveCall, None] = {}
         self.overdue_calls: dict[ActiveCall, None] = {}
 
+    @property
+    def warm_up_since(self) -> float:
+        """When the destination was last known to be out, or when its warm-up began, us."""
+        return self.outage.warm_up_since
+
+    @warm_up_since.setter
+    def warm_up_since(self, at: float) -> None:
+        self.outage.warm_up_since = at
+
     def set_announced_rate(self, rate: float) -> None:
         """Scales both bounds of the gap to the announced rate.
 
@@ -231,6 +214,11 @@
         """Whether the breaker is open or half-open."""
         return self.failures >= FAILURE_THRESHOLD
 
+    def has_unserved_outage(self) -> bool:
+        """Whether no call was served since the destination was last known to be out."""
+        last_success = -NEVER if self.last_success == NEVER else self.last_success
+        return self.calls_since_success > 0 and self.warm_up_since > last_success
+
     def ready_at(self, now: int) -> float:
         """Returns when the next call may be sent, estimated from the present gap; NEVER during a trial."""
         if self.is_open():
@@ -262,7 +250,7 @@
         """
         timeout: float = RESET_TIMEOUT_US
         if self.trial and self.context.fleet_factor > 1:
-            self.warm_up_since = now
+            self.outage.note_out(now, OutageCause.FAILED)
             timeout = max(timeout, self.warm_up_gap(now) * self.context.rng.uniform(0.5, 1.5))
         self.trial = None
         self.trial_at = now + timeout
@@ -271,16 +259,11 @@
         """Returns the time between calls while the destination warms up, us; 0 after the warm-up.
 
         The permitted rate is this sender's usual rate (or, in a new process, its part of the announced rate)
-        times the load that the destination is expected to bear, which grows with the warm fraction of its
-        capacity. That fraction continues to grow beyond 1 for some time, so that the senders do not send all
-        their pending messages together once the destination is warm.
+        times the load that the destination is expected to bear.
         """
-        settings = self.context.settings
-        progress = (now - self.warm_up_since) / settings.slow_start
-        if progress >= WARM_UP_LENGTH_FACTOR:
+        load = self.outage.warm_up_load(now)
+        if load == NEVER:
             return 0.0
-        warm_fraction = settings.slow_start_from + (1 - settings.slow_start_from) * max(progress, 0.0)
-        load = settings.fall_multiple * WARM_UP_LOAD_FACTOR * warm_fraction
         return min(min(self.success_time / self.success_count, self.announced_gap) / load, 2 * self.max_gap)
 
     def overdue_at(self) -> float:
@@ -295,7 +278,9 @@
             self.context.min_latency_objective / 4,
         )
 
-    def record_failure(self, now: int, outcome: Outcome = Outcome.TIMEOUT) -> None:
+    def record_failure(
+        self, now: int, outcome: Outcome = Outcome.TIMEOUT, cause: OutageCause = OutageCause.FAILED
+    ) -> None:
         """Counts a failure.
 
         A member of a large fleet sees few calls during an outage, so one failure restarts the warm-up unless
@@ -305,7 +290,7 @@
         self.restart_timeout(now)
         self.failure_rate += (1 - self.failure_rate) * SMOOTHING_WEIGHT
         min_calls = 2 if outcome in ISOLATED_FAILURES else 1
-        self.record_unserved(now, max(FAILURE_THRESHOLD / self.context.fleet_factor, min_calls))
+        self.record_unserved(now, max(FAILURE_THRESHOLD / self.context.fleet_factor, min_calls), cause)
         if self.context.fleet_factor > 1 and self.warm_up_since == now:
             self.last_sent += self.warm_up_gap(now) * self.context.rng.uniform(-0.5, 0.5)
 
@@ -329,7 +314,7 @@
         self.gap = min(max(2 * self.gap, self.initial_gap()), bound)
         self.gap_changed = now
         min_calls = max(FAILURE_THRESHOLD / self.context.fleet_factor, 2) if is_out_of_service else NEVER
-        self.record_unserved(now, min_calls)
+        self.record_unserved(now, min_calls, OutageCause.REFUSED)
         # Spreads senders that received the same Retry-After, so that they do not return together.
         delay = self.context.rng.uniform(0, 2 * self.gap) * (1 - 1 / self.context.fleet_factor)
         self.wait_until = max(self.wait_until, now) + math.ceil(delay)
@@ -343,16 +328,17 @@
         usual_gap = max(self.success_time / self.success_count, self.base_gap / LARGE_FLEET_GAP_DIVISOR)
         return self.base_gap if self.context.fleet_factor <= 1 else min(self.base_gap, usual_gap)
 
-    def record_unserved(self, now: int, min_calls: float) -> None:
-        """Counts a call that was not served, and restarts the warm-up if there may be an outage.
+    def record_unserved(self, now: int, min_calls: float, cause: OutageCause) -> None:
+        """Counts a call that was not served: the destination may be out.
 
         Args:
             now: The time.
-            min_calls: Number of consecutive unserved calls from which the destination may have been down.
+            min_calls: Number of consecutive unserved calls from which the destination may be out.
+            cause: Why the call was not served.
         """
         self.calls_since_success += 1
         if self.calls_since_success >= min_calls or self.failure_rate >= SUSPECT_FAILURE_RATE:
-            self.warm_up_since = now
+            self.outage.note_out(now, cause)
 
     def record_success(self, now: int, call: ActiveCall) -> None:
         """Counts a served call: closes the breaker, shrinks the gap and updates the averages."""
@@ -368,9 +354,7 @@
             self.success_count = self.success_count * decay + 1
             self.success_time = self.success_time * decay + since_success
         self.shrink_gap(now, since_success if since_success >= 0 else NEVER)
-        if self.failures and self.context.fleet_factor > 1:
-            # The destination recovered between the last failure and the start of this call.
-            self.warm_up_since = max((self.warm_up_since + call.sent_at) / 2, self.warm_up_since)
+        self.outage.note_served(call.sent_at, bool(self.failures) and self.context.fleet_factor > 1)
         self.last_success = now
         self.failures = 0
         self.calls_since_success = 0
--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -52,6 +52,7 @@
         stops_at: When the process ends; NEVER while that is not known.
         wake_at: The time requested by the newest `WakeAfter`.
         active_calls: The distinct calls in flight, oldest first.
+        status: The changes of breakers in the latest iteration.
     """
 
     def __init__(self, settings: Settings, seed: int) -> None:
@@ -79,6 +80,7 @@
         self.classes = self.pending.classes
         self.calls = self.inflight.calls
         self.active_calls = self.inflight.active
+        self.status = self.loop.status
         self.suggest_retry_after = self.pending.suggest_retry_after
         self.retry_after_received = self.inflight.retry_after_received
         self.attempt_withheld = self.inflight.attempt_withheld
@@ -98,10 +100,7 @@
         Raises:
             ValueError: The clock went back, a class is unknown, or a message was accepted before.
         """
-        if now_us < self.loop.now:
-            raise ValueError(f"the clock went back from {self.loop.now} to {now_us}")
-        self.loop.now = now_us
-        self.loop.actions = []
+        self.loop.begin_iteration(now_us)
         for event in events:
             self.process_event(event)
         self.registry.end_hold_if_over()
--- a/message_sender/policy/endpoints.py
+++ b/message_sender/policy/endpoints.py
@@ -19,6 +19,7 @@
 from message_sender.policy.list_polling import ListPolling
 from message_sender.policy.loop_state import LoopState
 from message_sender.policy.model import DestinationKind, Endpoint, EndpointState, ListingKind
+from message_sender.policy.outage import OutageCause
 from message_sender.policy.timers import TimerQueue
 
 UNUSED_BREAKER_AGE_US = 60_000_000  # an unused breaker without a listed endpoint is dropped; above any outage
@@ -60,7 +61,7 @@
             self.assign_breakers(destination)
             if destination.inactive_since is not None:
                 for breaker in destination.breakers:
-                    breaker.warm_up_since = self.loop.now
+                    breaker.outage.begin_warm_up(self.loop.now, OutageCause.INACTIVE)
             self.idle_checks.schedule(number, self.loop.now + UNUSED_BREAKER_AGE_US)
         return destination
 
@@ -151,7 +152,8 @@
             in_service = [each.breaker for each in destination.endpoints if each.listed.id not in returned]
             for breaker in destination.breakers:
                 if breaker not in in_service:
-                    breaker.warm_up_since = int(self.loop.now)
+                    breaker.outage.begin_warm_up(int(self.loop.now), OutageCause.RETURNED)
+                    self.loop.status.check(breaker, self.loop.now)
             if destination.breakers_by_route is None and not in_service:
                 destination.inactive_since = self.loop.now
 
@@ -180,7 +182,7 @@
         assert destination.breakers_by_route is not None
         route = listed.id if self.kinds[listed.kind].has_separate_routes else ""
         if route not in destination.breakers_by_route:
-            destination.breakers_by_route[route] = Breaker(self.loop.context, destination.number)
+            destination.breakers_by_route[route] = Breaker(self.loop.context, destination.number, route)
         return destination.breakers_by_route[route]
 
     # Timing of calls.
@@ -223,6 +225,7 @@
         self.changed_breakers = {}
         for breaker in changed:
             self.overdue_checks.schedule(breaker, breaker.overdue_at())
+            self.loop.status.check(breaker, self.loop.now)
         return changed
 
     def mark_unavailable(self, destination: Destination) -> None:
@@ -277,6 +280,7 @@
         if breaker.last_sent > -NEVER:
             destination.inactive_since = max(breaker.last_sent, destination.inactive_since or 0)
         self.overdue_checks.schedule(breaker, NEVER)
+        self.loop.status.forget(breaker)
         self.changed_breakers.pop(breaker, None)
 
     def deactivate(self, destination: Destination) -> None:
--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -6,6 +6,7 @@
 from message_sender.policy.events import AttemptEnded
 from message_sender.policy.loop_state import LoopState
 from message_sender.policy.model import FAILURES, Outcome
+from message_sender.policy.outage import OutageCause
 from message_sender.policy.pending import PendingQueue
 from message_sender.policy.pending_message import PendingMessage
 
@@ -211,7 +212,7 @@
         call.is_overdue = True
         del call.breaker.on_time_calls[call]
         call.breaker.overdue_calls[call] = self.overdue[call] = None
-        call.breaker.record_failure(int(self.loop.now))
+        call.breaker.record_failure(int(self.loop.now), cause=OutageCause.OVERDUE)
         call.endpoint.suspect_until = self.loop.now + RESET_TIMEOUT_US
         self.registry.mark_changed(call.breaker)
 
--- a/message_sender/policy/list_polling.py
+++ b/message_sender/policy/list_polling.py
@@ -9,7 +9,8 @@
 
 import random
 
-from message_sender.policy.breaker import NEVER, SMALL_FLEET_SIZE
+from message_sender.policy.breaker import NEVER
+from message_sender.policy.breaker_context import SMALL_FLEET_SIZE
 from message_sender.policy.model import Settings
 
 LOCAL_LIST_RETRY_US = 50_000  # between polls of a local list: well within the grace period of a drain
--- a/message_sender/policy/loop_state.py
+++ b/message_sender/policy/loop_state.py
@@ -4,7 +4,9 @@
 import random
 
 from message_sender.policy.actions import PolicyAction
-from message_sender.policy.breaker import NEVER, BreakerContext
+from message_sender.policy.breaker import NEVER
+from message_sender.policy.breaker_context import BreakerContext
+from message_sender.policy.breaker_status import StatusReporter
 from message_sender.policy.model import Settings
 
 
@@ -19,6 +21,7 @@
         sequence: Source of sequence numbers.
         examined_items: Number of items examined since the start; a measure of the cost of iterations.
         actions: The actions of the iteration so far.
+        status: The changes of breakers in the iteration so far.
     """
 
     def __init__(self, settings: Settings, rng: random.Random) -> None:
@@ -30,3 +33,16 @@
         self.sequence = itertools.count()
         self.examined_items = 0
         self.actions: list[PolicyAction] = []
+        self.status = StatusReporter()
+
+    def begin_iteration(self, now_us: int) -> None:
+        """Begins an iteration at this time, us.
+
+        Raises:
+            ValueError: The clock went back.
+        """
+        if now_us < self.now:
+            raise ValueError(f"the clock went back from {self.now} to {now_us}")
+        self.now = now_us
+        self.actions = []
+        self.status.changes = []
--- /dev/null
+++ b/message_sender/policy/outage.py
@@ -0,0 +1,112 @@
+"""When a destination was out, and when its warm-up began. Pure: no I/O, no clock.
+
+Each circuit breaker has one tracker. Rules:
+
+- **Out**: enough consecutive calls were not served (`Breaker.record_unserved` counts them). The destination
+  is known to have been out until the last of them.
+- **Back**: a call is served. The destination warms up from the last time at which it is known to have been
+  out. In a large fleet, whose members make few calls, it warms up from midway between that time and the
+  start of the served call.
+- **Warm-up**: the destination bears a fraction of its usual load, which grows with time. The warm-up goes on
+  for some time after the destination is warm, so that the senders do not send all their pending messages
+  together.
+
+What a tracker knows is observed, not owed: it has an age, and the more careful of two values wins.
+"""
+
+import math
+from enum import Enum
+
+from message_sender.policy.model import Settings
+
+WARM_UP_LENGTH_FACTOR = 2  # calls are paced for this multiple of Settings.slow_start
+WARM_UP_LOAD_FACTOR = 0.75  # load during the warm-up, as a fraction of Settings.fall_multiple
+
+
+class OutagePhase(Enum):
+    """What a tracker knows of its destination."""
+
+    SERVING = "serving"
+    OUT = "out"
+    WARMING_UP = "warming_up"
+
+
+class OutageCause(Enum):
+    """Why a destination is taken to be out, or to warm up."""
+
+    NONE = "none"
+    OVERDUE = "overdue"  # calls without an answer
+    FAILED = "failed"
+    REFUSED = "refused"
+    RETURNED = "returned"  # operators took its endpoints back into service
+    INACTIVE = "inactive"  # it has not been called for a long time
+    RESTORED = "restored"  # an earlier process of this sender knew it to be out
+    INHERITED = "inherited"  # the predecessor that handed over knew it
+
+
+class OutageTracker:
+    """What is known of the outages of one destination, or of one separate route.
+
+    Attributes:
+        warm_up_since: While the destination is out: when it was last known to be out. After that: when its
+            warm-up began. Microseconds; minus infinity before the first outage.
+        is_out: No call was served since the destination was last known to be out.
+        cause: Why it was last taken to be out, or to warm up.
+    """
+
+    __slots__ = ("cause", "is_out", "settings", "warm_up_since")
+
+    def __init__(self, settings: Settings) -> None:
+        """Creates the tracker of a destination without a known outage."""
+        self.settings = settings
+        self.warm_up_since = -math.inf
+        self.is_out = False
+        self.cause = OutageCause.NONE
+
+    def note_out(self, now: int, cause: OutageCause) -> None:
+        """Records that the destination is out now."""
+        self.is_out = True
+        self.warm_up_since = now
+        self.cause = cause
+
+    def note_served(self, sent_at: int, is_in_large_fleet: bool) -> None:
+        """Records a served call, which ends the outage.
+
+        Args:
+            sent_at: When the call was sent, us.
+            is_in_large_fleet: The members of the fleet make few calls each, and failed calls went before.
+        """
+        if is_in_large_fleet:
+            self.warm_up_since = max((self.warm_up_since + sent_at) / 2, self.warm_up_since)
+        self.is_out = False
+
+    def begin_warm_up(self, now: float, cause: OutageCause) -> None:
+        """Begins a warm-up without an outage that calls have shown."""
+        self.is_out = False
+        self.warm_up_since = now
+        self.cause = cause
+
+    def phase(self, now: float) -> OutagePhase:
+        """Returns what is known of the destination at this time, us."""
+        if self.is_out:
+            return OutagePhase.OUT
+        return OutagePhase.WARMING_UP if self.is_warming_up(now) else OutagePhase.SERVING
+
+    def is_warming_up(self, now: float) -> bool:
+        """Whether the load of the destination is limited at this time, us."""
+        return now - self.warm_up_since < WARM_UP_LENGTH_FACTOR * self.settings.slow_start
+
+    def warm_up_load(self, now: float) -> float:
+        """Returns the load that the destination is expected to bear, relative to its usual load.
+
+        The load grows with the warm fraction of the capacity, and continues to grow beyond 1.
+
+        Returns:
+            The load; infinity after the warm-up.
+        """
+        progress = (now - self.warm_up_since) / self.settings.slow_start
+        if progress >= WARM_UP_LENGTH_FACTOR:
+            return math.inf
+        slow_start_from = self.settings.slow_start_from
+        warm_fraction = slow_start_from + (1 - slow_start_from) * max(progress, 0.0)
+        return self.settings.fall_multiple * WARM_UP_LOAD_FACTOR * warm_fraction
--- a/message_sender/policy/state_transfer.py
+++ b/message_sender/policy/state_transfer.py
@@ -14,6 +14,7 @@
 from message_sender.policy.events import CallInFlight, InheritedState, MessageRestored
 from message_sender.policy.inflight import InFlightCalls
 from message_sender.policy.model import FAILURES, Endpoint, EndpointState, Outcome
+from message_sender.policy.outage import OutageCause
 from message_sender.policy.pending import KeyQueue, PendingQueue
 from message_sender.policy.pending_message import PendingMessage
 
@@ -140,12 +141,12 @@
         breaker = known.breaker
         now = int(self.loop.now)
         if outcome in FAILURES or outcome is Outcome.CANCELLED:
-            breaker.record_failure(now, outcome)
+            breaker.record_failure(now, outcome, OutageCause.RESTORED)
             breaker.trial_at = self.loop.now
             if self.loop.context.fleet_factor > 1 and outcome not in ANSWERED_FAILURES:
-                breaker.warm_up_since = now
+                breaker.outage.note_out(now, OutageCause.RESTORED)
         elif outcome is Outcome.FULL:
-            breaker.record_unserved(now, RESTORED_REFUSALS_LIMIT)
+            breaker.record_unserved(now, RESTORED_REFUSALS_LIMIT, OutageCause.RESTORED)
 
     def adopt_call(self, message: PendingMessage, inherited: CallInFlight) -> None:
         """Imports a call of the predecessor, which occupies its message, key and trial until it ends."""
@@ -172,8 +173,10 @@
         for number, route, values in state.breakers:
             by_route = self.registry.activate(number).breakers_by_route
             assert by_route is not None
-            breaker = by_route.setdefault(route, Breaker(self.loop.context, number))
+            breaker = by_route.setdefault(route, Breaker(self.loop.context, number, route))
             import_fields(breaker, values)
+            breaker.outage.cause = OutageCause.INHERITED
+            breaker.outage.is_out = breaker.has_unserved_outage()
             self.registry.mark_changed(breaker)
         for name, values in state.endpoints:
             if name in self.registry.endpoints:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,6 @@
 from helpers import MS, SECOND, World, endpoint, rejected_or_failed, sent_messages
 
 from message_sender.policy.actions import Fail, Reject, Send
-from message_sender.policy.breaker import WARM_UP_LOAD_FACTOR
 from message_sender.policy.endpoints import UNUSED_BREAKER_AGE_US
 from message_sender.policy.events import (
     CompletionAcknowledged,
@@ -16,6 +15,7 @@
     WakeUp,
 )
 from message_sender.policy.model import EndpointState, ListingKind, Outcome
+from message_sender.policy.outage import WARM_UP_LOAD_FACTOR
 
 
 def test_a_pending_message_is_completed_before_its_deadline() -> None:
