Begin the warm-up at the end of hung calls, not at the last counted failure

Cause: Breaker.record_failure counts a hung call once, when it becomes overdue. Three hung calls and a trial fill the destination's limit, so nothing more is counted until the return, and the first success began the warm-up at that count. Evidence, from the log events: 'warm-up began since_ms=8170' 0.1 s after a return, all three senders; 'since_ms=5332' to 7116 behind a silence. Change: the end of an overdue call, whatever its result, shows that a destination that is out was out until then. And a warm-up begins at most 2.5 s before the served call: nothing is known of a longer time without calls, as during a Retry-After.

--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -67,7 +67,6 @@
     def settle(self, call: ActiveCall, ended: AttemptEnded) -> None:
         """Records a result; only the first result of a call counts as evidence about the destination."""
         breaker = call.breaker
-        endpoint = call.endpoint
         now = int(self.loop.now)
         self.registry.mark_changed(breaker)
         if ended.wait:  # every announced Retry-After is honoured
@@ -78,21 +77,33 @@
             return
         call.is_settled = True
         breaker.on_time_calls.pop(call, None)
+        if call.is_overdue:
+            breaker.outage.note_overdue_call_ended(now)
         if ended.outcome is Outcome.OK:
-            breaker.record_success(now, call)
-            endpoint.suspect_until = 0.0
-            if now - endpoint.connect_refused_at < SCARCITY_WINDOW_US:
-                endpoint.connections_scarce_until = now + SCARCITY_IDLE_FACTOR * self.settings.conn_idle
+            self._settle_success(call)
         elif ended.outcome is Outcome.FULL:
             breaker.record_refusal(now, call, ended.wait)
         elif self.is_evidence(call, ended.outcome):
-            is_isolated = ended.outcome is Outcome.CONNECT_FAILED and self.is_endpoint_fault(call)
-            endpoint.suspect_until = now + RESET_TIMEOUT_US * (GONE_RESET_TIMEOUTS if is_isolated else 1)
-            if not is_isolated:
-                breaker.record_failure(now, ended.outcome)
+            self._settle_failure(call, ended.outcome)
         elif call is breaker.trial:
             breaker.trial = None
 
+    def _settle_success(self, call: ActiveCall) -> None:
+        now = int(self.loop.now)
+        endpoint = call.endpoint
+        call.breaker.record_success(now, call)
+        endpoint.suspect_until = 0.0
+        if now - endpoint.connect_refused_at < SCARCITY_WINDOW_US:
+            endpoint.connections_scarce_until = now + SCARCITY_IDLE_FACTOR * self.settings.conn_idle
+
+    def _settle_failure(self, call: ActiveCall, outcome: Outcome) -> None:
+        now = int(self.loop.now)
+        is_isolated = outcome is Outcome.CONNECT_FAILED and self.is_endpoint_fault(call)
+        reset_timeouts = GONE_RESET_TIMEOUTS if is_isolated else 1
+        call.endpoint.suspect_until = now + RESET_TIMEOUT_US * reset_timeouts
+        if not is_isolated:
+            call.breaker.record_failure(now, outcome)
+
     def _remove(self, call: ActiveCall, outcome: Outcome) -> None:
         """Removes a call after the last of its messages has a result."""
         breaker = call.breaker
--- a/message_sender/policy/outage.py
+++ b/message_sender/policy/outage.py
@@ -4,9 +4,14 @@
 
 - **Out**: enough consecutive calls were not served (`Breaker.record_unserved` counts them). The destination
   is known to have been out until the last of them.
+- **Overdue calls**: a destination that is out is known to be out as long as an overdue call goes on. So the
+  end of such a call, whatever its result, is the latest time at which the destination is known to have been
+  out. No other call may show that: hung calls can fill the destination's limit, and no trial is sent.
 - **Back**: a call is served. The destination warms up from the last time at which it is known to have been
-  out. In a large fleet, whose members make few calls, it warms up from midway between that time and the
-  start of the served call.
+  out, but from `MAX_UNKNOWN_US` before the start of the served call at the earliest: where no call was made
+  for longer, as during a Retry-After, nothing is known of that time. In a large fleet, whose members make few
+  calls, it warms up from midway between its last failure and the start of the served call: the members' trial
+  calls are spread, so that their estimates are right on average.
 - **Warm-up**: the destination bears a fraction of its usual load, which grows with time. The warm-up goes on
   for some time after the destination is warm, so that the senders do not send all their pending messages
   together.
@@ -22,6 +27,10 @@
 WARM_UP_LENGTH_FACTOR = 2  # calls are paced for this multiple of Settings.slow_start
 WARM_UP_LOAD_FACTOR = 0.75  # load during the warm-up, as a fraction of Settings.fall_multiple
 
+#: Longest time before a served call in which a destination that was out may have come back unnoticed: the
+#: reset timeout of a breaker, and the time that a trial call waits for the loop.
+MAX_UNKNOWN_US = 2_500_000
+
 
 class OutagePhase(Enum):
     """What a tracker knows of its destination."""
@@ -69,15 +78,22 @@
         self.warm_up_since = now
         self.cause = cause
 
-    def note_served(self, sent_at: int, is_in_large_fleet: bool) -> None:
+    def note_overdue_call_ended(self, now: int) -> None:
+        """Records that a call that was overdue has ended: a destination that is out was out until now."""
+        if self.is_out:
+            self.warm_up_since = now
+
+    def note_served(self, sent_at: int, has_spread_trials: bool) -> None:
         """Records a served call, which ends the outage.
 
         Args:
             sent_at: When the call was sent, us.
-            is_in_large_fleet: The members of the fleet make few calls each, and failed calls went before.
+            has_spread_trials: Calls have failed, and the members of a large fleet spread their trial calls.
         """
-        if is_in_large_fleet:
+        if has_spread_trials:
             self.warm_up_since = max((self.warm_up_since + sent_at) / 2, self.warm_up_since)
+        elif self.is_out:
+            self.warm_up_since = max(self.warm_up_since, sent_at - MAX_UNKNOWN_US)
         self.is_out = False
 
     def begin_warm_up(self, now: float, cause: OutageCause) -> None:
