Limit calls without an answer to what a silent destination may get at its return

Cause: calls under way to a destination were bounded by half of the sender's slots alone (dispatcher.may_call), per process: four of each sender, four more of a killed sender's next process, and each trial. All of them arrive at the return, beside those of the warm-up. While nothing comes back for longer than calls usually take, the calls of this sender without an answer, given-up ones included, are limited to its part of what the rule allows at the return, three at least in a small fleet. Beyond that, one is sent only while none is in flight; the last one is not given up as useless, and shows the return. The first answer of a call that was overdue counts as the newest call. Setting overload_for (the rule's window) is read.

--- a/message_sender/configuration/settings.py
+++ b/message_sender/configuration/settings.py
@@ -10,6 +10,7 @@
 
 EFFECTS = {"repeatable": Effect.IDEMPOTENT, "by_key": Effect.KEYED, "once": Effect.UNSAFE}
 DEFAULT_CONNECT_TIMEOUT_US = 1_500_000
+DEFAULT_OVERLOAD_WINDOW_US = 1_500_000
 
 
 def decode_class(values: dict[str, Any]) -> MessageClass:
@@ -69,6 +70,7 @@
         slow_start=safety["cold"],
         slow_start_from=safety["cold_from"],
         fall_multiple=safety["fall_multiple"],
+        overload_window=safety.get("overload_for", DEFAULT_OVERLOAD_WINDOW_US),
         conn_idle=limits["conn_idle"],
         connect_timeout=limits.get("connect_timeout", DEFAULT_CONNECT_TIMEOUT_US),
         key_pause=safety.get("key_quiet", 0),
--- a/message_sender/policy/breaker.py
+++ b/message_sender/policy/breaker.py
@@ -278,6 +278,12 @@
             self.context.min_latency_objective / 4,
         )
 
+    def open_at_silence(self, now: int) -> None:
+        """Opens the breaker: the destination has all calls that it may have, and answers none of them."""
+        self.failures = max(self.failures, float(FAILURE_THRESHOLD))
+        self.restart_timeout(now)
+        self.outage.note_out(now, OutageCause.OVERDUE)
+
     def record_failure(
         self, now: int, outcome: Outcome = Outcome.TIMEOUT, cause: OutageCause = OutageCause.FAILED
     ) -> None:
@@ -354,6 +360,8 @@
             self.success_count = self.success_count * decay + 1
             self.success_time = self.success_time * decay + since_success
         self.shrink_gap(now, since_success if since_success >= 0 else NEVER)
+        if call.is_overdue and self.outage.is_out:
+            self.last_sent = now  # the destination has begun the call only now
         self.outage.note_served(call.sent_at, bool(self.failures) and self.context.fleet_factor > 1)
         self.last_success = now
         self.failures = 0
--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -36,7 +36,6 @@
 from message_sender.policy.state_transfer import StateImporter
 from message_sender.policy.urgency import Rank
 
-DESTINATION_SLOT_FRACTION = 0.5  # of the slots: limit on the calls in flight to one destination
 MAX_EXAMINED = 256  # limit on the destinations examined per iteration; the next one begins with the others
 
 #: Outcomes after which the attempt may still be running at the destination.
@@ -329,7 +328,7 @@
             or now + breaker.overdue_after() > self.stops_at
         ):
             return False
-        return breaker.in_flight < max(2, slots * DESTINATION_SLOT_FRACTION)
+        return self.inflight.has_room(breaker, now)
 
     def holds_calls(self, now: int) -> bool:
         """Whether calls wait for the endpoint list at this time, us."""
--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -1,7 +1,8 @@
 """The calls in flight: whether one may start, their results as evidence about destinations, overdue calls."""
 
+from message_sender.policy import silence
 from message_sender.policy.actions import CancelAttempt, CloseIdle
-from message_sender.policy.breaker import RESET_TIMEOUT_US, ActiveCall, TrackedEndpoint
+from message_sender.policy.breaker import RESET_TIMEOUT_US, ActiveCall, Breaker, TrackedEndpoint
 from message_sender.policy.endpoints import EndpointRegistry
 from message_sender.policy.events import AttemptEnded
 from message_sender.policy.loop_state import LoopState
@@ -10,6 +11,7 @@
 from message_sender.policy.pending import PendingQueue
 from message_sender.policy.pending_message import PendingMessage
 
+DESTINATION_SLOT_FRACTION = 0.5  # of the slots: limit on the calls in flight to one destination
 SCARCITY_IDLE_FACTOR = 3  # connections count as scarce for this multiple of conn_idle
 SCARCITY_WINDOW_US = 1_000_000  # a success so soon after a refused connection shows scarcity, not an outage
 GONE_RESET_TIMEOUTS = 4  # an endpoint that may be gone is avoided for this multiple of the reset timeout
@@ -42,6 +44,7 @@
         if call not in self.active:
             self.active[call] = call.breaker.on_time_calls[call] = None
             call.breaker.in_flight += 1
+            call.breaker.outage.note_call_sent(call.sent_at)
             call.endpoint.in_flight += 1
             self.registry.mark_changed(call.breaker)
         call.messages[message.id] = message
@@ -77,6 +80,7 @@
             return
         call.is_settled = True
         breaker.on_time_calls.pop(call, None)
+        breaker.outage.note_call_ended(ended.outcome)
         if call.is_overdue:
             breaker.outage.note_overdue_call_ended(now)
         if ended.outcome is Outcome.OK:
@@ -223,7 +227,11 @@
         call.is_overdue = True
         del call.breaker.on_time_calls[call]
         call.breaker.overdue_calls[call] = self.overdue[call] = None
-        call.breaker.record_failure(int(self.loop.now), cause=OutageCause.OVERDUE)
+        now = int(self.loop.now)
+        breaker = call.breaker
+        breaker.record_failure(now, cause=OutageCause.OVERDUE)
+        if silence.is_exhausted(breaker) and not breaker.is_open():
+            breaker.open_at_silence(now)
         call.endpoint.suspect_until = self.loop.now + RESET_TIMEOUT_US
         self.registry.mark_changed(call.breaker)
 
@@ -237,9 +245,20 @@
         age = self.loop.now - call.sent_at
         is_far_overdue = age > CANCEL_OVERDUE_FACTOR * call.breaker.overdue_after()
         is_lost = call.breaker.newest_success_sent_at > call.sent_at and self.may_retry(call)
-        is_useless = not call.has_effects() and call.breaker.is_open()
+        is_useless = not call.has_effects() and call.breaker.is_open() and not self.awaits_return(call)
         return is_lost or is_useless or (needs_slot and is_far_overdue)
 
+    def awaits_return(self, call: ActiveCall) -> bool:
+        """Whether an overdue call has to show the return of its destination, which gets no other call."""
+        in_flight = (*call.breaker.on_time_calls, *call.breaker.overdue_calls)
+        is_last = all(each is call or each.is_cancelled for each in in_flight)
+        return is_last and silence.is_exhausted(call.breaker)
+
+    def has_room(self, breaker: Breaker, now: int) -> bool:
+        """Whether the destination may have one more call under way."""
+        limit = max(2, self.settings.slots * DESTINATION_SLOT_FRACTION)
+        return breaker.in_flight < limit and silence.has_room(breaker, now)
+
     def may_retry(self, call: ActiveCall) -> bool:
         """Whether all messages of the call may be sent again although the call may have run."""
         return all(
--- a/message_sender/policy/model.py
+++ b/message_sender/policy/model.py
@@ -61,7 +61,12 @@
 
 
 #: Names of fields in the platform's settings where they differ from the names in `Settings`.
-SETTING_NAMES = {"key_pause": "key_quiet", "poll_interval_limit": "ask_within", "slow_start": "cold"}
+SETTING_NAMES = {
+    "key_pause": "key_quiet",
+    "poll_interval_limit": "ask_within",
+    "slow_start": "cold",
+    "overload_window": "overload_for",
+}
 
 
 def setting_name(field: str) -> str:
@@ -139,6 +144,7 @@
         slow_start_from: Fraction of its capacity that a destination has when it begins to warm up; above 0
             and at most 1.
         fall_multiple: Load, as a multiple of its warm capacity, under which a destination fails.
+        overload_window: How long a cold destination bears such a load.
         conn_idle: Time after which an idle connection is closed.
         connect_timeout: Time after which a connection that is not established counts as failed.
         key_pause: Pause of a key after an attempt with an unknown result.
@@ -168,6 +174,7 @@
     slow_start: int = 10_000_000
     slow_start_from: float = 0.2
     fall_multiple: float = 2.0
+    overload_window: int = 1_500_000
     conn_idle: int = 10_000_000
     connect_timeout: int = 1_500_000
     key_pause: int = 0
@@ -187,7 +194,7 @@
         for name in (*counts, "tick", "poll_interval_limit", "slow_start", "conn_idle", "connect_timeout"):
             if getattr(self, name) <= 0:
                 raise ValueError(f"{setting_name(name)} must be above 0, not {getattr(self, name)}")
-        for name in ("key_pause", "drain_grace", "max_retry_after", "fall_multiple"):
+        for name in ("key_pause", "drain_grace", "max_retry_after", "fall_multiple", "overload_window"):
             if getattr(self, name) < 0:
                 raise ValueError(f"{setting_name(name)} must not be negative, not {getattr(self, name)}")
         if not 0 < self.slow_start_from <= 1:
--- a/message_sender/policy/outage.py
+++ b/message_sender/policy/outage.py
@@ -7,6 +7,11 @@
 - **Overdue calls**: a destination that is out is known to be out as long as an overdue call goes on. So the
   end of such a call, whatever its result, is the latest time at which the destination is known to have been
   out. No other call may show that: hung calls can fill the destination's limit, and no trial is sent.
+- **Silence**: calls that a silent destination has not begun all arrive when it returns. So while nothing at
+  all has come back from a destination for longer than its calls usually take, this sender's calls without an
+  answer are limited to its part of what the destination may get at its return. Beyond that, a call is sent
+  only while none is in flight. Calls that this sender has given up, or that an earlier process had in flight,
+  count too. A destination that answers is not limited.
 - **Back**: a call is served. The destination warms up from the last time at which it is known to have been
   out, but from `MAX_UNKNOWN_US` before the start of the served call at the earliest: where no call was made
   for longer, as during a Retry-After, nothing is known of that time. In a large fleet, whose members make few
@@ -22,7 +27,7 @@
 import math
 from enum import Enum
 
-from message_sender.policy.model import Settings
+from message_sender.policy.model import Outcome, Settings
 
 WARM_UP_LENGTH_FACTOR = 2  # calls are paced for this multiple of Settings.slow_start
 WARM_UP_LOAD_FACTOR = 0.75  # load during the warm-up, as a fraction of Settings.fall_multiple
@@ -31,6 +36,13 @@
 #: reset timeout of a breaker, and the time that a trial call waits for the loop.
 MAX_UNKNOWN_US = 2_500_000
 
+#: Fraction of the calls in the first window after a return that may have been sent before it.
+SHARE_AT_RETURN = 0.85
+#: Outcomes by which a destination shows that it is there.
+SIGNS_OF_LIFE = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MALFORMED, Outcome.RESET})
+#: Outcomes after which the destination will not begin the call.
+NEVER_ARRIVED = frozenset({Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.STALE})
+
 
 class OutagePhase(Enum):
     """What a tracker knows of its destination."""
@@ -61,9 +73,20 @@
             warm-up began. Microseconds; minus infinity before the first outage.
         is_out: No call was served since the destination was last known to be out.
         cause: Why it was last taken to be out, or to warm up.
+        unanswered: Number of calls since the destination was last heard of that it may still begin.
+        quiet_since: When the first of them was sent, us.
+        has_earlier_calls: Some of them were sent by an earlier process.
     """
 
-    __slots__ = ("cause", "is_out", "settings", "warm_up_since")
+    __slots__ = (
+        "cause",
+        "has_earlier_calls",
+        "is_out",
+        "quiet_since",
+        "settings",
+        "unanswered",
+        "warm_up_since",
+    )
 
     def __init__(self, settings: Settings) -> None:
         """Creates the tracker of a destination without a known outage."""
@@ -71,6 +94,9 @@
         self.warm_up_since = -math.inf
         self.is_out = False
         self.cause = OutageCause.NONE
+        self.unanswered = 0
+        self.quiet_since = -math.inf
+        self.has_earlier_calls = False
 
     def note_out(self, now: int, cause: OutageCause) -> None:
         """Records that the destination is out now."""
@@ -96,6 +122,48 @@
             self.warm_up_since = max(self.warm_up_since, sent_at - MAX_UNKNOWN_US)
         self.is_out = False
 
+    # Calls without an answer.
+
+    def note_call_sent(self, sent_at: float) -> None:
+        """Records the start of a call, us."""
+        if not self.unanswered:
+            self.quiet_since = sent_at
+        self.unanswered += 1
+
+    def note_call_ended(self, outcome: Outcome) -> None:
+        """Records the end of a call."""
+        if outcome in SIGNS_OF_LIFE:
+            self.unanswered = 0
+            self.has_earlier_calls = False
+        elif outcome in NEVER_ARRIVED:
+            self.unanswered = max(self.unanswered - 1, 0)
+
+    def note_earlier_calls(self, count: int) -> None:
+        """Records calls of an earlier process whose results are not known."""
+        self.unanswered += count
+        self.has_earlier_calls = True
+
+    def is_silent(self, now: float, silence_after_us: float) -> bool:
+        """Whether nothing has come back for this time, us, although calls were sent."""
+        is_quiet_for_long = now - self.quiet_since > silence_after_us or self.has_earlier_calls
+        return self.unanswered > 0 and is_quiet_for_long
+
+    def part_of_return_calls(self, usual_rate: float) -> float:
+        """Returns this sender's part of the calls that the destination may have received when it returns.
+
+        Calls beyond those that it bears in a window are attributed to chance, up to twice the square root
+        plus two. A part of them is left for the calls right behind the return.
+
+        Args:
+            usual_rate: Calls a second that the destination gets from all senders together.
+        """
+        settings = self.settings
+        window_s = settings.overload_window / 1e6
+        bearable = settings.fall_multiple * settings.slow_start_from * usual_rate * window_s
+        return SHARE_AT_RETURN * (bearable + 2 * math.sqrt(bearable) + 2) / settings.fleet_size
+
+    # The warm-up.
+
     def begin_warm_up(self, now: float, cause: OutageCause) -> None:
         """Begins a warm-up without an outage that calls have shown."""
         self.is_out = False
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -21,6 +21,7 @@
     "breaker_context",
     "breaker",
     "breaker_status",
+    "silence",
     "timers",
     "loop_state",
     "list_confirmation",
@@ -52,6 +53,7 @@
         "policy.pending_message",
     },
     "policy.breaker_status": {"policy.breaker", "policy.outage"},
+    "policy.silence": {"policy.breaker"},
     "policy.timers": {"policy.breaker"},
     "policy.loop_state": {
         "policy.actions",
