Wake for a message that only one endpoint may get when that endpoint accepts calls

Cause: a message that is passed over in an iteration (its repeat is allowed in one zone alone, or it is pinned) leaves its destination marked as available without a time for the next check, so the policy sleeps until some other event. And with separate routes of which one is ready but may get no more calls, the earliest time lay in the past and no check was scheduled at all. Change: EndpointRegistry.schedule_reopening, also for destinations with passed-over messages, takes the next time that lies ahead.

--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -215,7 +215,9 @@
                 break
             self.push_most_urgent(heap, destination)
         for message in blocked:
-            self.destinations[message.destination].add_ready(message, self.settings.halves_late_weight)
+            destination = self.destinations[message.destination]
+            destination.add_ready(message, self.settings.halves_late_weight)
+            self.registry.schedule_reopening(destination)
 
     def is_retry_budget_exhausted(
         self, message: PendingMessage, destination: Destination, blocked: list[PendingMessage]
--- a/message_sender/policy/endpoints.py
+++ b/message_sender/policy/endpoints.py
@@ -231,14 +231,19 @@
     def mark_unavailable(self, destination: Destination) -> None:
         """Records that a destination accepts no call now, and schedules its next check."""
         self.available.pop(destination.number, None)
-        ready_at = destination.earliest_ready_at(int(self.loop.now))
+        self.schedule_reopening(destination)
+
+    def schedule_reopening(self, destination: Destination) -> None:
+        """Schedules a check of a destination for the next time at which one of its breakers allows a call."""
+        now = int(self.loop.now)
+        times = (each.earliest_ready_at(now) for each in destination.breakers)
+        ready_at = min((each for each in times if each > now), default=NEVER)
         if self.shared_limits and destination.endpoints:
-            now = int(self.loop.now)
-            ready_at = max(
-                ready_at,
-                min(self.shared_limits.available_at(each.listed, now) for each in destination.endpoints),
+            available_at = min(
+                self.shared_limits.available_at(each.listed, now) for each in destination.endpoints
             )
-        self.reopenings.schedule(destination.number, ready_at if ready_at > self.loop.now else NEVER)
+            ready_at = max(destination.earliest_ready_at(now), available_at)
+        self.reopenings.schedule(destination.number, ready_at if ready_at > now else NEVER)
 
     def recheck_destination(self, number: int) -> None:
         """Makes the next iteration check a destination for which this sender's part of a limit has grown."""
