Take at most a fifth of a short warm-up as done before the first served call

Cause: its endpoint had been replaced 0.5 s before the first served call, and the warm-up began 2.5 s before that call: half of 5 s. The time in which a destination may have come back unnoticed does not depend on the length of its warm-up, but what an error costs does. Change: the warm-up begins before the served call by a fifth of Settings.slow_start at most (2.5 s from 12.5 s on). At 13 s nothing changes.

--- a/message_sender/policy/outage.py
+++ b/message_sender/policy/outage.py
@@ -13,10 +13,10 @@
   only while none is in flight. Calls that this sender has given up, or that an earlier process had in flight,
   count too. A destination that answers is not limited.
 - **Back**: a call is served. The destination warms up from the last time at which it is known to have been
-  out, but from `MAX_UNKNOWN_US` before the start of the served call at the earliest: where no call was made
-  for longer, as during a Retry-After, nothing is known of that time. In a large fleet, whose members make few
-  calls, it warms up from midway between its last failure and the start of the served call: the members' trial
-  calls are spread, so that their estimates are right on average.
+  out, but from `OutageTracker.longest_unknown` before the start of the served call at the earliest: where no
+  call was made for longer, as during a Retry-After or without an endpoint, nothing is known of that time. In
+  a large fleet, whose members make few calls, it warms up from midway between its last failure and the start
+  of the served call: the members' trial calls are spread, so that their estimates are right on average.
 - **Warm-up**: the destination bears a fraction of its usual load, which grows with time. The warm-up goes on
   for some time after the destination is warm, so that the senders do not send all their pending messages
   together.
@@ -35,6 +35,7 @@
 #: Longest time before a served call in which a destination that was out may have come back unnoticed: the
 #: reset timeout of a breaker, and the time that a trial call waits for the loop.
 MAX_UNKNOWN_US = 2_500_000
+MAX_UNKNOWN_FRACTION = 1 / 5  # of Settings.slow_start: a larger part of the warm-up is never taken as done
 
 #: Fraction of the calls in the first window after a return that may have been sent before it.
 SHARE_AT_RETURN = 0.85
@@ -119,9 +120,13 @@
         if has_spread_trials:
             self.warm_up_since = max((self.warm_up_since + sent_at) / 2, self.warm_up_since)
         elif self.is_out:
-            self.warm_up_since = max(self.warm_up_since, sent_at - MAX_UNKNOWN_US)
+            self.warm_up_since = max(self.warm_up_since, sent_at - self.longest_unknown())
         self.is_out = False
 
+    def longest_unknown(self) -> float:
+        """Returns the longest time before a served call that may count as a part of the warm-up, us."""
+        return min(MAX_UNKNOWN_US, self.settings.slow_start * MAX_UNKNOWN_FRACTION)
+
     # Calls without an answer.
 
     def note_call_sent(self, sent_at: float) -> None:
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -6,7 +6,6 @@
 from message_sender.policy.breaker import Breaker
 from message_sender.policy.events import AttemptEnded, WakeUp
 from message_sender.policy.model import Outcome
-from message_sender.policy.outage import MAX_UNKNOWN_US
 
 HUNG = ("m1", "m2", "m3")
 
@@ -70,4 +69,14 @@
     assert only_breaker(world).outage.is_out
     sent_at = world.now
     world.end_attempt("m1", Outcome.OK)
-    assert only_breaker(world).warm_up_since == sent_at - MAX_UNKNOWN_US
+    assert only_breaker(world).warm_up_since == sent_at - only_breaker(world).outage.longest_unknown()
+
+
+@pytest.mark.parametrize(("slow_start_s", "unknown_s"), [(1, 0.2), (5, 1.0), (13, 2.5), (60, 2.5)])
+def test_at_most_a_fifth_of_a_short_warm_up_is_taken_as_done(slow_start_s: int, unknown_s: float) -> None:
+    world = World(slow_start=slow_start_s * SECOND)
+    world.open_breaker()
+    (trial,) = sent_messages(world.accept("safe", after=15 * SECOND))
+    sent_at = world.now
+    world.end_attempt(trial, Outcome.OK)
+    assert only_breaker(world).warm_up_since == sent_at - unknown_s * SECOND
--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -10,7 +10,6 @@
 from message_sender.policy.actions import WakeAfter
 from message_sender.policy.events import MessageAccepted, MessageRestored, WakeUp
 from message_sender.policy.model import Outcome
-from message_sender.policy.outage import MAX_UNKNOWN_US
 
 LARGE_FLEET = 200
 OUTAGES = ("shut", "silent", "hangs", "restarts")
@@ -94,7 +93,7 @@
         assert failed_at > 0 and trial_messages
         trial_sent_at = world.now
         world.end_attempt(trial_messages[0], Outcome.OK)
-        shortly_before = trial_sent_at - MAX_UNKNOWN_US
+        shortly_before = trial_sent_at - breaker.outage.longest_unknown()
         assert failed_at < shortly_before
         assert breaker.warm_up_since == ((failed_at + trial_sent_at) / 2 if is_shifted else shortly_before)
 
