Keep what is known of outages over restarts

Cause: outcomes of unfinished messages were all that a new process learned. A call that hangs until the kill has none, an overdue one was counted in memory only, and held messages say nothing, so the next process sent all that it had at its usual pace; nor did it know that calls of the earlier one were still to arrive. Evidence: log events, 'messages restored: messages=45' with no breaker or warm-up line behind it. The next process opens the breaker of a destination that was out, sends one trial and warms up from its start; a warm-up goes on. Calls that were in flight at the end (for destinations that are out: also those given up) count as calls without an answer. Two overdue calls and 2 s without any answer show an outage too, so that quiet destinations are on record. A damaged line costs itself, a warning and, where it can be read, a careful start of that destination. Folders without the file are read as before. The file and its replacement take 64 kB of the folder at most, a 32nd of a small one.

--- a/message_sender/core/engine.py
+++ b/message_sender/core/engine.py
@@ -20,6 +20,7 @@
 from message_sender.core.hooks import HookChain
 from message_sender.core.line_limit import LineLimit
 from message_sender.core.message_table import MessageTable
+from message_sender.core.outage_record import OutageRecord
 from message_sender.core.ports import (
     AttemptResult,
     Caller,
@@ -32,6 +33,7 @@
 from message_sender.core.restoration import Restoration
 from message_sender.core.socket_errors import describe_defect
 from message_sender.journal.clock_record import FolderClock
+from message_sender.journal.outage_file import OutageFile, outage_space_bytes
 from message_sender.journal.process_journal import Journal
 from message_sender.message import Message
 from message_sender.policy.actions import (
@@ -110,7 +112,9 @@
         self.now = clock or Clock(FolderClock(config.state).base_ns).now
         self.hooks = HookChain()
         self.dispatcher = decide(config.settings, config.seed)
-        self.journal = open_journal(config.state, config.disk_bytes)
+        outage_bytes = outage_space_bytes(config.disk_bytes)
+        self.journal = open_journal(config.state, config.disk_bytes - outage_bytes)
+        self.outage_record = OutageRecord(OutageFile(config.state, outage_bytes, self.now()))
         class_names = (each.name for each in config.settings.classes)
         self.breaker_log = BreakerLog(self.loop.time)
         self.table = MessageTable(self.journal, class_names, self, self.hooks)
@@ -159,6 +163,8 @@
             self.post(InheritedState(keys=tuple((key, until) for key in sorted(paused_keys))))
         log.info("messages restored: sender=%s messages=%d", self.config.name, len(self.journal.entries))
         self.hooks.messages_restored()
+        if not handed_over:
+            self.post(self.outage_record.restored(self.journal.entries.values(), self.now()))
         self.run_iteration()
         self.listener_task = self.spawn(self.table.completion_listener.run())
         self.spawn(self._run_periodic_tasks())
@@ -385,6 +391,7 @@
         now = self.now()
         actions = self.dispatcher.handle(now, events)
         self.breaker_log.log_changes(self.dispatcher.status.changes, now)
+        self.outage_record.record_changes(self.dispatcher.status.changes, now)
         rejected = self.arrivals.answer(arrivals, abandoned_ids, actions)
         for action in actions:
             self.act(action, rejected)
--- a/message_sender/policy/breaker.py
+++ b/message_sender/policy/breaker.py
@@ -284,6 +284,13 @@
         self.restart_timeout(now)
         self.outage.note_out(now, OutageCause.OVERDUE)
 
+    def open_for_restored_outage(self, now: int) -> None:
+        """Opens the breaker for a destination that an earlier process knew to be out; a trial may be sent."""
+        self.failures = max(self.failures, float(FAILURE_THRESHOLD))
+        self.calls_since_success = max(self.calls_since_success, 1)
+        self.trial_at = now
+        self.outage.note_out(now, OutageCause.RESTORED)
+
     def record_failure(
         self, now: int, outcome: Outcome = Outcome.TIMEOUT, cause: OutageCause = OutageCause.FAILED
     ) -> None:
--- a/message_sender/policy/dispatcher.py
+++ b/message_sender/policy/dispatcher.py
@@ -25,6 +25,7 @@
     MessageAccepted,
     MessageRestored,
     MessageWithdrawn,
+    OutagesRestored,
     PolicyEvent,
     Stopping,
 )
@@ -84,6 +85,7 @@
         self.retry_after_received = self.inflight.retry_after_received
         self.attempt_withheld = self.inflight.attempt_withheld
         self.may_start_call = self.inflight.may_start_call
+        self.holds_calls = self.registry.list_confirmation.holds_calls
         self.watch_fell_silent = self.registry.list_confirmation.watch_fell_silent
 
     def handle(self, now_us: int, events: Iterable[PolicyEvent]) -> list[PolicyAction]:
@@ -122,6 +124,8 @@
                 self.importer.restore_message(event)
             case InheritedState():
                 self.importer.apply_inherited(event)
+            case OutagesRestored():
+                self.importer.restore_outages(event)
             case AttemptEnded():
                 self.attempt_ended(event)
             case EndpointsUpdated():
@@ -332,10 +336,6 @@
             return False
         return self.inflight.has_room(breaker, now)
 
-    def holds_calls(self, now: int) -> bool:
-        """Whether calls wait for the endpoint list at this time, us."""
-        return self.registry.list_confirmation.holds_calls(now)
-
     def may_finish_call(self, message: str, attempt: int, now: int) -> bool:
         """Whether the destination may still begin a call of which it has only a part.
 
--- a/message_sender/policy/events.py
+++ b/message_sender/policy/events.py
@@ -119,6 +119,38 @@
     silent: tuple[tuple[int, float], ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class RestoredOutage:
+    """What an earlier process knew of a destination, or of a separate route.
+
+    Attributes:
+        destination: Number of the destination.
+        route: Id of the endpoint, if the endpoints are separate routes; otherwise empty.
+        is_out: No call was served since the outage began.
+        since_us: When it was recorded as out, or when its warm-up began, us.
+    """
+
+    destination: int
+    route: str
+    is_out: bool
+    since_us: int
+
+
+@dataclass(frozen=True, slots=True)
+class OutagesRestored:
+    """What an earlier process, which has ended, knew of outages; follows the restored messages.
+
+    Attributes:
+        outages: The destinations that were out or warmed up.
+        in_flight: Endpoint id of each call that was in flight when that process ended.
+        given_up: Endpoint id of each call that it had given up, for messages that are not finished.
+    """
+
+    outages: tuple[RestoredOutage, ...] = ()
+    in_flight: tuple[str, ...] = ()
+    given_up: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """The result of an attempt is known.
@@ -169,6 +201,7 @@
     | MessageAccepted
     | MessageRestored
     | InheritedState
+    | OutagesRestored
     | AttemptEnded
     | MessageWithdrawn
     | CompletionAcknowledged
--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -230,7 +230,7 @@
         now = int(self.loop.now)
         breaker = call.breaker
         breaker.record_failure(now, cause=OutageCause.OVERDUE)
-        if silence.is_exhausted(breaker) and not breaker.is_open():
+        if silence.shows_outage(breaker, now) and not breaker.is_open():
             breaker.open_at_silence(now)
         call.endpoint.suspect_until = self.loop.now + RESET_TIMEOUT_US
         self.registry.mark_changed(call.breaker)
--- a/message_sender/policy/outage.py
+++ b/message_sender/policy/outage.py
@@ -76,12 +76,12 @@
         cause: Why it was last taken to be out, or to warm up.
         unanswered: Number of calls since the destination was last heard of that it may still begin.
         quiet_since: When the first of them was sent, us.
-        has_earlier_calls: Some of them were sent by an earlier process.
+        has_spent_limit_before: An earlier process has sent as many of them as the destination may have.
     """
 
     __slots__ = (
         "cause",
-        "has_earlier_calls",
+        "has_spent_limit_before",
         "is_out",
         "quiet_since",
         "settings",
@@ -97,7 +97,7 @@
         self.cause = OutageCause.NONE
         self.unanswered = 0
         self.quiet_since = -math.inf
-        self.has_earlier_calls = False
+        self.has_spent_limit_before = False
 
     def note_out(self, now: int, cause: OutageCause) -> None:
         """Records that the destination is out now."""
@@ -139,18 +139,19 @@
         """Records the end of a call."""
         if outcome in SIGNS_OF_LIFE:
             self.unanswered = 0
-            self.has_earlier_calls = False
+            self.has_spent_limit_before = False
         elif outcome in NEVER_ARRIVED:
             self.unanswered = max(self.unanswered - 1, 0)
 
-    def note_earlier_calls(self, count: int) -> None:
+    def note_earlier_calls(self, count: int, now: float) -> None:
         """Records calls of an earlier process whose results are not known."""
+        if not self.unanswered:
+            self.quiet_since = now
         self.unanswered += count
-        self.has_earlier_calls = True
 
     def is_silent(self, now: float, silence_after_us: float) -> bool:
         """Whether nothing has come back for this time, us, although calls were sent."""
-        is_quiet_for_long = now - self.quiet_since > silence_after_us or self.has_earlier_calls
+        is_quiet_for_long = now - self.quiet_since > silence_after_us or self.has_spent_limit_before
         return self.unanswered > 0 and is_quiet_for_long
 
     def part_of_return_calls(self, usual_rate: float) -> float:
--- a/message_sender/policy/silence.py
+++ b/message_sender/policy/silence.py
@@ -6,7 +6,7 @@
 
 import math
 
-from message_sender.policy.breaker import FAILURE_THRESHOLD, Breaker
+from message_sender.policy.breaker import FAILURE_THRESHOLD, RESET_TIMEOUT_US, Breaker
 
 SILENCE_DEVIATIONS = 2  # a destination is silent if nothing comes back for this many above the mean latency
 MIN_LATENCY_FRACTION = 1 / 8  # of the shortest latency objective: no shorter time is a silence
@@ -42,6 +42,16 @@
     return not (is_silent and breaker.in_flight) or breaker.outage.unanswered < unanswered_limit(breaker)
 
 
+def shows_outage(breaker: Breaker, now: int) -> bool:
+    """Whether the destination is out, since all calls in flight are overdue and nothing comes back from it.
+
+    Either it has all calls that it may have, or more than one call and a reset timeout have passed.
+    """
+    outage = breaker.outage
+    is_long = outage.unanswered > 1 and now - outage.quiet_since >= RESET_TIMEOUT_US
+    return is_exhausted(breaker) or (is_long and not breaker.on_time_calls)
+
+
 def is_exhausted(breaker: Breaker) -> bool:
     """Whether the destination has all calls that it may have, and none of them has come back in time."""
     return not breaker.on_time_calls and breaker.outage.unanswered >= unanswered_limit(breaker)
--- a/message_sender/policy/state_transfer.py
+++ b/message_sender/policy/state_transfer.py
@@ -7,11 +7,19 @@
 """
 
 import heapq
+from collections import Counter
 from collections.abc import Mapping
 
-from message_sender.policy.breaker import ANSWERED_FAILURES, ActiveCall, Breaker, TrackedEndpoint
+from message_sender.policy import silence
+from message_sender.policy.breaker import (
+    ANSWERED_FAILURES,
+    RESET_TIMEOUT_US,
+    ActiveCall,
+    Breaker,
+    TrackedEndpoint,
+)
 from message_sender.policy.endpoints import EndpointRegistry
-from message_sender.policy.events import CallInFlight, InheritedState, MessageRestored
+from message_sender.policy.events import CallInFlight, InheritedState, MessageRestored, OutagesRestored
 from message_sender.policy.inflight import InFlightCalls
 from message_sender.policy.model import FAILURES, Endpoint, EndpointState, Outcome
 from message_sender.policy.outage import OutageCause
@@ -148,6 +156,50 @@
         elif outcome is Outcome.FULL:
             breaker.record_unserved(now, RESTORED_REFUSALS_LIMIT, OutageCause.RESTORED)
 
+    def restore_outages(self, event: OutagesRestored) -> None:
+        """Applies what an earlier process knew of outages; it only makes this process more careful.
+
+        The destination may have come back at any time since that process ended: it gets one trial call, and
+        warms up from now. The trial call waits if the destination may just be beginning all calls of that
+        process. A warm-up goes on.
+        """
+        now = int(self.loop.now)
+        for outage in event.outages:
+            by_route = self.registry.activate(outage.destination).breakers_by_route
+            assert by_route is not None
+            breaker = by_route.setdefault(
+                outage.route, Breaker(self.loop.context, outage.destination, outage.route)
+            )
+            if outage.is_out:
+                breaker.open_for_restored_outage(now)
+                self.registry.delay_first_call(outage.destination)
+            elif outage.since_us > breaker.warm_up_since:
+                breaker.outage.begin_warm_up(min(outage.since_us, now), OutageCause.RESTORED)
+            self.registry.mark_changed(breaker)
+        self._restore_unanswered(event.in_flight)
+        self._restore_unanswered(event.given_up, only_if_out=True)
+
+    def _restore_unanswered(self, endpoints: tuple[str, ...], only_if_out: bool = False) -> None:
+        """Counts calls of an earlier process that their destinations may still begin.
+
+        Args:
+            endpoints: The endpoint id of each call.
+            only_if_out: Calls to destinations that are not out do not count.
+        """
+        for endpoint, count in Counter(endpoints).items():
+            known = self.registry.endpoints.get(endpoint)
+            if known is None or known.breaker is None:
+                continue
+            breaker = known.breaker
+            if only_if_out and not breaker.outage.is_out:
+                continue
+            breaker.outage.note_earlier_calls(count, self.loop.now)
+            if not silence.is_exhausted(breaker):
+                continue
+            breaker.outage.has_spent_limit_before = True
+            if breaker.is_open():
+                breaker.trial_at = self.loop.now + RESET_TIMEOUT_US
+
     def adopt_call(self, message: PendingMessage, inherited: CallInFlight) -> None:
         """Imports a call of the predecessor, which occupies its message, key and trial until it ends."""
         number = message.destination
--- a/tests/compatibility/test_compatibility.py
+++ b/tests/compatibility/test_compatibility.py
@@ -21,7 +21,9 @@
 from message_sender.journal.contents import JournalContents
 from message_sender.journal.disk import SystemDisk
 from message_sender.journal.inspection import InspectedJournal
+from message_sender.journal.outage_file import OutageFile
 from message_sender.journal.process_journal import Journal
+from message_sender.policy.events import RestoredOutage
 from message_sender.recovery import id_inquiry, learned_snapshot
 from message_sender.service.handover_state import decode_engine_state, decode_state
 
@@ -104,6 +106,15 @@
     store.close()
 
 
+def test_outages_are_read_from_the_recorded_file(tmp_path: Path) -> None:
+    copy_recorded("outages", tmp_path)
+    file = OutageFile(tmp_path / "outages", JOURNAL_LIMIT_BYTES, 1_800_000_000_000_000)
+    assert file.restored() == (
+        RestoredOutage(2, "", True, 1_700_000_000_000_000),
+        RestoredOutage(7, "s-0fd15416", False, 1_700_000_001_000_000),
+    )
+
+
 def test_learned_state_is_decoded() -> None:
     values = {name: value for name, value in samples.BREAKER_VALUES.items() if name != "last_served"}
     learned = learned_snapshot.decode((RECORDED / "learned" / "learned").read_bytes())
