--- a/message_sender/policy/breaker.py
+++ b/message_sender/policy/breaker.py
@@ -261,9 +261,10 @@
         The permitted rate is this sender's usual rate (or, in a new process, its part of the announced rate)
         times the load that the destination is expected to bear.
         """
-        load = self.outage.warm_up_load(now)
-        if load == NEVER:
+        outage = self.outage
+        if now - outage.warm_up_since >= outage.warm_up_length:
             return 0.0
+        load = outage.warm_up_load(now)
         return min(min(self.success_time / self.success_count, self.announced_gap) / load, 2 * self.max_gap)
 
     def overdue_at(self) -> float:
--- a/message_sender/policy/breaker_status.py
+++ b/message_sender/policy/breaker_status.py
@@ -53,15 +53,23 @@
     cause: OutageCause
 
 
+#: The status of a breaker that is not warming up, by its state and whether its destination is out.
+STATUSES = {
+    (state, is_out): BreakerStatus(state, OutagePhase.OUT if is_out else OutagePhase.SERVING)
+    for state in BreakerState
+    for is_out in (False, True)
+}
+
+
 def breaker_status(breaker: Breaker, now: float) -> BreakerStatus:
     """Returns the status of a breaker at this time, us."""
+    outage = breaker.outage
     state = BreakerState.CLOSED
     if breaker.is_open():
         state = BreakerState.HALF_OPEN if breaker.trial else BreakerState.OPEN
-    phase = breaker.outage.phase(now)
-    if phase is not OutagePhase.WARMING_UP:
-        return BreakerStatus(state, phase)
-    return BreakerStatus(state, phase, int(breaker.outage.warm_up_since))
+    if outage.is_out or not outage.is_warming_up(now):
+        return STATUSES[state, outage.is_out]
+    return BreakerStatus(state, OutagePhase.WARMING_UP, int(outage.warm_up_since))
 
 
 class StatusReporter:
@@ -80,12 +88,14 @@
     def check(self, breaker: Breaker, now: float) -> None:
         """Adds a change if the breaker's status is no longer the reported one."""
         outage = breaker.outage
-        is_usual = not (breaker.failures or outage.is_out or outage.is_warming_up(now))
-        if is_usual and breaker not in self.reported:
-            return
+        if not (breaker.failures or outage.is_out or outage.is_warming_up(now)):
+            if breaker not in self.reported:
+                return
+            after = USUAL_STATUS
+        else:
+            after = breaker_status(breaker, now)
         before = self.reported.get(breaker, USUAL_STATUS)
-        after = breaker_status(breaker, now)
-        if after == before:
+        if after is before or after == before:
             return
         if after == USUAL_STATUS:
             del self.reported[breaker]
--- a/message_sender/policy/endpoints.py
+++ b/message_sender/policy/endpoints.py
@@ -225,7 +225,8 @@
         self.changed_breakers = {}
         for breaker in changed:
             self.overdue_checks.schedule(breaker, breaker.overdue_at())
-            self.loop.status.check(breaker, self.loop.now)
+            if breaker.failures or breaker.outage.warm_up_since > -NEVER:
+                self.loop.status.check(breaker, self.loop.now)
         return changed
 
     def mark_unavailable(self, destination: Destination) -> None:
@@ -236,8 +237,11 @@
     def schedule_reopening(self, destination: Destination) -> None:
         """Schedules a check of a destination for the next time at which one of its breakers allows a call."""
         now = int(self.loop.now)
-        times = (each.earliest_ready_at(now) for each in destination.breakers)
-        ready_at = min((each for each in times if each > now), default=NEVER)
+        ready_at = NEVER
+        for breaker in destination.breakers:
+            at = breaker.earliest_ready_at(now)
+            if now < at < ready_at:
+                ready_at = at
         if self.shared_limits and destination.endpoints:
             available_at = min(
                 self.shared_limits.available_at(each.listed, now) for each in destination.endpoints
--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -22,6 +22,7 @@
     """The calls in flight.
 
     Attributes:
+        destination_limit: A destination has fewer calls in flight than this number before it gets another.
         calls: The calls by message id and number of the attempt.
         active: The distinct calls, oldest first.
         overdue: The distinct calls that are overdue.
@@ -34,6 +35,7 @@
         self.settings = loop.settings
         self.registry = registry
         self.pending = pending
+        self.destination_limit = max(2, loop.settings.slots * DESTINATION_SLOT_FRACTION)
         self.calls: dict[tuple[str, int], ActiveCall] = {}
         self.just_idle: dict[str, TrackedEndpoint] = {}
         self.active: dict[ActiveCall, None] = {}
@@ -80,12 +82,13 @@
             return
         call.is_settled = True
         breaker.on_time_calls.pop(call, None)
-        breaker.outage.note_call_ended(ended.outcome)
         if call.is_overdue:
             breaker.outage.note_overdue_call_ended(now)
         if ended.outcome is Outcome.OK:
             self._settle_success(call)
-        elif ended.outcome is Outcome.FULL:
+            return
+        breaker.outage.note_unserved_call_ended(ended.outcome)
+        if ended.outcome is Outcome.FULL:
             breaker.record_refusal(now, call, ended.wait)
         elif self.is_evidence(call, ended.outcome):
             self._settle_failure(call, ended.outcome)
@@ -256,8 +259,9 @@
 
     def has_room(self, breaker: Breaker, now: int) -> bool:
         """Whether the destination may have one more call under way."""
-        limit = max(2, self.settings.slots * DESTINATION_SLOT_FRACTION)
-        return breaker.in_flight < limit and silence.has_room(breaker, now)
+        if breaker.in_flight >= self.destination_limit:
+            return False
+        return breaker.outage.unanswered < silence.MIN_UNANSWERED or silence.has_room(breaker, now)
 
     def may_retry(self, call: ActiveCall) -> bool:
         """Whether all messages of the call may be sent again although the call may have run."""
--- a/message_sender/policy/outage.py
+++ b/message_sender/policy/outage.py
@@ -39,8 +39,8 @@
 
 #: Fraction of the calls in the first window after a return that may have been sent before it.
 SHARE_AT_RETURN = 0.85
-#: Outcomes by which a destination shows that it is there.
-SIGNS_OF_LIFE = frozenset({Outcome.OK, Outcome.ERROR, Outcome.FULL, Outcome.MALFORMED, Outcome.RESET})
+#: Outcomes other than success by which a destination shows that it is there.
+SIGNS_OF_LIFE = frozenset({Outcome.ERROR, Outcome.FULL, Outcome.MALFORMED, Outcome.RESET})
 #: Outcomes after which the destination will not begin the call.
 NEVER_ARRIVED = frozenset({Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.STALE})
 
@@ -70,6 +70,7 @@
     """What is known of the outages of one destination, or of one separate route.
 
     Attributes:
+        warm_up_length: How long the load is limited, us.
         warm_up_since: While the destination is out: when it was last known to be out. After that: when its
             warm-up began. Microseconds; minus infinity before the first outage.
         is_out: No call was served since the destination was last known to be out.
@@ -86,12 +87,14 @@
         "quiet_since",
         "settings",
         "unanswered",
+        "warm_up_length",
         "warm_up_since",
     )
 
     def __init__(self, settings: Settings) -> None:
         """Creates the tracker of a destination without a known outage."""
         self.settings = settings
+        self.warm_up_length = WARM_UP_LENGTH_FACTOR * settings.slow_start
         self.warm_up_since = -math.inf
         self.is_out = False
         self.cause = OutageCause.NONE
@@ -117,6 +120,8 @@
             sent_at: When the call was sent, us.
             has_spread_trials: Calls have failed, and the members of a large fleet spread their trial calls.
         """
+        self.unanswered = 0
+        self.has_spent_limit_before = False
         if has_spread_trials:
             self.warm_up_since = max((self.warm_up_since + sent_at) / 2, self.warm_up_since)
         elif self.is_out:
@@ -135,8 +140,8 @@
             self.quiet_since = sent_at
         self.unanswered += 1
 
-    def note_call_ended(self, outcome: Outcome) -> None:
-        """Records the end of a call."""
+    def note_unserved_call_ended(self, outcome: Outcome) -> None:
+        """Records the end of a call that was not served."""
         if outcome in SIGNS_OF_LIFE:
             self.unanswered = 0
             self.has_spent_limit_before = False
@@ -184,7 +189,7 @@
 
     def is_warming_up(self, now: float) -> bool:
         """Whether the load of the destination is limited at this time, us."""
-        return now - self.warm_up_since < WARM_UP_LENGTH_FACTOR * self.settings.slow_start
+        return now - self.warm_up_since < self.warm_up_length
 
     def warm_up_load(self, now: float) -> float:
         """Returns the load that the destination is expected to bear, relative to its usual load.
@@ -194,9 +199,9 @@
         Returns:
             The load; infinity after the warm-up.
         """
-        progress = (now - self.warm_up_since) / self.settings.slow_start
-        if progress >= WARM_UP_LENGTH_FACTOR:
+        if not self.is_warming_up(now):
             return math.inf
+        progress = (now - self.warm_up_since) / self.settings.slow_start
         slow_start_from = self.settings.slow_start_from
         warm_fraction = slow_start_from + (1 - slow_start_from) * max(progress, 0.0)
         return self.settings.fall_multiple * WARM_UP_LOAD_FACTOR * warm_fraction
--- a/message_sender/policy/silence.py
+++ b/message_sender/policy/silence.py
@@ -38,8 +38,10 @@
 
 def has_room(breaker: Breaker, now: int) -> bool:
     """Whether the destination may get one more call at this time, us."""
-    is_silent = breaker.outage.is_silent(now, silence_after(breaker))
-    return not (is_silent and breaker.in_flight) or breaker.outage.unanswered < unanswered_limit(breaker)
+    outage = breaker.outage
+    if outage.unanswered < MIN_UNANSWERED or not breaker.in_flight:
+        return True
+    return not outage.is_silent(now, silence_after(breaker)) or outage.unanswered < unanswered_limit(breaker)
 
 
 def shows_outage(breaker: Breaker, now: int) -> bool:
