Take a destination that announces a long Retry-After for out until the wait ends

Cause: one refusal was no evidence of an outage, whatever wait it announced; refusals of calls sent before the first one are not counted, and after the wait the next call is served. So there was no warm-up, and all that had been held left at the gap between calls. Evidence: no 'destination out' or 'warm-up began' in the log; calls of the three senders in the window 65, 72, 73. Change: a wait beyond the window of a rate limit (2 s, as record_refusal has it already) shows an outage by itself, and the destination is out until the end of that wait, where its warm-up begins.

--- a/message_sender/policy/breaker.py
+++ b/message_sender/policy/breaker.py
@@ -279,18 +279,12 @@
             self.context.min_latency_objective / 4,
         )
 
-    def open_at_silence(self, now: int) -> None:
-        """Opens the breaker: the destination has all calls that it may have, and answers none of them."""
-        self.failures = max(self.failures, float(FAILURE_THRESHOLD))
-        self.restart_timeout(now)
-        self.outage.note_out(now, OutageCause.OVERDUE)
-
-    def open_for_restored_outage(self, now: int) -> None:
-        """Opens the breaker for a destination that an earlier process knew to be out; a trial may be sent."""
+    def open_for_outage(self, now: int, cause: OutageCause) -> None:
+        """Opens the breaker for a destination that is out, whatever the number of its failures."""
         self.failures = max(self.failures, float(FAILURE_THRESHOLD))
         self.calls_since_success = max(self.calls_since_success, 1)
-        self.trial_at = now
-        self.outage.note_out(now, OutageCause.RESTORED)
+        self.restart_timeout(now)
+        self.outage.note_out(now, cause)
 
     def record_failure(
         self, now: int, outcome: Outcome = Outcome.TIMEOUT, cause: OutageCause = OutageCause.FAILED
@@ -329,6 +323,8 @@
         self.gap_changed = now
         min_calls = max(FAILURE_THRESHOLD / self.context.fleet_factor, 2) if is_out_of_service else NEVER
         self.record_unserved(now, min_calls, OutageCause.REFUSED)
+        if retry_after_us > MAX_LIMIT_WINDOW_US:
+            self.outage.note_out(now + retry_after_us, OutageCause.REFUSED)
         # Spreads senders that received the same Retry-After, so that they do not return together.
         delay = self.context.rng.uniform(0, 2 * self.gap) * (1 - 1 / self.context.fleet_factor)
         self.wait_until = max(self.wait_until, now) + math.ceil(delay)
--- a/message_sender/policy/inflight.py
+++ b/message_sender/policy/inflight.py
@@ -233,8 +233,8 @@
         now = int(self.loop.now)
         breaker = call.breaker
         breaker.record_failure(now, cause=OutageCause.OVERDUE)
-        if silence.shows_outage(breaker, now) and not breaker.is_open():
-            breaker.open_at_silence(now)
+        if not breaker.is_open() and silence.shows_outage(breaker, now):
+            breaker.open_for_outage(now, OutageCause.OVERDUE)
         call.endpoint.suspect_until = self.loop.now + RESET_TIMEOUT_US
         self.registry.mark_changed(call.breaker)
 
@@ -253,6 +253,8 @@
 
     def awaits_return(self, call: ActiveCall) -> bool:
         """Whether an overdue call has to show the return of its destination, which gets no other call."""
+        if not silence.is_limited(call.breaker):
+            return False
         in_flight = (*call.breaker.on_time_calls, *call.breaker.overdue_calls)
         is_last = all(each is call or each.is_cancelled for each in in_flight)
         return is_last and silence.is_exhausted(call.breaker)
--- a/message_sender/policy/outage.py
+++ b/message_sender/policy/outage.py
@@ -4,6 +4,8 @@
 
 - **Out**: enough consecutive calls were not served (`Breaker.record_unserved` counts them). The destination
   is known to have been out until the last of them.
+- **Announced waits**: a destination that announces a Retry-After beyond the window of a rate limit is out
+  until the end of that wait, as it says itself.
 - **Overdue calls**: a destination that is out is known to be out as long as an overdue call goes on. So the
   end of such a call, whatever its result, is the latest time at which the destination is known to have been
   out. No other call may show that: hung calls can fill the destination's limit, and no trial is sent.
@@ -102,16 +104,16 @@
         self.quiet_since = -math.inf
         self.has_spent_limit_before = False
 
-    def note_out(self, now: int, cause: OutageCause) -> None:
-        """Records that the destination is out now."""
+    def note_out(self, until: int, cause: OutageCause) -> None:
+        """Records that the destination is out until this time, us: now, or the end of an announced wait."""
         self.is_out = True
-        self.warm_up_since = now
+        self.warm_up_since = max(self.warm_up_since, until)
         self.cause = cause
 
     def note_overdue_call_ended(self, now: int) -> None:
         """Records that a call that was overdue has ended: a destination that is out was out until now."""
         if self.is_out:
-            self.warm_up_since = now
+            self.warm_up_since = max(self.warm_up_since, now)
 
     def note_served(self, sent_at: int, has_spread_trials: bool) -> None:
         """Records a served call, which ends the outage.
--- a/message_sender/policy/silence.py
+++ b/message_sender/policy/silence.py
@@ -4,9 +4,8 @@
 The rules are in `outage`; this module applies them to a breaker.
 """
 
-import math
-
 from message_sender.policy.breaker import FAILURE_THRESHOLD, RESET_TIMEOUT_US, Breaker
+from message_sender.policy.outage import SHARE_AT_RETURN
 
 SILENCE_DEVIATIONS = 2  # a destination is silent if nothing comes back for this many above the mean latency
 MIN_LATENCY_FRACTION = 1 / 8  # of the shortest latency objective: no shorter time is a silence
@@ -27,8 +26,8 @@
 
 
 def unanswered_minimum(breaker: Breaker) -> int:
-    """Returns how many calls are always possible: as many as show an outage."""
-    return max(math.ceil(FAILURE_THRESHOLD / breaker.context.fleet_factor), MIN_UNANSWERED)
+    """Returns how many calls are always possible: in a small fleet as many as open the breaker."""
+    return FAILURE_THRESHOLD if breaker.context.fleet_factor <= 1 else MIN_UNANSWERED
 
 
 def unanswered_limit(breaker: Breaker) -> int:
@@ -36,12 +35,25 @@
     return max(int(part_of_return_calls(breaker)), unanswered_minimum(breaker))
 
 
+def is_limited(breaker: Breaker) -> bool:
+    """Whether calls without an answer are limited.
+
+    They are not in a large fleet in which the least number of calls of each member is above its part: no
+    number holds the rule there, and the members' calls are spread in time.
+    """
+    if breaker.context.fleet_factor <= 1:
+        return True
+    return part_of_return_calls(breaker) >= SHARE_AT_RETURN * MIN_UNANSWERED
+
+
 def has_room(breaker: Breaker, now: int) -> bool:
     """Whether the destination may get one more call at this time, us."""
     outage = breaker.outage
     if outage.unanswered < MIN_UNANSWERED or not breaker.in_flight:
         return True
-    return not outage.is_silent(now, silence_after(breaker)) or outage.unanswered < unanswered_limit(breaker)
+    if not outage.is_silent(now, silence_after(breaker)) or outage.unanswered < unanswered_limit(breaker):
+        return True
+    return not is_limited(breaker)
 
 
 def shows_outage(breaker: Breaker, now: int) -> bool:
@@ -49,6 +61,8 @@
 
     Either it has all calls that it may have, or more than one call and a reset timeout have passed.
     """
+    if not is_limited(breaker):
+        return False
     outage = breaker.outage
     is_long = outage.unanswered > 1 and now - outage.quiet_since >= RESET_TIMEOUT_US
     return is_exhausted(breaker) or (is_long and not breaker.on_time_calls)
--- a/message_sender/policy/state_transfer.py
+++ b/message_sender/policy/state_transfer.py
@@ -171,7 +171,8 @@
                 outage.route, Breaker(self.loop.context, outage.destination, outage.route)
             )
             if outage.is_out:
-                breaker.open_for_restored_outage(now)
+                breaker.open_for_outage(now, OutageCause.RESTORED)
+                breaker.trial_at = now
                 self.registry.delay_first_call(outage.destination)
             elif outage.since_us > breaker.warm_up_since:
                 breaker.outage.begin_warm_up(min(outage.since_us, now), OutageCause.RESTORED)
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -1,4 +1,4 @@
-"""Three real senders and a destination that goes out and comes back cold: who calls it at its return."""
+"""Real senders and a destination that goes out and comes back cold: who calls it at its return."""
 
 import asyncio
 import contextlib
@@ -18,7 +18,6 @@
 from helpers import ENV
 from peers import Platform, Request, answer_notices, config_json, host, message, send_watch_line
 
-SENDERS = 3
 DESTINATION = 2
 ENDPOINT = "s-2"
 REPLACED = 0  # in place of a signal: a successor takes over while the sender runs
@@ -31,7 +30,6 @@
 SLOW_START_FROM = 0.2
 FALL_MULTIPLE = 2.0
 RESTART_S = 0.6
-RETRY_AFTER_S = 0.5
 CLIENT_TIMEOUT_S = 0.4
 KEEP_ALIVE_S = 1.0
 DEADLINE_S = 20.0
@@ -61,7 +59,7 @@
 STATUS_LINES = {
     Outage.ERRORS: "500 Error",
     Outage.FULL: "503 Full",
-    Outage.RETRY_AFTER: f"429 Wait\r\nRetry-After: {RETRY_AFTER_S}",
+    Outage.RETRY_AFTER: "429 Wait\r\nRetry-After: {wait_s}",
 }
 
 
@@ -80,6 +78,8 @@
         out_s: Length of the outage in seconds.
         effect: The effect of a repeat, as in the settings.
         slots: Calls that a sender may have in flight.
+        senders: Number of senders.
+        wait_s: The wait that is announced in an outage of the kind `RETRY_AFTER`.
     """
 
     outage: Outage
@@ -91,6 +91,8 @@
     out_s: float = OUT_S
     effect: str = "by_key"
     slots: int = 8
+    senders: int = 3
+    wait_s: float = 0.5
 
     def allowed(self, since_return_s: float) -> float:
         """Returns the calls that the rule on cold destinations allows in a window that ends then."""
@@ -139,7 +141,8 @@
         served: Ids of the messages that were answered 200.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, wait_s: float) -> None:
+        self.wait_s = wait_s
         self.outage: Outage | None = None
         self.connections: set[Incoming] = set()
         self.calls: list[tuple[float, str]] = []
@@ -189,7 +192,9 @@
         elif self.outage is Outage.RESET:
             connection.transport.abort()
         elif line := STATUS_LINES.get(self.outage):
-            connection.transport.write(f"HTTP/1.1 {line}\r\nContent-Length: 0\r\n\r\n".encode())
+            connection.transport.write(
+                f"HTTP/1.1 {line.format(wait_s=self.wait_s)}\r\nContent-Length: 0\r\n\r\n".encode()
+            )
 
     def answer(self, connection: Incoming, name: str) -> None:
         if self.outage in (Outage.HUNG, Outage.SILENT) or connection.transport.is_closing():
@@ -246,14 +251,14 @@
 
 
 class ColdFleet:
-    """Three sender processes with their clients, and the destination."""
+    """The sender processes with their clients, and the destination."""
 
     def __init__(self, folder: Path, plan: Plan) -> None:
         self.folder, self.plan = folder, plan
         self.rng = random.Random(plan.seed)
-        self.destination = ColdDestination()
+        self.destination = ColdDestination(plan.wait_s)
         self.senders: list[sender_processes.Platform] = []
-        self.alive: list[bool] = [False] * SENDERS
+        self.alive: list[bool] = [False] * plan.senders
         self.accepted: dict[str, tuple[float, int]] = {}
         self.tasks: list[asyncio.Task[Any]] = []
         self.returned_at = math.inf
@@ -267,7 +272,7 @@
         discovery.hosts = [host(dial, ENDPOINT, block=DESTINATION, share=share)]
         config = config_json(discovery, *discovery.hosts)
         settings = config["settings"]
-        settings |= {"fleet_size": SENDERS, "weight_kind": "nominal"}
+        settings |= {"fleet_size": plan.senders, "weight_kind": "nominal"}
         settings["services"] = [CLASS | {"semantics": plan.effect}]
         settings["safety"] = settings["safety"] | {
             "cold": int(SLOW_START_S * 1e6),
@@ -324,12 +329,12 @@
             discovery = await stack.enter_async_context(Discovery())
             await self.destination.listen()
             stack.callback(self.destination.close)
-            for number in range(SENDERS):
+            for number in range(self.plan.senders):
                 state = self.folder / f"n{number}" / "state"
                 state.mkdir(parents=True)
                 platform = sender_processes.Platform(state, self.config(discovery, f"n{number}"))
                 self.senders.append(await stack.enter_async_context(platform))
-            await asyncio.gather(*(self.start_sender(number) for number in range(SENDERS)))
+            await asyncio.gather(*(self.start_sender(number) for number in range(self.plan.senders)))
             self.spawn(discovery.keep_alive())
             self.spawn(answer_notices(discovery, lambda *_: None))
             try:
@@ -363,9 +368,9 @@
         while True:
             await asyncio.sleep(self.rng.expovariate(self.plan.rate))
             number += 1
-            sender = self.rng.randrange(SENDERS)
+            sender = self.rng.randrange(self.plan.senders)
             while not self.alive[sender]:
-                sender = (sender + 1) % SENDERS
+                sender = (sender + 1) % self.plan.senders
             self.spawn(self.submit(f"m{number}", sender))
 
     async def submit(self, name: str, sender: int) -> None:
--- a/tests/test_cold_destination.py
+++ b/tests/test_cold_destination.py
@@ -1,6 +1,6 @@
 """A destination that comes back from an outage gets no more calls than the rule on cold destinations allows.
 
-Three real senders, one of which is killed or replaced in some runs; all runs are played side by side.
+Real senders, one of which is killed or replaced in some runs; all runs are played side by side.
 """
 
 import asyncio
@@ -24,6 +24,8 @@
     "kill, a route of its own": Plan(Outage.HUNG, 9, ((7.7, KILL),), seed=2, has_separate_routes=True),
     "kill while refused": Plan(Outage.REFUSED, 20, ((8.1, KILL),)),
     "kill in a Retry-After": Plan(Outage.RETRY_AFTER, 20, ((8.1, KILL),)),
+    "a Retry-After over the end of the outage": Plan(Outage.RETRY_AFTER, 20, wait_s=10.0),
+    "five senders in a silence": Plan(Outage.SILENT, 6, ((3.75, KILL),), senders=5),
     "many slots in a silence": Plan(Outage.SILENT, 20, slots=64),
     "second half of a long silence": Plan(Outage.SILENT, 20, out_s=16, effect="once"),
 }
--- a/tests/test_import_rules.py
+++ b/tests/test_import_rules.py
@@ -53,7 +53,7 @@
         "policy.pending_message",
     },
     "policy.breaker_status": {"policy.breaker", "policy.outage"},
-    "policy.silence": {"policy.breaker"},
+    "policy.silence": {"policy.breaker", "policy.outage"},
     "policy.timers": {"policy.breaker"},
     "policy.loop_state": {
         "policy.actions",
--- a/tests/test_outage.py
+++ b/tests/test_outage.py
@@ -80,3 +80,20 @@
     sent_at = world.now
     world.end_attempt(trial, Outcome.OK)
     assert only_breaker(world).warm_up_since == sent_at - unknown_s * SECOND
+
+
+@pytest.mark.parametrize(("wait_s", "is_out"), [(1, False), (3, True), (10, True)])
+def test_one_announced_wait_beyond_a_rate_limits_window_shows_an_outage_until_its_end(
+    wait_s: int, is_out: bool
+) -> None:
+    world = World()
+    for _ in range(6):
+        world.accept("safe")
+    refused = (AttemptEnded(f"m{each}", 0, Outcome.FULL, wait=wait_s * SECOND) for each in range(1, 7))
+    world.step(*refused, after=100 * MS)
+    wait_ends_at = world.now + wait_s * SECOND
+    assert only_breaker(world).outage.is_out is is_out
+    sent = sent_messages(world.step(WakeUp(), after=wait_s * SECOND + SECOND))
+    assert sent
+    world.end_attempt(sent[0], Outcome.OK)
+    assert (only_breaker(world).warm_up_since >= wait_ends_at) is is_out
