--- a/tests/test_ramp.py
+++ b/tests/test_ramp.py
@@ -17,7 +17,14 @@
 
 @pytest.mark.parametrize(
     ("senders", "outage"),
-    [(5, "shut"), (5, "hangs"), *((n, outage) for n in (20, 30) for outage in OUTAGES)],
+    [
+        (1, "restarts"),
+        (3, "restarts"),
+        (3, "silent"),
+        (5, "shut"),
+        (5, "hangs"),
+        *((n, outage) for n in (20, 30) for outage in OUTAGES),
+    ],
 )
 def test_the_load_of_all_senders_stays_below_the_bound(senders: int, outage: str) -> None:
     peak_loads, goodput = peaks(recovery_scenario(senders, outage), seed=senders)
