--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -32,6 +32,7 @@
 RESTART_S = 0.6
 CLIENT_TIMEOUT_S = 0.4
 KEEP_ALIVE_S = 1.0
+CONCURRENT_STARTS = 4
 DEADLINE_S = 20.0
 CLASS = {
     "name": "c",
@@ -253,8 +254,8 @@
 class ColdFleet:
     """The sender processes with their clients, and the destination."""
 
-    def __init__(self, folder: Path, plan: Plan) -> None:
-        self.folder, self.plan = folder, plan
+    def __init__(self, folder: Path, plan: Plan, starts: asyncio.Semaphore) -> None:
+        self.folder, self.plan, self.starts = folder, plan, starts
         self.rng = random.Random(plan.seed)
         self.destination = ColdDestination(plan.wait_s)
         self.senders: list[sender_processes.Platform] = []
@@ -334,7 +335,9 @@
                 state.mkdir(parents=True)
                 platform = sender_processes.Platform(state, self.config(discovery, f"n{number}"))
                 self.senders.append(await stack.enter_async_context(platform))
-            await asyncio.gather(*(self.start_sender(number) for number in range(self.plan.senders)))
+            for number in range(self.plan.senders):
+                async with self.starts:
+                    await self.start_sender(number)
             self.spawn(discovery.keep_alive())
             self.spawn(answer_notices(discovery, lambda *_: None))
             try:
@@ -418,6 +421,7 @@
 
 
 async def play_all(folder: Path, plans: Sequence[Plan]) -> dict[Plan, Result]:
-    """Plays runs side by side, each with processes of its own."""
-    runs = (ColdFleet(folder / str(number), plan).run() for number, plan in enumerate(plans))
+    """Plays runs side by side, each with processes of its own, of which a few start at a time."""
+    starts = asyncio.Semaphore(CONCURRENT_STARTS)
+    runs = (ColdFleet(folder / str(number), plan, starts).run() for number, plan in enumerate(plans))
     return dict(zip(plans, await asyncio.gather(*runs), strict=True))
