Leave announced waits in a large fleet to the spread of its members' calls

Cause, by reading: in a fleet of 200 whose member knows no rate the warm-up behind the wait paces calls to one in minutes, so the held messages rank as lost and a message over quota no longer comes first among those to shed.

--- a/message_sender/policy/breaker.py
+++ b/message_sender/policy/breaker.py
@@ -323,7 +323,7 @@
         self.gap_changed = now
         min_calls = max(FAILURE_THRESHOLD / self.context.fleet_factor, 2) if is_out_of_service else NEVER
         self.record_unserved(now, min_calls, OutageCause.REFUSED)
-        if retry_after_us > MAX_LIMIT_WINDOW_US:
+        if retry_after_us > MAX_LIMIT_WINDOW_US and self.context.fleet_factor <= 1:
             self.outage.note_out(now + retry_after_us, OutageCause.REFUSED)
         # Spreads senders that received the same Retry-After, so that they do not return together.
         delay = self.context.rng.uniform(0, 2 * self.gap) * (1 - 1 / self.context.fleet_factor)
--- a/message_sender/policy/outage.py
+++ b/message_sender/policy/outage.py
@@ -5,7 +5,8 @@
 - **Out**: enough consecutive calls were not served (`Breaker.record_unserved` counts them). The destination
   is known to have been out until the last of them.
 - **Announced waits**: a destination that announces a Retry-After beyond the window of a rate limit is out
-  until the end of that wait, as it says itself.
+  until the end of that wait, as it says itself. Not so in a large fleet, whose members spread their calls
+  behind the wait.
 - **Overdue calls**: a destination that is out is known to be out as long as an overdue call goes on. So the
   end of such a call, whatever its result, is the latest time at which the destination is known to have been
   out. No other call may show that: hung calls can fill the destination's limit, and no trial is sent.
